--- /dev/null
+++ b/features/environment.py
@@ -0,0 +1,13 @@
+"""Hooks of behave: every scenario frees what it has started."""
+
+from contextlib import ExitStack
+
+
+def before_scenario(context, scenario):
+    """Give the scenario a place for what it has to free."""
+    context.resources = ExitStack()
+
+
+def after_scenario(context, scenario):
+    """Free what the scenario has started."""
+    context.resources.close()
--- /dev/null
+++ b/features/steps/whole_path_steps.py
@@ -0,0 +1,117 @@
+"""Steps for the whole path through real processes."""
+
+from asyncio import gather
+from asyncio import run
+
+from behave import given
+from behave import then
+from behave import when
+
+from fuchsiacart.exceptions import ErrorKind
+from fuchsiacart.exceptions import FuchsiacartError
+from fuchsiacart.exceptions import Run
+from standins.audits import audit
+from standins.caller import Caller
+from standins.caller import Ending
+from standins.fleet import Fleet
+from standins.fleet import Shape
+from standins.workloads import WORKLOADS
+
+RANKS = ('urgent', 'interactive', 'background')
+
+
+class WholePath:
+    """A deployment and what callers saw of it."""
+
+    def __init__(self, user, control, entry, **settings):
+        self.workload = WORKLOADS[user]
+        self.fleet = Fleet(
+            Shape(
+                user,
+                control,
+                entry,
+                services=self.workload.services,
+                **settings,
+            )
+        )
+        self.results = []
+        self.started = 0
+        self.error = None
+
+    def start(self):
+        """Start the processes and wait for usable slots."""
+        self.fleet.start()
+        self.fleet.wait_until(self._serves)
+
+    def send(self, count, rank, path=None):
+        """Send requests of one rank, all at a time."""
+        rates = {rank: 1.0}
+        kinds = self.workload.kinds(rates)
+        run(self._send(count, kinds, path))
+
+    async def _send(self, count, kinds, path):
+        caller = Caller(self.fleet.entry_hosts(), self.workload.clients[0], 1)
+        self.started += count
+        sends = [
+            caller.send(kinds[index % len(kinds)], path)
+            for index in range(count)
+        ]
+        self.results += await gather(*sends)
+
+    def verdict(self):
+        """Return the verdict on all that was sent."""
+        return audit(self.results, self.started, self.fleet.records())
+
+    def _serves(self):
+        slots = self.fleet.usable_slots()
+        return len(slots) == len(self.fleet.regions) and all(slots.values())
+
+
+@given(
+    'a deployment of {user} with {control:d} control and {entry:d} entry hosts'
+)
+def given_deployment(context, user, control, entry):
+    """Start a deployment."""
+    context.path = WholePath(user, control, entry)
+    context.resources.callback(context.path.fleet.stop)
+    context.path.start()
+
+
+@when('callers send {count:d} requests of each rank')
+def when_each_rank(context, count):
+    """Send requests of each rank."""
+    for rank in RANKS:
+        context.path.send(count, rank)
+
+
+@when('a caller sends a request with an unknown token')
+def when_unknown_token(context):
+    """Send with a token of no contract."""
+    with context.path.fleet.caller('no-such-token') as session:
+        try:
+            session.request('GET', 'teller', '/balances/1')
+        except FuchsiacartError as error:
+            context.path.error = error
+
+
+@then('every request has a whole answer')
+def then_all_answered(context):
+    """Check the endings."""
+    endings = {each.ending for each in context.path.results}
+    reasons = {each.reason for each in context.path.results}
+    assert endings == {Ending.ANSWERED}, reasons
+    assert all(each.whole for each in context.path.results)
+
+
+@then('no invariant is broken')
+def then_clean(context):
+    """Check the verdict."""
+    verdict = context.path.verdict()
+    assert verdict.is_clean, verdict
+
+
+@then('it is refused as unauthorized and not run')
+def then_unauthorized(context):
+    """Check the refusal."""
+    assert context.path.error.kind is ErrorKind.UNAUTHORIZED
+    assert context.path.error.run is Run.NO
--- /dev/null
+++ b/fuchsiacart/adapters.py
@@ -0,0 +1,267 @@
+"""Transport between the system's own processes."""
+
+from abc import ABC
+from abc import abstractmethod
+from asyncio import TimeoutError as AsyncTimeoutError
+from enum import Enum
+from enum import unique
+from hmac import compare_digest
+from time import monotonic
+
+from grpc.aio import AioRpcError
+from grpc.aio import insecure_channel
+from grpc.aio import secure_channel
+from grpc.aio import server as grpc_server
+from grpc import ssl_channel_credentials
+from grpc import ssl_server_credentials
+from grpc import StatusCode
+from msgspec.msgpack import Decoder
+from msgspec.msgpack import encode
+from msgspec import MsgspecError
+
+from fuchsiacart.exceptions import ErrorKind
+from fuchsiacart.exceptions import FuchsiacartError
+from fuchsiacart.exceptions import Run
+from fuchsiacart.exceptions import TransportError
+from fuchsiacart.logs import log_error
+from fuchsiacart.logs import log_warning
+from fuchsiacart.messages import PeerMessage
+from fuchsiacart.messages import Refusal
+from fuchsiacart.peering_pb2 import Packet
+from fuchsiacart.peering_pb2_grpc import add_PeeringServicer_to_server
+from fuchsiacart.peering_pb2_grpc import PeeringServicer
+from fuchsiacart.peering_pb2_grpc import PeeringStub
+
+MESSAGE_LIMIT_BYTES = 256 * 1024 * 1024
+SILENT_LIMIT_S = 2.0
+TOKEN_KEY = 'peer-token'
+MESSAGES = Decoder(PeerMessage)
+OPTIONS = (
+    ('grpc.max_receive_message_length', MESSAGE_LIMIT_BYTES),
+    ('grpc.max_send_message_length', MESSAGE_LIMIT_BYTES),
+    ('grpc.use_local_subchannel_pool', 1),
+    ('grpc.initial_reconnect_backoff_ms', 100),
+    ('grpc.min_reconnect_backoff_ms', 500),
+    ('grpc.max_reconnect_backoff_ms', 500),
+    ('grpc.so_reuseport', 0),
+    ('grpc.enable_http_proxy', 0),
+)
+
+
+@unique
+class Method(Enum):
+    """Calls that processes of the system answer for each other."""
+
+    DELIVER = 'Deliver'
+    KEEP_ALIVE = 'KeepAlive'
+    PROPOSE = 'Propose'
+    PULL = 'Pull'
+    GOSSIP = 'Gossip'
+    ANNOUNCE = 'Announce'
+    FORWARD = 'Forward'
+
+
+class PeerAdapter(ABC):
+    """Calls to other processes of the system."""
+
+    @abstractmethod
+    async def call(self, address, method, message, timeout_s):
+        """Call a process and return its answer.
+
+        :param address: IP:port of the process.
+        :param method: which call.
+        :param message: the request.
+        :param timeout_s: seconds to wait for the answer.
+        :return: the answer.
+        :raises TransportError: when no answer came; ``run`` tells whether
+            the call can have been taken in.
+        :raises FuchsiacartError: when the answer is a refusal.
+        """
+
+    @abstractmethod
+    async def close(self):
+        """Close all connections."""
+
+
+class _Channel:
+    def __init__(self, address, credentials):
+        if credentials is None:
+            self._channel = insecure_channel(address, OPTIONS)
+        else:
+            self._channel = secure_channel(address, credentials, OPTIONS)
+        self.stub = PeeringStub(self._channel)
+        self.last_answer_s = monotonic()
+
+    async def close(self):
+        await self._channel.close()
+
+
+class GrpcAdapter(PeerAdapter):
+    """Calls over gRPC, one channel for each address.
+
+    A channel on which calls time out while no answer has come for
+    ``SILENT_LIMIT_S`` is dropped with all calls on it; the next call opens
+    a new one.
+
+    :param token: token shared by the processes.
+    :param certificate_file: certificate to trust, or empty without TLS.
+    """
+
+    def __init__(self, token, certificate_file=''):
+        self._metadata = ((TOKEN_KEY, token),)
+        self._credentials = None
+        if certificate_file:
+            with open(certificate_file, 'rb') as file:
+                self._credentials = ssl_channel_credentials(file.read())
+        self._channels = {}
+
+    async def call(self, address, method, message, timeout_s):
+        """See :meth:`PeerAdapter.call`."""
+        channel = self._channel_to(address)
+        stub_method = getattr(channel.stub, method.value)
+        try:
+            packet = await stub_method(
+                Packet(body=encode(message)),
+                timeout=timeout_s,
+                metadata=self._metadata,
+            )
+        except AioRpcError as error:
+            await self._drop_if_silent(address, channel, error)
+            run = Run.UNKNOWN
+            if _is_refused_connection(error):
+                run = Run.NO
+            raise TransportError(
+                f'{address}: {error.code().name.lower()}', run=run
+            ) from error
+        channel.last_answer_s = monotonic()
+        return _decode_answer(packet.body)
+
+    async def close(self):
+        """See :meth:`PeerAdapter.close`."""
+        channels = list(self._channels.values())
+        self._channels.clear()
+        for channel in channels:
+            await channel.close()
+
+    def _channel_to(self, address):
+        if address not in self._channels:
+            self._channels[address] = _Channel(address, self._credentials)
+        return self._channels[address]
+
+    async def _drop_if_silent(self, address, channel, error):
+        if error.code() is not StatusCode.DEADLINE_EXCEEDED:
+            return
+        if monotonic() - channel.last_answer_s < SILENT_LIMIT_S:
+            return
+        if self._channels.get(address) is not channel:
+            return
+        del self._channels[address]
+        log_warning('silent_channel_dropped', address=address)
+        await channel.close()
+
+
+def _is_refused_connection(error):
+    if error.code() is not StatusCode.UNAVAILABLE:
+        return False
+    details = (error.details() or '').lower()
+    return 'failed to connect' in details or 'refused' in details
+
+
+def _decode_answer(body):
+    answer = MESSAGES.decode(body)
+    if isinstance(answer, Refusal):
+        raise FuchsiacartError(
+            answer.detail, answer.kind, answer.run, answer.retry_after_ms
+        )
+    return answer
+
+
+class _Servicer(PeeringServicer):
+    """Answers each method by its handler."""
+
+    def __init__(self, token, handlers):
+        self._token = token
+        for method in Method:
+            handler = handlers.get(method)
+            if handler is not None:
+                setattr(self, method.value, self._serve(method, handler))
+
+    def _serve(self, method, handler):
+        async def answer(packet, context):
+            metadata = dict(context.invocation_metadata() or ())
+            token = str(metadata.get(TOKEN_KEY, ''))
+            if not compare_digest(token.encode(), self._token.encode()):
+                await context.abort(StatusCode.UNAUTHENTICATED, 'token')
+            return Packet(
+                body=encode(await run_handler(method, handler, packet))
+            )
+
+        return answer
+
+
+async def run_handler(method, handler, packet):
+    """Answer a packet; errors become refusals.
+
+    :param method: the method called.
+    :param handler: coroutine function from a message to its answer.
+    :param packet: the packet received.
+    :return: the answer, a message.
+    """
+    try:
+        return await handler(MESSAGES.decode(packet.body))
+    except FuchsiacartError as error:
+        return Refusal(
+            error.kind, error.detail, error.run, error.retry_after_ms
+        )
+    except MsgspecError as error:
+        return Refusal(ErrorKind.BAD_REQUEST, str(error))
+    except (AsyncTimeoutError, OSError, ValueError, KeyError) as error:
+        log_error('peer_call_failed', method=method.value, error=repr(error))
+        return Refusal(ErrorKind.INTERNAL, repr(error), Run.UNKNOWN)
+
+
+class PeerServer:
+    """Answers the calls of other processes.
+
+    :param token: token shared by the processes.
+    :param handlers: handler for each method that this process answers.
+    :param tls: TLS settings.
+    """
+
+    def __init__(self, token, handlers, tls):
+        self._server = grpc_server(options=OPTIONS)
+        servicer = _Servicer(token, handlers)
+        add_PeeringServicer_to_server(servicer, self._server)
+        self._tls = tls
+
+    async def start(self, address, port):
+        """Listen.
+
+        :param address: IP to listen on.
+        :param port: port, 0 for any free one.
+        :return: the port taken.
+        :raises OSError: when the port cannot be taken.
+        """
+        target = f'{address}:{port}'
+        try:
+            taken = self._bind(target)
+        except RuntimeError as error:
+            raise OSError(f'cannot listen on {target}') from error
+        if taken == 0:
+            raise OSError(f'cannot listen on {target}')
+        await self._server.start()
+        return taken
+
+    async def stop(self, grace_s):
+        """Stop to listen; calls in flight have ``grace_s`` to end."""
+        await self._server.stop(grace_s)
+
+    def _bind(self, target):
+        if not self._tls.certificate_file:
+            return self._server.add_insecure_port(target)
+        with open(self._tls.key_file, 'rb') as file:
+            key = file.read()
+        with open(self._tls.certificate_file, 'rb') as file:
+            certificate = file.read()
+        credentials = ssl_server_credentials([(key, certificate)])
+        return self._server.add_secure_port(target, credentials)
--- /dev/null
+++ b/fuchsiacart/announcements.py
@@ -0,0 +1,181 @@
+"""Announcements of backend servers, on their way to their owners."""
+
+from hmac import compare_digest
+from time import monotonic
+
+from msgspec import convert
+from msgspec.json import decode
+from msgspec.json import encode
+from msgspec import MsgspecError
+from msgspec import Struct
+
+from fuchsiacart.adapters import Method
+from fuchsiacart.callers import CallerHandler
+from fuchsiacart.exceptions import ErrorKind
+from fuchsiacart.exceptions import FuchsiacartError
+from fuchsiacart.exceptions import RequestError
+from fuchsiacart.logs import log_event
+from fuchsiacart.messages import AnnounceReply
+from fuchsiacart.messages import AnnounceRequest
+from fuchsiacart.messages import ReleaseReply
+from fuchsiacart.messages import ReleaseRequest
+from fuchsiacart.models import BackendServer
+from fuchsiacart.models import LoadReport
+from fuchsiacart.models import token_digest
+
+CALL_TIMEOUT_S = 1.0
+
+
+class Announcement(Struct, frozen=True, forbid_unknown_fields=True):
+    """What a backend server sends, again and again."""
+
+    server: BackendServer
+    report: LoadReport = LoadReport()
+    leaving: bool = False
+
+
+class Registrar:
+    """Brings each announcement to the owner of the backend server.
+
+    :param settings: the settings of the process.
+    :param lease: the :class:`LeaseKeeper`.
+    :param views: the :class:`ViewKeeper`.
+    :param ownership: the :class:`Ownership`.
+    :param dispatcher: the :class:`Dispatcher`.
+    :param adapter: transport.
+    """
+
+    def __init__(self, settings, lease, views, ownership, dispatcher, adapter):
+        self._settings = settings
+        self._lease = lease
+        self._views = views
+        self._ownership = ownership
+        self._dispatcher = dispatcher
+        self._adapter = adapter
+
+    async def announce(self, request, relayed=False):
+        """Register a backend server with its owner.
+
+        :param request: the :class:`AnnounceRequest`.
+        :param relayed: whether another entry host sent it here.
+        :return: the :class:`AnnounceReply`.
+        :raises RequestError: when no owner can take it now.
+        """
+        if not self._lease.holds():
+            raise RequestError('no lease is held', ErrorKind.STALE)
+        owner = self._ownership.owner(request.server)
+        if owner is None:
+            raise RequestError('no entry host is live', ErrorKind.NO_BACKEND)
+        if owner.name == self._settings.host.name:
+            await self._register(request)
+            lease_ms = self._settings.entry.backend_lease_ms
+            return AnnounceReply(owner.name, lease_ms)
+        if relayed:
+            raise RequestError('another host owns it', ErrorKind.CONFLICT)
+        return await self._adapter.call(
+            owner.peer_address, Method.ANNOUNCE, request, CALL_TIMEOUT_S
+        )
+
+    async def on_announce(self, request):
+        """Answer an announcement or a release from another entry host."""
+        if isinstance(request, ReleaseRequest):
+            return self._release(request)
+        return await self.announce(request, relayed=True)
+
+    def follow_view(self):
+        """Take in the hosts of a new view and drop what others own."""
+        view = self._views.machine
+        self._ownership.observe(view.hosts, view.drains, _now_ms())
+        self._dispatcher.keep_owned(self._ownership.is_owner, view.drains)
+
+    async def _register(self, request):
+        server = request.server
+        if request.leaving:
+            self._dispatcher.leave(server.name)
+            return
+        usable_from_ms, foreign = _now_ms(), 0
+        if not self._dispatcher.holds(server.name):
+            usable_from_ms, foreign = await self._take_over(server)
+        self._dispatcher.register(
+            server, request.report, usable_from_ms, foreign
+        )
+        view = self._views.machine
+        self._dispatcher.keep_owned(self._ownership.is_owner, view.drains)
+
+    async def _take_over(self, server):
+        """Ask earlier owners to give a server up.
+
+        :return: when this host may start, and how much still runs there.
+        """
+        view = self._views.machine
+        earlier = self._ownership.earlier_owners(server, view.hosts, _now_ms())
+        foreign = 0
+        for host in earlier:
+            request = ReleaseRequest(server, view.revision)
+            try:
+                reply = await self._adapter.call(
+                    host.peer_address,
+                    Method.ANNOUNCE,
+                    request,
+                    CALL_TIMEOUT_S,
+                )
+            except FuchsiacartError as error:
+                log_event(
+                    'release_refused', host=host.name, detail=error.detail
+                )
+                wait_ms = self._settings.entry.lease_ms
+                return _now_ms() + wait_ms, foreign
+            foreign += reply.in_flight
+        return _now_ms(), foreign
+
+    def _release(self, request):
+        view = self._views.machine
+        if view.revision < request.revision:
+            raise RequestError('this view is older', ErrorKind.CONFLICT)
+        if self._ownership.is_owner(request.server):
+            raise RequestError('this host owns it', ErrorKind.CONFLICT)
+        in_flight = self._dispatcher.forget(request.server.name)
+        return ReleaseReply(in_flight)
+
+
+class AnnounceHandler(CallerHandler):
+    """Announcements over HTTP: ``POST /v1/announce``.
+
+    :param entry: the :class:`EntryHost`.
+    """
+
+    async def post(self):
+        """Take an announcement, a renewal or a leave."""
+        try:
+            self._check_token()
+            announcement = self._announcement()
+            reply = await self.entry.announce(
+                AnnounceRequest(
+                    announcement.server,
+                    announcement.report,
+                    announcement.leaving,
+                )
+            )
+        except FuchsiacartError as error:
+            self.refuse(error)
+            return
+        self.set_header('Content-Type', 'application/json')
+        self.finish(encode(reply))
+
+    def _check_token(self):
+        header = self.request.headers.get('Authorization', '')
+        scheme, _, token = header.partition(' ')
+        digest = token_digest(token)
+        known = compare_digest(digest, self.entry.backend_digest)
+        if scheme != 'Bearer' or not known:
+            raise RequestError('backend token', ErrorKind.UNAUTHORIZED)
+
+    def _announcement(self):
+        try:
+            return convert(decode(self.request.body), Announcement)
+        except (MsgspecError, ValueError) as error:
+            raise RequestError(str(error), ErrorKind.BAD_REQUEST) from error
+
+
+def _now_ms():
+    return monotonic() * 1000
--- /dev/null
+++ b/fuchsiacart/backends.py
@@ -0,0 +1,195 @@
+"""HTTP towards backend servers: one attempt at one request."""
+
+from asyncio import CancelledError
+from enum import Enum
+from enum import unique
+
+from msgspec import Struct
+from tornado.httpclient import HTTPRequest
+from tornado.httputil import HTTPHeaders
+from tornado.simple_httpclient import HTTPTimeoutError
+from tornado.simple_httpclient import SimpleAsyncHTTPClient
+
+from fuchsiacart.exceptions import ErrorKind
+from fuchsiacart.exceptions import Run
+from fuchsiacart.messages import ForwardReply
+from fuchsiacart.messages import Header
+from fuchsiacart.messages import Refusal
+
+DEADLINE_HEADER = 'Fuchsiacart-Deadline-Ms'
+REQUEST_ID_HEADER = 'Fuchsiacart-Request-Id'
+RUN_HEADER = 'Fuchsiacart-Run'
+CANCEL_PATH = '/fuchsiacart/cancel'
+CANCEL_TIMEOUT_S = 1.0
+CLIENT_LIMIT = 100_000
+BODY_LIMIT_BYTES = 64 * 1024 * 1024
+STATUS_UNAVAILABLE = 503
+HOP_HEADERS = frozenset(
+    (
+        'connection',
+        'keep-alive',
+        'proxy-authenticate',
+        'proxy-authorization',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+        'content-length',
+        'host',
+        'expect',
+        'authorization',
+    )
+)
+BODY_METHODS = frozenset(('POST', 'PUT', 'PATCH'))
+
+
+@unique
+class Loss(Enum):
+    """How an attempt without an answer ended."""
+
+    NOT_CONNECTED = 'not_connected'
+    TOO_LATE = 'too_late'
+    BROKEN = 'broken'
+
+
+class Attempt(Struct, frozen=True):
+    """What came of an attempt: a reply, and how it was lost if it was."""
+
+    reply: ForwardReply
+    loss: Loss | None = None
+
+
+def passed_headers(headers):
+    """Return the headers that travel end to end.
+
+    :param headers: tornado's headers.
+    """
+    return tuple(
+        Header(name, value)
+        for name, value in headers.get_all()
+        if name.lower() not in HOP_HEADERS
+    )
+
+
+class BackendClient:
+    """Sends requests to backend servers, a new connection for each.
+
+    A connection is never used again, so one that has gone silent can harm
+    no later request, and an answer can belong to no other request.
+
+    :param connect_timeout_ms: limit for a new connection.
+    """
+
+    def __init__(self, connect_timeout_ms):
+        self._connect_timeout_s = connect_timeout_ms / 1000
+        self._client = SimpleAsyncHTTPClient(
+            force_instance=True,
+            max_clients=CLIENT_LIMIT,
+            max_body_size=BODY_LIMIT_BYTES,
+        )
+
+    async def send(self, server, request, left_ms):
+        """Send a request and read the whole answer.
+
+        :param server: the :class:`BackendServer`.
+        :param request: the :class:`ForwardRequest`.
+        :param left_ms: milliseconds left until the deadline.
+        :return: the :class:`Attempt`.
+        """
+        try:
+            response = await self._client.fetch(
+                self._http_request(server, request, left_ms),
+                raise_error=False,
+            )
+        except CancelledError:
+            raise
+        except HTTPTimeoutError as error:
+            if 'connecting' in str(error) or 'queue' in str(error):
+                return _lost(server, Loss.NOT_CONNECTED, str(error))
+            return _lost(server, Loss.TOO_LATE, str(error))
+        except ConnectionRefusedError as error:
+            return _lost(server, Loss.NOT_CONNECTED, str(error))
+        except Exception as error:
+            return _lost(server, Loss.BROKEN, repr(error))
+        return self._answer(server, response)
+
+    async def cancel(self, server, request_id):
+        """Tell a server that nobody waits for a request any more."""
+        url = f'http://{server.address}{CANCEL_PATH}/{request_id}'
+        request = HTTPRequest(
+            url,
+            method='POST',
+            body=b'',
+            connect_timeout=CANCEL_TIMEOUT_S,
+            request_timeout=CANCEL_TIMEOUT_S,
+        )
+        try:
+            await self._client.fetch(request, raise_error=False)
+        except Exception:
+            return
+
+    def close(self):
+        """Close the client."""
+        self._client.close()
+
+    def _http_request(self, server, request, left_ms):
+        headers = HTTPHeaders()
+        for header in request.headers:
+            headers.add(header.name, header.value)
+        headers[DEADLINE_HEADER] = str(int(left_ms))
+        headers[REQUEST_ID_HEADER] = request.request_id
+        has_body = request.body or request.method in BODY_METHODS
+        return HTTPRequest(
+            f'http://{server.address}{request.path}',
+            method=request.method,
+            headers=headers,
+            body=request.body if has_body else None,
+            allow_nonstandard_methods=True,
+            follow_redirects=False,
+            decompress_response=False,
+            connect_timeout=min(self._connect_timeout_s, left_ms / 1000),
+            request_timeout=left_ms / 1000,
+        )
+
+    def _answer(self, server, response):
+        headers = response.headers
+        if _is_shed(response):
+            refusal = Refusal(
+                ErrorKind.OVERLOADED, 'shed by the backend server', Run.NO
+            )
+            reply = ForwardReply(server.name, refusal=refusal, shed=True)
+            return Attempt(reply)
+        is_delimited = (
+            'Content-Length' in headers
+            or 'Transfer-Encoding' in headers
+            or response.code in (204, 304)
+        )
+        if not is_delimited:
+            return _lost(server, Loss.BROKEN, 'the end cannot be told')
+        reply = ForwardReply(
+            server.name,
+            response.code,
+            passed_headers(headers),
+            response.body or b'',
+        )
+        return Attempt(reply)
+
+
+def _is_shed(response):
+    if response.code != STATUS_UNAVAILABLE:
+        return False
+    return response.headers.get(RUN_HEADER, '') == Run.NO.value
+
+
+def _lost(server, loss, detail):
+    kinds = {
+        Loss.NOT_CONNECTED: ErrorKind.NO_BACKEND,
+        Loss.TOO_LATE: ErrorKind.DEADLINE,
+        Loss.BROKEN: ErrorKind.OUTCOME_UNKNOWN,
+    }
+    run = Run.NO if loss is Loss.NOT_CONNECTED else Run.UNKNOWN
+    refusal = Refusal(kinds[loss], f'{server.name}: {detail}', run)
+    reply = ForwardReply(
+        server.name, refusal=refusal, broken=loss is Loss.BROKEN
+    )
+    return Attempt(reply, loss)
--- /dev/null
+++ b/fuchsiacart/callers.py
@@ -0,0 +1,138 @@
+"""HTTP interface of an entry host for callers."""
+
+from asyncio import CancelledError
+from asyncio import create_task
+from time import monotonic
+
+from msgspec.json import encode
+from tornado.web import RequestHandler
+
+from fuchsiacart.backends import DEADLINE_HEADER
+from fuchsiacart.backends import passed_headers
+from fuchsiacart.coordinators import CallerRequest
+from fuchsiacart.exceptions import ErrorKind
+from fuchsiacart.exceptions import FuchsiacartError
+from fuchsiacart.logs import log_error
+from fuchsiacart.metrics import LATENCY
+from fuchsiacart.metrics import LOOKUPS
+from fuchsiacart.metrics import REQUESTS
+from fuchsiacart.problems import problem_document
+from fuchsiacart.problems import PROBLEM_TYPE
+
+KEY_HEADER = 'Idempotency-Key'
+ATTEMPT_HEADER = 'Fuchsiacart-Attempt'
+STATUS_NO_ANSWER = 499
+
+
+class CallerHandler(RequestHandler):
+    """Base of the callers' handlers: errors as problem documents.
+
+    :param entry: the :class:`EntryHost`.
+    """
+
+    def initialize(self, entry):
+        """Take in what the application passes."""
+        self.entry = entry
+
+    def refuse(self, error):
+        """Answer an error."""
+        self.set_status(error.answer.status)
+        self.set_header('Content-Type', PROBLEM_TYPE)
+        if error.retry_after_ms:
+            seconds = -(-error.retry_after_ms // 1000)
+            self.set_header('Retry-After', str(seconds))
+        hosts = ()
+        if error.kind in (ErrorKind.STALE, ErrorKind.DRAINING):
+            hosts = self.entry.other_hosts()
+        self.finish(problem_document(error, hosts))
+
+    def log_exception(self, typ, value, tb):
+        """Write unexpected errors as events."""
+        log_error('handler_failed', error=repr(value))
+
+
+class LookupHandler(CallerHandler):
+    """Which entry hosts to use: ``/v1/lookup?service=S&client=IP``."""
+
+    def get(self):
+        """Answer a look-up, with a time to live for caches."""
+        service = self.get_query_argument('service', '')
+        client = self.get_query_argument('client', self.request.remote_ip)
+        try:
+            answer = self.entry.look_up(service, client)
+        except FuchsiacartError as error:
+            self.refuse(error)
+            return
+        LOOKUPS.inc()
+        self.set_header('Content-Type', 'application/json')
+        seconds = answer.ttl_ms // 1000
+        self.set_header('Cache-Control', f'private, max-age={seconds}')
+        self.finish(encode(answer))
+
+
+class RequestsHandler(CallerHandler):
+    """Requests of callers: ``/s/SERVICE/PATH`` with any method."""
+
+    _task = None
+    _request_seen = None
+
+    async def _serve(self, service, path):
+        started_s = monotonic()
+        self._request_seen = self._request(service)
+        self._task = create_task(self.entry.handle(self._request_seen))
+        try:
+            reply = await self._task
+        except FuchsiacartError as error:
+            self._count(error.kind.value, started_s)
+            if error.kind is ErrorKind.KEY_CLOSED:
+                self.set_header(ATTEMPT_HEADER, str(self._attempt() + 1))
+            self.refuse(error)
+            return
+        except CancelledError:
+            self._count('given_up', started_s)
+            self.set_status(STATUS_NO_ANSWER)
+            return
+        self._count('answered', started_s)
+        self.set_status(reply.status)
+        self.clear_header('Content-Type')
+        self.clear_header('Server')
+        for header in reply.headers:
+            self.add_header(header.name, header.value)
+        if reply.status not in (204, 304):
+            self.write(reply.body)
+        self.finish()
+
+    get = post = put = patch = delete = head = options = _serve
+
+    def on_connection_close(self):
+        """Cancel what the caller has given up."""
+        if self._task is not None:
+            self._task.cancel()
+
+    def _request(self, service):
+        headers = self.request.headers
+        scheme, _, token = headers.get('Authorization', '').partition(' ')
+        prefix = f'/s/{service}'
+        return CallerRequest(
+            token if scheme == 'Bearer' else '',
+            service,
+            self.request.method,
+            self.request.uri[len(prefix) :],
+            passed_headers(headers),
+            self.request.body,
+            self._number(DEADLINE_HEADER, 0),
+            headers.get(KEY_HEADER, ''),
+            self._attempt(),
+        )
+
+    def _attempt(self):
+        return max(1, self._number(ATTEMPT_HEADER, 1))
+
+    def _number(self, name, default):
+        text = self.request.headers.get(name, '')
+        return int(text) if text.isdigit() and len(text) < 12 else default
+
+    def _count(self, outcome, started_s):
+        rank = self.entry.rank_label(self._request_seen)
+        REQUESTS.labels(rank, outcome).inc()
+        LATENCY.labels(rank).observe(monotonic() - started_s)
--- /dev/null
+++ b/fuchsiacart/claims.py
@@ -0,0 +1,245 @@
+"""Claims: work that may not be repeated runs at most once."""
+
+from abc import ABC
+from abc import abstractmethod
+from asyncio import create_task
+from asyncio import gather
+from asyncio import sleep
+from enum import Enum
+from enum import unique
+from time import monotonic
+from uuid import UUID
+from uuid import uuid4
+
+from msgspec import Struct
+
+from fuchsiacart.exceptions import ErrorKind
+from fuchsiacart.exceptions import FuchsiacartError
+from fuchsiacart.exceptions import RequestError
+from fuchsiacart.exceptions import Run
+from fuchsiacart.logs import log_warning
+from fuchsiacart.messages import ClaimQuery
+from fuchsiacart.models import CustomerId
+from fuchsiacart.replicas import wall_ms
+from fuchsiacart.states import Claim
+from fuchsiacart.states import ClaimRecord
+from fuchsiacart.states import ClaimState
+from fuchsiacart.states import key_time_ms
+from fuchsiacart.states import Settle
+
+SETTLE_TIMEOUT_S = 30.0
+POLL_INTERVAL_S = 0.1
+
+
+class ClaimRequest(Struct, frozen=True):
+    """Which request is to be claimed."""
+
+    customer: CustomerId
+    key: str
+    attempt: int
+    digest: str
+
+
+@unique
+class ClaimResult(Enum):
+    """What a claim gave."""
+
+    GRANTED = 'granted'
+    ANSWERED = 'answered'
+
+
+class Claimed(Struct, frozen=True):
+    """Result of a claim; ``token`` settles it, ``record`` has the answer."""
+
+    result: ClaimResult
+    token: str = ''
+    record: ClaimRecord | None = None
+
+
+class ClaimBook(ABC):
+    """Gives the right to run a request."""
+
+    @abstractmethod
+    async def claim(self, request, is_host_live, timeout_s):
+        """Claim a request, or get the outcome of an earlier attempt.
+
+        :param request: the :class:`ClaimRequest`.
+        :param is_host_live: tells whether an entry host is known.
+        :param timeout_s: seconds until the request's deadline.
+        :return: the :class:`Claimed`.
+        :raises RequestError: when the request may not run now.
+        """
+
+    @abstractmethod
+    def settle(self, request, token, reply, ran):
+        """Record how a claimed request ended, in the background.
+
+        :param request: the :class:`ClaimRequest`.
+        :param token: token of the claim.
+        :param reply: the :class:`ForwardReply`.
+        :param ran: False only when it surely was not run.
+        """
+
+    @abstractmethod
+    async def drain(self):
+        """Wait for the settlements under way."""
+
+
+class NoClaims(ClaimBook):
+    """Baseline: everything may run at once."""
+
+    async def claim(self, request, is_host_live, timeout_s):
+        """See :meth:`ClaimBook.claim`."""
+        return Claimed(ClaimResult.GRANTED)
+
+    def settle(self, request, token, reply, ran):
+        """See :meth:`ClaimBook.settle`."""
+
+    async def drain(self):
+        """See :meth:`ClaimBook.drain`."""
+
+
+class LogClaims(ClaimBook):
+    """Claims agreed through the replicated log.
+
+    The state machine puts the claims of a key in order, so one at most is
+    granted; a settled key never runs again.
+
+    :param control: the :class:`ControlGroup`.
+    :param owner: name of this host.
+    """
+
+    def __init__(self, control, owner):
+        self._control = control
+        self._owner = owner
+        self._settling = set()
+
+    async def claim(self, request, is_host_live, timeout_s):
+        """See :meth:`ClaimBook.claim`."""
+        deadline_s = monotonic() + timeout_s
+        token = uuid4().hex
+        command = Claim(
+            request.customer,
+            request.key,
+            request.attempt,
+            request.digest,
+            self._owner,
+            token,
+            wall_ms(),
+        )
+        outcome = await self._commit(command, timeout_s)
+        if outcome.error is not None:
+            raise RequestError(outcome.detail, outcome.error, Run.UNKNOWN)
+        if outcome.granted:
+            return Claimed(ClaimResult.GRANTED, token)
+        record = outcome.record
+        while record.state is ClaimState.RUNNING:
+            self._check_owner(record, is_host_live, deadline_s)
+            await sleep(POLL_INTERVAL_S)
+            record = await self._look(request, deadline_s) or record
+        return self._earlier(record)
+
+    def settle(self, request, token, reply, ran):
+        """See :meth:`ClaimBook.settle`."""
+        content_type = ''
+        for header in reply.headers:
+            if header.name.lower() == 'content-type':
+                content_type = header.value
+        command = Settle(
+            request.customer,
+            request.key,
+            token,
+            ran,
+            reply.status,
+            content_type,
+            reply.body if ran else b'',
+            wall_ms(),
+        )
+        task = create_task(self._settle(command))
+        self._settling.add(task)
+        task.add_done_callback(self._settling.discard)
+
+    async def drain(self):
+        """See :meth:`ClaimBook.drain`."""
+        await gather(*self._settling, return_exceptions=True)
+
+    async def _commit(self, command, timeout_s):
+        try:
+            return await self._control.commit(command, timeout_s)
+        except FuchsiacartError as error:
+            raise RequestError(
+                'the claim was not agreed in time',
+                ErrorKind.NO_QUORUM,
+                Run.UNKNOWN,
+                retry_after_ms=error.retry_after_ms,
+            ) from error
+
+    async def _settle(self, command):
+        try:
+            await self._control.commit(command, SETTLE_TIMEOUT_S)
+        except FuchsiacartError as error:
+            log_warning(
+                'claim_not_settled', key=command.key, detail=error.detail
+            )
+
+    async def _look(self, request, deadline_s):
+        query = ClaimQuery(request.customer, request.key)
+        left_s = max(0.01, deadline_s - monotonic())
+        try:
+            outcome = await self._control.ask(query, left_s)
+        except FuchsiacartError as error:
+            raise RequestError(
+                'the earlier attempt cannot be looked up',
+                ErrorKind.NO_QUORUM,
+                Run.UNKNOWN,
+            ) from error
+        return outcome.record
+
+    def _check_owner(self, record, is_host_live, deadline_s):
+        if not is_host_live(record.owner):
+            raise RequestError(
+                'the host that ran an earlier attempt is gone',
+                ErrorKind.OUTCOME_UNKNOWN,
+                Run.UNKNOWN,
+            )
+        if monotonic() >= deadline_s:
+            raise RequestError(
+                'an earlier attempt is still running',
+                ErrorKind.DEADLINE,
+                Run.UNKNOWN,
+            )
+
+    def _earlier(self, record):
+        if record.state is ClaimState.CLOSED:
+            raise RequestError(
+                f'attempt {record.attempt} was closed as not run',
+                ErrorKind.KEY_CLOSED,
+                Run.NO,
+            )
+        if not record.kept:
+            raise RequestError(
+                'it has run; its answer was too large to keep',
+                ErrorKind.OUTCOME_UNKNOWN,
+                Run.UNKNOWN,
+            )
+        if record.status == 0:
+            raise RequestError(
+                'an earlier attempt ended with an unknown outcome',
+                ErrorKind.OUTCOME_UNKNOWN,
+                Run.UNKNOWN,
+            )
+        return Claimed(ClaimResult.ANSWERED, record=record)
+
+
+def parse_key(text):
+    """Return the usual form of an idempotency key.
+
+    :param text: the header's value.
+    :return: a UUIDv7 in its usual form.
+    :raises RequestError: when it is none.
+    """
+    if key_time_ms(text.strip()) is None:
+        raise RequestError(
+            'a UUIDv7 (RFC 9562) is wanted', ErrorKind.BAD_KEY, Run.NO
+        )
+    return str(UUID(text.strip()))
--- /dev/null
+++ b/fuchsiacart/consensus.py
@@ -0,0 +1,651 @@
+"""Pure transitions of one replica of the replicated log.
+
+Every method takes a state and an event and returns the next state with the
+messages to send; nothing here does I/O or reads a clock.  The caller must
+make the term, the vote and the log durable before it sends the messages.
+The model checker steps this very class.
+"""
+
+from enum import Enum
+from enum import unique
+
+from msgspec import Struct
+from msgspec.structs import replace
+
+from fuchsiacart.models import ReplicaId
+
+
+@unique
+class Role(Enum):
+    """Part that a replica plays in its group."""
+
+    FOLLOWER = 'follower'
+    PRE_CANDIDATE = 'pre_candidate'
+    CANDIDATE = 'candidate'
+    LEADER = 'leader'
+
+
+class Group(Struct, frozen=True):
+    """Members of the control group; learners do not vote."""
+
+    voters: tuple[ReplicaId, ...] = ()
+    learners: tuple[ReplicaId, ...] = ()
+
+    @property
+    def everyone(self):
+        """Return voters and learners."""
+        return self.voters + self.learners
+
+    def is_quorum(self, replicas):
+        """Tell whether a set of replicas holds a majority of the voters."""
+        votes = sum(voter in replicas for voter in self.voters)
+        return votes * 2 > len(self.voters)
+
+
+class Entry(Struct, frozen=True):
+    """One entry of the log; ``group`` is set when it changes the members."""
+
+    term: int
+    body: bytes = b''
+    group: Group | None = None
+
+
+class PreVoteRequest(Struct, frozen=True, tag=True):
+    """Ask whether an election in ``term`` could be won."""
+
+    sender: ReplicaId
+    term: int
+    last_index: int
+    last_term: int
+
+
+class PreVoteResponse(Struct, frozen=True, tag=True):
+    """Answer to a pre-vote; ``own_term`` is the responder's term."""
+
+    sender: ReplicaId
+    term: int
+    own_term: int
+    granted: bool
+
+
+class VoteRequest(Struct, frozen=True, tag=True):
+    """Ask for a vote in ``term``."""
+
+    sender: ReplicaId
+    term: int
+    last_index: int
+    last_term: int
+
+
+class VoteResponse(Struct, frozen=True, tag=True):
+    """Answer to a vote request."""
+
+    sender: ReplicaId
+    term: int
+    granted: bool
+
+
+class AppendRequest(Struct, frozen=True, tag=True):
+    """Entries after ``prev_index``, also sent empty as a heartbeat."""
+
+    sender: ReplicaId
+    term: int
+    prev_index: int
+    prev_term: int
+    entries: tuple[Entry, ...]
+    commit_index: int
+    round: int
+
+
+class AppendResponse(Struct, frozen=True, tag=True):
+    """Answer to an append or snapshot; ``match_index`` counts when ok."""
+
+    sender: ReplicaId
+    term: int
+    ok: bool
+    match_index: int
+    round: int
+
+
+class SnapshotRequest(Struct, frozen=True, tag=True):
+    """State up to ``index`` for a replica whose next entries are gone."""
+
+    sender: ReplicaId
+    term: int
+    index: int
+    index_term: int
+    group: Group
+    body: bytes
+    round: int
+
+
+Message = (
+    PreVoteRequest
+    | PreVoteResponse
+    | VoteRequest
+    | VoteResponse
+    | AppendRequest
+    | AppendResponse
+    | SnapshotRequest
+)
+
+
+class Send(Struct, frozen=True):
+    """A message and the replica it goes to."""
+
+    to: ReplicaId
+    message: Message
+
+
+class Progress(Struct, frozen=True):
+    """What a leader knows of one other replica."""
+
+    replica: ReplicaId
+    next_index: int
+    match_index: int = 0
+    round: int = 0
+
+
+class ReplicaState(Struct, frozen=True):
+    """All state of one replica; term, vote and log are durable."""
+
+    replica: ReplicaId
+    term: int = 0
+    voted_for: ReplicaId | None = None
+    log: tuple[Entry, ...] = ()
+    base_index: int = 0
+    base_term: int = 0
+    base_group: Group = Group()
+    group: Group = Group()
+    commit_index: int = 0
+    role: Role = Role.FOLLOWER
+    leader: ReplicaId | None = None
+    granted: frozenset[ReplicaId] = frozenset()
+    progress: tuple[Progress, ...] = ()
+    round: int = 0
+
+    @property
+    def last_index(self):
+        """Return the index of the last entry in the log."""
+        return self.base_index + len(self.log)
+
+    @property
+    def last_term(self):
+        """Return the term of the last entry in the log."""
+        return self.log[-1].term if self.log else self.base_term
+
+    def term_at(self, index):
+        """Return the term of an entry, or None where it is not held."""
+        if index == self.base_index:
+            return self.base_term
+        if self.base_index < index <= self.last_index:
+            return self.log[index - self.base_index - 1].term
+        return None
+
+    def entries_from(self, index, limit=None):
+        """Return the entries from ``index`` on, at most ``limit``."""
+        start = index - self.base_index - 1
+        stop = None if limit is None else start + limit
+        return self.log[start:stop]
+
+    def progress_of(self, replica):
+        """Return what is known of a replica, or None."""
+        for progress in self.progress:
+            if progress.replica == replica:
+                return progress
+        return None
+
+
+class Step(Struct, frozen=True):
+    """Outcome of a transition."""
+
+    state: ReplicaState
+    sends: tuple[Send, ...] = ()
+
+
+BATCH_ENTRIES = 256
+
+
+def group_in(base_group, log):
+    """Return the members in force after a log: the last entry's count."""
+    for entry in reversed(log):
+        if entry.group is not None:
+            return entry.group
+    return base_group
+
+
+class Consensus:
+    """Leader election with pre-vote, replication and member changes.
+
+    The rules are those of the Raft algorithm (Ongaro and Ousterhout, 2014)
+    with pre-vote, check quorum and changes of one voter at a time.
+    """
+
+    def start_election(self, state):
+        """Ask for pre-votes after an election timeout.
+
+        :param state: state of a replica that has heard no leader.
+        :return: the step; a replica that is no voter does nothing.
+        """
+        if state.replica not in state.group.voters:
+            return Step(state)
+        if state.role is Role.LEADER:
+            return Step(state)
+        state = replace(
+            state,
+            role=Role.PRE_CANDIDATE,
+            leader=None,
+            granted=frozenset([state.replica]),
+        )
+        if state.group.is_quorum(state.granted):
+            return self._become_candidate(state)
+        request = PreVoteRequest(
+            state.replica,
+            state.term + 1,
+            state.last_index,
+            state.last_term,
+        )
+        return Step(state, self._to_voters(state, request))
+
+    def receive(self, state, message, leader_is_fresh=False):
+        """Take in a message from another replica.
+
+        :param state: the receiver's state.
+        :param message: the message.
+        :param leader_is_fresh: whether the receiver has heard from a
+            leader, or as leader from a quorum, within an election timeout.
+        :return: the step.
+        """
+        if isinstance(message, PreVoteRequest):
+            return self._on_pre_vote(state, message, leader_is_fresh)
+        if isinstance(message, PreVoteResponse):
+            return self._on_pre_vote_response(state, message)
+        if isinstance(message, VoteRequest):
+            return self._on_vote(state, message, leader_is_fresh)
+        if message.term > state.term:
+            state = self._adopt_term(state, message.term)
+        if isinstance(message, VoteResponse):
+            return self._on_vote_response(state, message)
+        if isinstance(message, AppendRequest):
+            return self._on_append(state, message)
+        if isinstance(message, SnapshotRequest):
+            return self._on_snapshot(state, message)
+        return self._on_append_response(state, message)
+
+    def propose(self, state, entries):
+        """Append entries as the leader and replicate them.
+
+        :param state: the leader's state.
+        :param entries: bodies of the entries, in order.
+        :return: the step; unchanged where the replica is not the leader.
+        """
+        if state.role is not Role.LEADER:
+            return Step(state)
+        added = tuple(Entry(state.term, body) for body in entries)
+        state = replace(state, log=state.log + added)
+        return self._replicate(self._advance_commit(state))
+
+    def propose_group(self, state, group):
+        """Append a change of the members as the leader.
+
+        :param state: the leader's state.
+        :param group: the new members, one voter different at most.
+        :return: the step; unchanged where the change is not allowed now.
+        """
+        if not self.may_change_group(state, group):
+            return Step(state)
+        entry = Entry(state.term, group=group)
+        state = replace(state, log=state.log + (entry,), group=group)
+        state = self._track_group(state)
+        return self._replicate(self._advance_commit(state))
+
+    def may_change_group(self, state, group):
+        """Tell whether the leader may change the members now."""
+        if state.role is not Role.LEADER:
+            return False
+        changed = set(group.voters) ^ set(state.group.voters)
+        if len(changed) > 1 or not group.voters:
+            return False
+        if state.term_at(state.commit_index) != state.term:
+            return False
+        pending = state.entries_from(state.commit_index + 1)
+        if any(entry.group is not None for entry in pending):
+            return False
+        return all(
+            self._holds_committed(state, voter)
+            for voter in changed & set(group.voters)
+        )
+
+    def heartbeat(self, state):
+        """Start a new round: send what each replica lacks, or nothing new."""
+        if state.role is not Role.LEADER:
+            return Step(state)
+        return self._replicate(replace(state, round=state.round + 1))
+
+    def confirmed_round(self, state):
+        """Return the newest round that a quorum has answered.
+
+        :param state: the leader's state.
+        :return: the round; leadership held when that round began.
+        """
+        rounds = {state.replica: state.round}
+        rounds |= {peer.replica: peer.round for peer in state.progress}
+        ordered = sorted(
+            (rounds.get(voter, 0) for voter in state.group.voters),
+            reverse=True,
+        )
+        return ordered[len(ordered) // 2] if ordered else 0
+
+    def step_down(self, state):
+        """Stop to lead, as when no quorum answers any more."""
+        return Step(
+            replace(
+                state, role=Role.FOLLOWER, leader=None, granted=frozenset()
+            )
+        )
+
+    def compact(self, state, index):
+        """Drop the log up to ``index``, which a snapshot now holds."""
+        if index <= state.base_index or index > state.commit_index:
+            return Step(state)
+        dropped = state.entries_from(state.base_index + 1)
+        dropped = dropped[: index - state.base_index]
+        return Step(
+            replace(
+                state,
+                base_term=state.term_at(index),
+                base_group=group_in(state.base_group, dropped),
+                log=state.entries_from(index + 1),
+                base_index=index,
+            )
+        )
+
+    def snapshot_request(self, state, body):
+        """Return the message that carries the leader's snapshot."""
+        return SnapshotRequest(
+            state.replica,
+            state.term,
+            state.base_index,
+            state.base_term,
+            state.base_group,
+            body,
+            state.round,
+        )
+
+    def _holds_committed(self, state, replica):
+        progress = state.progress_of(replica)
+        if progress is None:
+            return False
+        return progress.match_index >= state.commit_index
+
+    def _to_voters(self, state, message):
+        return tuple(
+            Send(voter, message)
+            for voter in state.group.voters
+            if voter != state.replica
+        )
+
+    def _adopt_term(self, state, term):
+        return replace(
+            state,
+            term=term,
+            voted_for=None,
+            role=Role.FOLLOWER,
+            leader=None,
+            granted=frozenset(),
+        )
+
+    def _is_up_to_date(self, state, message):
+        theirs = (message.last_term, message.last_index)
+        return theirs >= (state.last_term, state.last_index)
+
+    def _may_vote(self, state):
+        return state.replica in state.group.voters
+
+    def _on_pre_vote(self, state, message, leader_is_fresh):
+        granted = (
+            self._may_vote(state)
+            and not leader_is_fresh
+            and message.term > state.term
+            and self._is_up_to_date(state, message)
+        )
+        response = PreVoteResponse(
+            state.replica, message.term, state.term, granted
+        )
+        return Step(state, (Send(message.sender, response),))
+
+    def _on_pre_vote_response(self, state, message):
+        if message.own_term > state.term:
+            return Step(self._adopt_term(state, message.own_term))
+        if state.role is not Role.PRE_CANDIDATE:
+            return Step(state)
+        if message.term != state.term + 1 or not message.granted:
+            return Step(state)
+        granted = state.granted | {message.sender}
+        state = replace(state, granted=granted)
+        if not state.group.is_quorum(granted):
+            return Step(state)
+        return self._become_candidate(state)
+
+    def _become_candidate(self, state):
+        state = replace(
+            state,
+            term=state.term + 1,
+            voted_for=state.replica,
+            role=Role.CANDIDATE,
+            leader=None,
+            granted=frozenset([state.replica]),
+        )
+        if state.group.is_quorum(state.granted):
+            return self._become_leader(state)
+        request = VoteRequest(
+            state.replica, state.term, state.last_index, state.last_term
+        )
+        return Step(state, self._to_voters(state, request))
+
+    def _on_vote(self, state, message, leader_is_fresh):
+        if leader_is_fresh and message.term > state.term:
+            return Step(state)
+        if message.term > state.term:
+            state = self._adopt_term(state, message.term)
+        granted = (
+            self._may_vote(state)
+            and message.term == state.term
+            and state.voted_for in (None, message.sender)
+            and self._is_up_to_date(state, message)
+        )
+        if granted:
+            state = replace(state, voted_for=message.sender)
+        response = VoteResponse(state.replica, state.term, granted)
+        return Step(state, (Send(message.sender, response),))
+
+    def _on_vote_response(self, state, message):
+        if state.role is not Role.CANDIDATE or message.term != state.term:
+            return Step(state)
+        if not message.granted:
+            return Step(state)
+        granted = state.granted | {message.sender}
+        state = replace(state, granted=granted)
+        if not state.group.is_quorum(granted):
+            return Step(state)
+        return self._become_leader(state)
+
+    def _become_leader(self, state):
+        state = replace(
+            state,
+            role=Role.LEADER,
+            leader=state.replica,
+            granted=frozenset(),
+            progress=(),
+            round=1,
+        )
+        state = self._track_group(state)
+        state = replace(state, log=state.log + (Entry(state.term),))
+        return self._replicate(self._advance_commit(state))
+
+    def _track_group(self, state):
+        tracked = tuple(
+            state.progress_of(replica)
+            or Progress(replica, state.last_index + 1)
+            for replica in state.group.everyone
+            if replica != state.replica
+        )
+        return replace(state, progress=tracked)
+
+    def _replicate(self, state):
+        sends = []
+        tracked = []
+        for progress in state.progress:
+            sends.append(Send(progress.replica, self._next(state, progress)))
+            tracked.append(self._sent(state, progress))
+        state = replace(state, progress=tuple(tracked))
+        return Step(state, tuple(sends))
+
+    def _next(self, state, progress):
+        if progress.next_index <= state.base_index:
+            return self.snapshot_request(state, b'')
+        previous = progress.next_index - 1
+        return AppendRequest(
+            state.replica,
+            state.term,
+            previous,
+            state.term_at(previous),
+            state.entries_from(progress.next_index, BATCH_ENTRIES),
+            state.commit_index,
+            state.round,
+        )
+
+    def _sent(self, state, progress):
+        """Count entries as sent; a refusal later takes that back."""
+        if progress.next_index <= state.base_index:
+            return progress
+        sent = min(state.last_index, progress.next_index + BATCH_ENTRIES - 1)
+        return replace(progress, next_index=sent + 1)
+
+    def _on_append(self, state, message):
+        if message.term < state.term:
+            response = AppendResponse(
+                state.replica, state.term, False, 0, message.round
+            )
+            return Step(state, (Send(message.sender, response),))
+        state = replace(state, role=Role.FOLLOWER, leader=message.sender)
+        state, match_index = self._merge(state, message)
+        ok = match_index is not None
+        if not ok:
+            match_index = min(state.last_index, message.prev_index - 1)
+        if ok:
+            commit = max(
+                state.commit_index, min(message.commit_index, match_index)
+            )
+            state = replace(state, commit_index=commit)
+        response = AppendResponse(
+            state.replica, state.term, ok, match_index, message.round
+        )
+        return Step(state, (Send(message.sender, response),))
+
+    def _merge(self, state, message):
+        """Return the state and the last index known to match, or None."""
+        index = message.prev_index
+        entries = message.entries
+        if index < state.base_index:
+            skip = state.base_index - index
+            if len(entries) < skip:
+                return state, state.base_index
+            entries = entries[skip:]
+            index = state.base_index
+        elif state.term_at(index) != message.prev_term:
+            return state, None
+        for offset, entry in enumerate(entries):
+            held = state.term_at(index + offset + 1)
+            if held == entry.term:
+                continue
+            kept = state.log[: index + offset - state.base_index]
+            log = kept + entries[offset:]
+            group = group_in(state.base_group, log)
+            state = replace(state, log=log, group=group)
+            break
+        return state, index + len(entries)
+
+    def _on_snapshot(self, state, message):
+        if message.term < state.term:
+            response = AppendResponse(
+                state.replica, state.term, False, 0, message.round
+            )
+            return Step(state, (Send(message.sender, response),))
+        state = replace(state, role=Role.FOLLOWER, leader=message.sender)
+        if message.index > state.commit_index:
+            state = self._install(state, message)
+        response = AppendResponse(
+            state.replica, state.term, True, message.index, message.round
+        )
+        return Step(state, (Send(message.sender, response),))
+
+    def _install(self, state, message):
+        log = ()
+        if state.term_at(message.index) == message.index_term:
+            log = state.entries_from(message.index + 1)
+        return replace(
+            state,
+            log=log,
+            base_index=message.index,
+            base_term=message.index_term,
+            base_group=message.group,
+            group=group_in(message.group, log),
+            commit_index=message.index,
+        )
+
+    def _on_append_response(self, state, message):
+        if state.role is not Role.LEADER or message.term != state.term:
+            return Step(state)
+        progress = state.progress_of(message.sender)
+        if progress is None:
+            return Step(state)
+        progress = replace(progress, round=max(progress.round, message.round))
+        if message.ok:
+            match = max(progress.match_index, message.match_index)
+            following = max(progress.next_index, match + 1)
+            progress = replace(
+                progress, match_index=match, next_index=following
+            )
+        else:
+            following = max(
+                progress.match_index + 1,
+                min(progress.next_index - 1, message.match_index + 1),
+            )
+            progress = replace(progress, next_index=following)
+        state = self._with_progress(state, progress)
+        state = self._advance_commit(state)
+        if progress.next_index > state.last_index:
+            return Step(state)
+        if progress.next_index <= state.base_index and message.ok:
+            return Step(state)
+        following = Send(progress.replica, self._next(state, progress))
+        progress = self._sent(state, progress)
+        return Step(self._with_progress(state, progress), (following,))
+
+    def _with_progress(self, state, progress):
+        tracked = tuple(
+            progress if own.replica == progress.replica else own
+            for own in state.progress
+        )
+        return replace(state, progress=tracked)
+
+    def _advance_commit(self, state):
+        """Commit what a quorum holds, entries of this term only."""
+        matches = {peer.replica: peer.match_index for peer in state.progress}
+        matches[state.replica] = state.last_index
+        ordered = sorted(
+            (matches.get(voter, 0) for voter in state.group.voters),
+            reverse=True,
+        )
+        if not ordered:
+            return state
+        index = ordered[len(ordered) // 2]
+        if index <= state.commit_index:
+            return state
+        if not self._may_commit(state, index):
+            return state
+        return replace(state, commit_index=index)
+
+    def _may_commit(self, state, index):
+        return state.term_at(index) == state.term
--- /dev/null
+++ b/fuchsiacart/control.py
@@ -0,0 +1,581 @@
+"""The control role: what the leader decides and answers."""
+
+from asyncio import sleep
+from time import monotonic
+
+from msgspec import Struct
+from msgspec.structs import replace
+
+from fuchsiacart.adapters import Method
+from fuchsiacart.consensus import Group
+from fuchsiacart.drains import DrainProgress
+from fuchsiacart.drains import drains_host
+from fuchsiacart.drains import drains_region
+from fuchsiacart.exceptions import ChangeError
+from fuchsiacart.exceptions import ErrorKind
+from fuchsiacart.leases import LeaseTable
+from fuchsiacart.leases import relay_parents
+from fuchsiacart.logs import log_event
+from fuchsiacart.messages import ClaimQuery
+from fuchsiacart.messages import Done
+from fuchsiacart.messages import KeepAliveReply
+from fuchsiacart.messages import LeaveRequest
+from fuchsiacart.messages import ProposeReply
+from fuchsiacart.messages import PullReply
+from fuchsiacart.metrics import COMMIT_INDEX
+from fuchsiacart.metrics import IS_LEADER
+from fuchsiacart.metrics import REVISION
+from fuchsiacart.metrics import TERM
+from fuchsiacart.models import DrainScope
+from fuchsiacart.models import HostState
+from fuchsiacart.models import ReplicaId
+from fuchsiacart.replicas import wall_ms
+from fuchsiacart.shares import ShareLedger
+from fuchsiacart.states import claim_name
+from fuchsiacart.states import JoinHost
+from fuchsiacart.states import LeaveHost
+from fuchsiacart.states import MarkInForce
+from fuchsiacart.states import Outcome
+from fuchsiacart.steering import HeadroomWeights
+from fuchsiacart.steering import RegionLoad
+from fuchsiacart.steering import ShiftLimiter
+from fuchsiacart.steering import Weights
+from fuchsiacart.steering import weights_command
+
+RELAY_FAN_OUT = 8
+RELAY_TIMEOUT_S = 2.0
+WATCH_INTERVAL_S = 0.1
+LONGEST_PULL_S = 10.0
+CATCH_UP_TIMEOUT_S = 60.0
+REPORT_STALE_MS = 2000
+
+
+class RegionStatus(Struct, frozen=True):
+    """One region at a glance."""
+
+    region: str
+    entry_hosts: int
+    slots: int
+    busy: float
+    queued: int
+
+
+class HostStatus(Struct, frozen=True):
+    """One entry host at a glance."""
+
+    name: str
+    region: str
+    failure_domain: str
+    state: HostState
+    revision: int
+    lease_left_ms: int
+    in_flight: int
+    http_address: str
+
+
+class Status(Struct, frozen=True):
+    """The system at a glance."""
+
+    leader: str
+    term: int
+    revision: int
+    in_force_revision: int
+    regions: tuple[RegionStatus, ...]
+    hosts: tuple[HostStatus, ...]
+    drains: tuple[DrainProgress, ...]
+    weights: tuple
+    contracts: int
+    claims: int
+
+
+class ReplicaStatus(Struct, frozen=True):
+    """One control host as it sees itself."""
+
+    replica: ReplicaId
+    leader: str
+    term: int
+    last_index: int
+    commit_index: int
+    blank: bool
+    group: Group
+
+
+class Replacement(Struct, frozen=True, forbid_unknown_fields=True):
+    """Which replica takes the place of which."""
+
+    old: ReplicaId
+    new: ReplicaId
+
+
+class Report(Struct):
+    """The last keep-alive of a host and when it came."""
+
+    request: object
+    received_ms: float
+
+
+class ControlService:
+    """Answers operators and entry hosts on a control host.
+
+    :param settings: the settings of the process.
+    :param replica: the :class:`ReplicaTask` of this host.
+    :param adapter: transport to other control hosts.
+    """
+
+    def __init__(self, settings, replica, adapter):
+        self._settings = settings
+        self._replica = replica
+        self._adapter = adapter
+        self._term = 0
+        self._leases = None
+        self._ledger = None
+        self._reports = {}
+        self._drained_ms = {}
+        self._policy = HeadroomWeights()
+        self._limiter = ShiftLimiter(
+            settings.control.shift_cap_permille,
+            settings.control.shift_window_ms,
+        )
+
+    def handlers(self):
+        """Return the handlers of the calls between processes."""
+        return {
+            Method.DELIVER: self.on_deliver,
+            Method.KEEP_ALIVE: self.on_keep_alive,
+            Method.PROPOSE: self.on_propose,
+            Method.PULL: self.on_pull,
+        }
+
+    async def on_deliver(self, request):
+        """Take in a message of the replicated log."""
+        self._replica.deliver(request.message)
+        return Done()
+
+    async def on_keep_alive(self, request):
+        """Renew the lease of an entry host, or end it."""
+        if not self._replica.is_leader:
+            return await self._relay(Method.KEEP_ALIVE, request)
+        self._follow_term()
+        if isinstance(request, LeaveRequest):
+            return await self._end_lease(request)
+        now_ms = _now_ms()
+        host = request.host
+        known = self._replica.machine.stored.hosts.get(host.name)
+        if known is not None and known.incarnation > host.incarnation:
+            raise ChangeError(
+                'a newer incarnation of this host is known',
+                ErrorKind.CONFLICT,
+            )
+        self._leases.renew(host, request.revision, now_ms)
+        self._reports[host.name] = Report(request, now_ms)
+        if known != host:
+            await self._replica.propose(JoinHost(host, wall_ms()))
+        await self._replica.confirm_leadership()
+        stored = self._replica.machine.stored
+        contracts = [item.contract for item in stored.contracts.values()]
+        if stored.hosts.keys() <= self._reports.keys():
+            self._ledger.open()
+        shares = self._ledger.grant(
+            host.name, contracts, request.demands, request.shares, now_ms
+        )
+        parents = relay_parents(
+            stored.hosts.values(),
+            host.name,
+            self._control_addresses(),
+            RELAY_FAN_OUT,
+        )
+        return KeepAliveReply(
+            self._settings.entry.lease_ms, stored.revision, shares, parents
+        )
+
+    async def on_propose(self, request):
+        """Commit a command for another process."""
+        if not self._replica.is_leader:
+            if request.relayed:
+                raise ChangeError('no leader is known', ErrorKind.NO_QUORUM)
+            request = replace(request, relayed=True)
+            return await self._relay(Method.PROPOSE, request)
+        if isinstance(request, ClaimQuery):
+            return await self._find_claim(request)
+        return ProposeReply(await self._replica.propose(request.command))
+
+    async def on_pull(self, request):
+        """Answer what came after a revision, as soon as there is any."""
+        return await answer_pull(self._replica, request)
+
+    async def commit(self, command):
+        """Commit an operator's change.
+
+        :param command: the change.
+        :return: its outcome.
+        :raises ChangeError: when it was refused or its fate is unknown.
+        """
+        if not self._replica.is_leader:
+            raise ChangeError(
+                'this control host does not lead', ErrorKind.NO_QUORUM
+            )
+        outcome = await self._replica.propose(command)
+        if outcome.error is not None:
+            raise ChangeError(outcome.detail, outcome.error)
+        log_event(
+            'change_accepted',
+            change=command.change.change_id,
+            actor=command.change.actor,
+            kind=type(command).__name__,
+            version=outcome.version,
+            revision=outcome.revision,
+        )
+        return outcome
+
+    async def current_state(self):
+        """Return the replicated state, confirmed to be current."""
+        await self._replica.confirm_leadership()
+        return self._replica.machine.stored
+
+    async def drain_progress(self):
+        """Return how far each drain has come."""
+        await self._replica.confirm_leadership()
+        self._follow_term()
+        drains = self._replica.machine.stored.drains
+        return [self._progress(drain) for drain in drains]
+
+    async def status(self):
+        """Return the system at a glance."""
+        drains = await self.drain_progress()
+        stored = self._replica.machine.stored
+        return Status(
+            self._replica.replica,
+            self._replica.state.term,
+            stored.revision,
+            stored.in_force_revision,
+            tuple(self._region_status(load) for load in self._loads()),
+            tuple(self._host_status(each) for each in self._sessions()),
+            tuple(drains),
+            stored.weights,
+            len(stored.contracts),
+            len(stored.claims),
+        )
+
+    def replica_status(self):
+        """Return this control host as it sees itself."""
+        state = self._replica.state
+        return ReplicaStatus(
+            self._replica.replica,
+            state.leader or '',
+            state.term,
+            state.last_index,
+            state.commit_index,
+            self._replica.is_blank,
+            state.group,
+        )
+
+    async def bootstrap(self, group):
+        """Set the first members of this blank control host."""
+        if self._replica.replica not in group.voters:
+            raise ChangeError(
+                'this replica is not among the voters', ErrorKind.BAD_REQUEST
+            )
+        await self._replica.bootstrap(group)
+
+    async def replace_replica(self, replacement):
+        """Let a new replica learn all, then let it take the old one's place.
+
+        :param replacement: the old and the new replica.
+        :raises ChangeError: when a step is refused or takes too long.
+        """
+        old, new = replacement.old, replacement.new
+        group = self._replica.state.group
+        if new not in group.everyone:
+            learners = group.learners + (new,)
+            await self._replica.change_group(Group(group.voters, learners))
+        await self._wait_until_caught_up(new)
+        group = self._replica.state.group
+        if new in group.learners:
+            learners = tuple(each for each in group.learners if each != new)
+            voters = group.voters + (new,)
+            await self._replica.change_group(Group(voters, learners))
+        group = self._replica.state.group
+        voters = tuple(each for each in group.voters if each != old)
+        if voters != group.voters:
+            await self._replica.change_group(Group(voters, group.learners))
+        log_event('replica_replaced', old=old, new=new)
+
+    async def watch(self):
+        """Expire leases, record what is in force and steer, as leader."""
+        steer_s = self._settings.control.steer_interval_ms / 1000
+        next_steer_s = 0.0
+        while True:
+            await sleep(WATCH_INTERVAL_S)
+            self._export_metrics()
+            if not self._replica.is_leader:
+                next_steer_s = monotonic() + steer_s
+                continue
+            self._follow_term()
+            try:
+                await self._expire_leases()
+                await self._mark_in_force()
+                if monotonic() >= next_steer_s:
+                    next_steer_s = monotonic() + steer_s
+                    await self._steer()
+            except ChangeError as error:
+                log_event('watch_refused', detail=error.detail)
+
+    async def _relay(self, method, request):
+        address = self._replica.leader_address
+        own = self._replica.replica
+        if not address or self._replica.state.leader == own:
+            raise ChangeError('no leader is known', ErrorKind.NO_QUORUM)
+        return await self._adapter.call(
+            address, method, request, RELAY_TIMEOUT_S
+        )
+
+    def _control_addresses(self):
+        hosts = self._settings.control_hosts
+        return [host.peer_address for host in hosts]
+
+    def _follow_term(self):
+        """Start leases and shares anew in each term that this host leads."""
+        term = self._replica.state.term
+        if term == self._term:
+            return
+        self._term = term
+        lease_ms = self._settings.entry.lease_ms
+        now_ms = _now_ms()
+        hosts = self._replica.machine.stored.hosts.values()
+        self._leases = LeaseTable(lease_ms, hosts, now_ms)
+        self._ledger = ShareLedger(lease_ms, now_ms + lease_ms)
+        self._reports = {}
+
+    async def _end_lease(self, request):
+        await self._replica.propose(
+            LeaveHost(request.name, request.incarnation, wall_ms())
+        )
+        self._leases.remove(request.name)
+        self._reports.pop(request.name, None)
+        return Done()
+
+    async def _find_claim(self, query):
+        await self._replica.confirm_leadership()
+        claims = self._replica.machine.stored.claims
+        record = claims.get(claim_name(query.customer, query.key))
+        return ProposeReply(Outcome(record=record))
+
+    async def _expire_leases(self):
+        for host in self._leases.expired(_now_ms()):
+            log_event('lease_expired', host=host.name)
+            await self._replica.propose(
+                LeaveHost(host.name, host.incarnation, wall_ms())
+            )
+            self._leases.remove(host.name)
+            self._reports.pop(host.name, None)
+
+    async def _mark_in_force(self):
+        stored = self._replica.machine.stored
+        newest = max(
+            (entry.outcome.revision for entry in stored.audit), default=0
+        )
+        if newest <= stored.in_force_revision:
+            return
+        revision = self._leases.revision_in_force(stored.revision, _now_ms())
+        if revision <= stored.in_force_revision:
+            return
+        await self._replica.propose(MarkInForce(revision, wall_ms()))
+        log_event('revision_in_force', revision=revision)
+
+    async def _steer(self):
+        stored = self._replica.machine.stored
+        loads = self._loads()
+        if not loads:
+            return
+        regions = [load.region for load in loads]
+        current = Weights(stored.weights)
+        wanted = self._policy.target(loads, current)
+        limited = self._limiter.limit(
+            wanted, self._weights_history(), regions, stored.clock_ms
+        )
+        if limited.rows() == stored.weights:
+            return
+        await self._replica.propose(weights_command(limited, wall_ms()))
+        log_event('weights_set', weights=limited.rows())
+
+    def _weights_history(self):
+        stored = self._replica.machine.stored
+        if stored.weights_history or not stored.weights:
+            return stored.weights_history
+        return [weights_command(Weights(stored.weights), 0)]
+
+    def _regions(self):
+        stored = self._replica.machine.stored
+        regions = {row.home for row in stored.weights}
+        regions |= {host.region for host in stored.hosts.values()}
+        return sorted(regions)
+
+    def _loads(self):
+        stored = self._replica.machine.stored
+        now_ms = _now_ms()
+        loads = []
+        for region in self._regions():
+            hosts = [
+                host
+                for host in stored.hosts.values()
+                if host.region == region
+                and host.state is HostState.LIVE
+                and not drains_host(stored.drains, host)
+            ]
+            reports = [
+                self._reports[host.name]
+                for host in hosts
+                if host.name in self._reports
+            ]
+            fresh = [
+                report
+                for report in reports
+                if now_ms - report.received_ms < REPORT_STALE_MS
+            ]
+            loads.append(
+                RegionLoad(
+                    region,
+                    _total(fresh, 'slots'),
+                    _total(fresh, 'in_flight') + _queued(fresh),
+                    len(fresh) == len(hosts),
+                    bool(hosts) and not drains_region(stored.drains, region),
+                )
+            )
+        return loads
+
+    def _region_status(self, load):
+        stored = self._replica.machine.stored
+        names = [
+            host.name
+            for host in stored.hosts.values()
+            if host.region == load.region
+        ]
+        reports = [
+            self._reports[name] for name in names if name in self._reports
+        ]
+        queued = _queued(reports)
+        return RegionStatus(
+            load.region, len(names), load.slots, load.busy - queued, queued
+        )
+
+    def _sessions(self):
+        if self._leases is None:
+            return ()
+        return self._leases.sessions()
+
+    def _host_status(self, session):
+        report = self._reports.get(session.host.name)
+        return HostStatus(
+            session.host.name,
+            session.host.region,
+            session.host.failure_domain,
+            session.host.state,
+            session.revision,
+            max(0, int(session.expires_ms - _now_ms())),
+            report.request.in_flight if report else 0,
+            session.host.http_address,
+        )
+
+    def _progress(self, drain):
+        stored = self._replica.machine.stored
+        needed = max(
+            (
+                entry.outcome.revision
+                for entry in stored.audit
+                if entry.what == 'drain_start'
+                and entry.subject == f'{drain.scope.value}/{drain.name}'
+            ),
+            default=0,
+        )
+        sessions = self._sessions()
+        informed = [each for each in sessions if each.revision >= needed]
+        reports = [report.request for report in self._reports.values()]
+        in_flight = sum(_in_flight(drain, report) for report in reports)
+        key = (drain.scope, drain.name, drain.started_ms)
+        if len(informed) == len(sessions) and in_flight == 0:
+            self._drained_ms.setdefault(key, wall_ms() - drain.started_ms)
+        return DrainProgress(
+            drain.scope,
+            drain.name,
+            drain.started_ms,
+            len(sessions),
+            len(informed),
+            in_flight,
+            self._drained_ms.get(key, 0),
+        )
+
+    async def _wait_until_caught_up(self, replica):
+        deadline_s = monotonic() + CATCH_UP_TIMEOUT_S
+        while monotonic() < deadline_s:
+            state = self._replica.state
+            progress = state.progress_of(replica)
+            if replica in state.group.voters:
+                return
+            if progress and progress.match_index >= state.commit_index:
+                return
+            await sleep(WATCH_INTERVAL_S)
+        raise ChangeError(
+            'the new replica has not caught up', ErrorKind.DEADLINE
+        )
+
+    def _export_metrics(self):
+        state = self._replica.state
+        TERM.set(state.term)
+        IS_LEADER.set(int(self._replica.is_leader))
+        COMMIT_INDEX.set(state.commit_index)
+        REVISION.set(self._replica.machine.stored.revision)
+
+
+async def answer_pull(source, request):
+    """Answer a pull from a source of revisions.
+
+    :param source: has ``wait_for_revision`` and ``machine``.
+    :param request: the :class:`PullRequest`.
+    :return: the :class:`PullReply`.
+    """
+    wait_s = min(request.wait_ms / 1000, LONGEST_PULL_S)
+    await source.wait_for_revision(request.revision, wait_s)
+    deltas = source.machine.deltas_after(request.revision)
+    if deltas is None:
+        return PullReply(snapshot=source.machine.view())
+    return PullReply(deltas)
+
+
+def _total(reports, field):
+    return sum(
+        getattr(load, field)
+        for report in reports
+        for load in report.request.loads
+    )
+
+
+def _queued(reports):
+    return sum(
+        sum(load.queued) for report in reports for load in report.request.loads
+    )
+
+
+def _in_flight(drain, report):
+    """Return the requests that run on what a drain covers."""
+    if drain.scope is DrainScope.HOST:
+        return report.in_flight if report.host.name == drain.name else 0
+    if drain.scope is DrainScope.BACKEND_SERVER:
+        return sum(
+            server.in_flight
+            for server in report.draining
+            if server.name == drain.name
+        )
+    if drain.scope is DrainScope.REGION:
+        return report.in_flight if report.host.region == drain.name else 0
+    own = 0
+    if report.host.failure_domain == drain.name:
+        own = report.in_flight
+    return own + sum(
+        server.in_flight
+        for server in report.draining
+        if server.failure_domain == drain.name
+    )
+
+
+def _now_ms():
+    return monotonic() * 1000
--- /dev/null
+++ b/fuchsiacart/daemon.py
@@ -0,0 +1,216 @@
+"""fuchsiacartd: the daemon, in the role that its settings name.
+
+Usage:
+  fuchsiacartd [--check] SETTINGS
+  fuchsiacartd --help | --version
+
+Options:
+  --check    Only check the settings.
+  --help     Show this text.
+  --version  Show the version.
+"""
+
+from asyncio import create_task
+from asyncio import Event
+from asyncio import FIRST_COMPLETED
+from asyncio import get_running_loop
+from asyncio import run
+from asyncio import wait
+from pathlib import Path
+from signal import SIGINT
+from signal import SIGTERM
+from ssl import create_default_context
+from ssl import Purpose
+from sys import exit as sys_exit
+from sys import stderr
+
+from absl.flags import FLAGS
+from absl import logging
+from docopt import docopt
+from msgspec.json import encode
+from msgspec import Struct
+from tornado.httpserver import HTTPServer
+from tornado.netutil import bind_sockets
+
+from fuchsiacart.adapters import GrpcAdapter
+from fuchsiacart.adapters import PeerServer
+from fuchsiacart.control import ControlService
+from fuchsiacart.entry import EntryHost
+from fuchsiacart.exceptions import FuchsiacartError
+from fuchsiacart.exceptions import SettingsError
+from fuchsiacart.logs import log_error
+from fuchsiacart.logs import log_event
+from fuchsiacart.operators import operator_application
+from fuchsiacart.replicas import ReplicaTask
+from fuchsiacart.settings import check_settings
+from fuchsiacart.settings import DaemonRole
+from fuchsiacart.supervisors import Supervisor
+from fuchsiacart.version import __version__
+
+HTTP_BODY_LIMIT_BYTES = 64 * 1024 * 1024
+PEER_GRACE_S = 1.0
+LISTEN_BACKLOG = 1024
+
+
+class Ports(Struct, frozen=True):
+    """The ports that a process has taken."""
+
+    http_address: str
+    peer_address: str
+
+
+class Program:
+    """One running process: its servers and its supervisor.
+
+    :param settings: the settings of the process.
+    :param adapter: transport to other processes.
+    """
+
+    def __init__(self, settings, adapter):
+        self._settings = settings
+        self._adapter = adapter
+        self._stop_asked = Event()
+
+    async def run(self):
+        """Run until SIGTERM or SIGINT, or until the supervisor gives up.
+
+        :return: the exit code.
+        """
+        loop = get_running_loop()
+        for signal in (SIGTERM, SIGINT):
+            loop.add_signal_handler(signal, self._stop_asked.set)
+        if self._settings.role is DaemonRole.CONTROL:
+            return await self._run_control()
+        return await self._run_entry()
+
+    async def _run_control(self):
+        replica = ReplicaTask(self._settings, self._adapter)
+        service = ControlService(self._settings, replica, self._adapter)
+        application = operator_application(
+            service, self._settings.tokens.operator_sha256
+        )
+        http, peer, _ = await self._listen(application, service.handlers())
+        tree = Supervisor('control', restart_limit=0)
+        tree.add('replica', replica.run)
+        watch = Supervisor('control_watch')
+        watch.add('watch', service.watch)
+        tree.add('watch', watch.run)
+        code = await self._run_tree(tree)
+        await self._close(http, peer)
+        return code
+
+    async def _run_entry(self):
+        entry = EntryHost(self._settings, self._adapter)
+        http, peer, ports = await self._listen(
+            entry.application(), entry.handlers()
+        )
+        entry.start(ports.http_address, ports.peer_address)
+        code = await self._run_tree(entry.supervisor(), entry.stop)
+        entry.close()
+        await self._close(http, peer)
+        return code
+
+    async def _run_tree(self, tree, stop=None):
+        running = create_task(tree.run())
+        asked = create_task(self._stop_asked.wait())
+        await wait((running, asked), return_when=FIRST_COMPLETED)
+        if running.done():
+            asked.cancel()
+            log_error('gave_up', error=repr(running.exception()))
+            return 1
+        log_event('stop_asked', host=self._settings.host.name)
+        if stop is not None:
+            await stop()
+        running.cancel()
+        await wait((running,))
+        return 0
+
+    async def _listen(self, application, handlers):
+        listen = self._settings.listen
+        peer = PeerServer(
+            self._settings.tokens.peer, handlers, self._settings.tls
+        )
+        peer_port = await peer.start(listen.address, listen.peer_port)
+        http = HTTPServer(
+            application,
+            ssl_options=self._ssl_context(),
+            max_body_size=HTTP_BODY_LIMIT_BYTES,
+            max_buffer_size=HTTP_BODY_LIMIT_BYTES,
+        )
+        sockets = bind_sockets(
+            listen.http_port, listen.address, backlog=LISTEN_BACKLOG
+        )
+        http.add_sockets(sockets)
+        http_port = sockets[0].getsockname()[1]
+        ports = Ports(
+            f'{listen.address}:{http_port}', f'{listen.address}:{peer_port}'
+        )
+        log_event(
+            'listening',
+            host=self._settings.host.name,
+            role=self._settings.role.value,
+            http=ports.http_address,
+            peer=ports.peer_address,
+        )
+        if listen.ports_file:
+            draft = Path(f'{listen.ports_file}.draft')
+            draft.write_bytes(encode(ports))
+            draft.rename(listen.ports_file)
+        return http, peer, ports
+
+    def _ssl_context(self):
+        tls = self._settings.tls
+        if not tls.certificate_file:
+            return None
+        context = create_default_context(Purpose.CLIENT_AUTH)
+        context.load_cert_chain(tls.certificate_file, tls.key_file)
+        return context
+
+    async def _close(self, http, peer):
+        http.stop()
+        await peer.stop(PEER_GRACE_S)
+        await http.close_all_connections()
+        await self._adapter.close()
+        log_event('stopped', host=self._settings.host.name)
+
+
+def serve(settings, make_adapter=GrpcAdapter):
+    """Run the daemon.
+
+    :param settings: the settings of the process.
+    :param make_adapter: returns the transport, by token and certificate.
+    :return: the exit code.
+    """
+
+    async def program():
+        adapter = make_adapter(
+            settings.tokens.peer, settings.tls.certificate_file
+        )
+        return await Program(settings, adapter).run()
+
+    return run(program())
+
+
+def main(argv=None):
+    """Run the daemon from the command line."""
+    options = docopt(__doc__, argv, version=__version__)
+    FLAGS.mark_as_parsed()
+    logging.set_verbosity(logging.INFO)
+    logging.use_absl_handler()
+    try:
+        settings = check_settings(options['SETTINGS'])
+        if options['--check']:
+            print('the settings are valid')
+            sys_exit(0)
+        sys_exit(serve(settings))
+    except SettingsError as error:
+        print(error.detail, file=stderr)
+        sys_exit(error.answer.exit_code)
+    except (FuchsiacartError, OSError) as error:
+        log_error('cannot_run', error=str(error))
+        code = getattr(error, 'answer', None)
+        sys_exit(code.exit_code if code else 1)
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/fuchsiacart/dispatch.py
@@ -0,0 +1,387 @@
+"""The dispatcher: queues and slots of the backend servers a host owns."""
+
+from asyncio import CancelledError
+from asyncio import create_task
+from asyncio import get_running_loop
+from asyncio import sleep
+from time import monotonic
+
+from fuchsiacart.backends import Loss
+from fuchsiacart.drains import drains_server
+from fuchsiacart.exceptions import ErrorKind
+from fuchsiacart.exceptions import Run
+from fuchsiacart.logs import log_event
+from fuchsiacart.messages import DrainingServer
+from fuchsiacart.messages import ForwardReply
+from fuchsiacart.messages import Refusal
+from fuchsiacart.messages import ServiceLoad
+from fuchsiacart.metrics import BUSY
+from fuchsiacart.metrics import QUEUED
+from fuchsiacart.metrics import SLOTS
+from fuchsiacart.models import Rank
+from fuchsiacart.queues import Pace
+from fuchsiacart.queues import Waiting
+from fuchsiacart.slots import ServerSlots
+
+FIRST_SERVICE_MS = 50.0
+SERVICE_MEMORY = 0.9
+SWEEP_INTERVAL_S = 0.02
+NO_SLOTS_RETRY_MS = 500
+
+
+class Pool:
+    """Owned backend servers of one service and the requests for them."""
+
+    def __init__(self, scheduler):
+        self.scheduler = scheduler
+        self.servers = {}
+        self.service_ms = FIRST_SERVICE_MS
+
+    def slots(self, now_ms):
+        """Return the slots that may be used now."""
+        return sum(each.capacity(now_ms) for each in self.servers.values())
+
+    def in_flight(self):
+        """Return the requests that run."""
+        return sum(each.in_flight for each in self.servers.values())
+
+    def note_time(self, elapsed_ms):
+        """Take note of how long a request has run."""
+        self.service_ms = self.service_ms * SERVICE_MEMORY + elapsed_ms * (
+            1.0 - SERVICE_MEMORY
+        )
+
+    def pick(self, exclude, now_ms):
+        """Return the server with most free slots, or None."""
+        free = [
+            each
+            for each in self.servers.values()
+            if each.free(now_ms) and each.server.name not in exclude
+        ]
+        return max(free, key=lambda each: each.free(now_ms), default=None)
+
+    def pick_reserve(self, exclude, now_ms):
+        """Return the server to run a suspect alone, or None."""
+        usable = [
+            each
+            for each in self.servers.values()
+            if each.is_usable(now_ms) and each.server.name not in exclude
+        ]
+        return min(
+            usable,
+            key=lambda each: (not each.reserved, each.in_flight),
+            default=None,
+        )
+
+
+class Dispatcher:
+    """Owns the queues and slots of one host; runs the attempts.
+
+    :param settings: entry settings.
+    :param client: a :class:`BackendClient`.
+    :param make_scheduler: returns a new :class:`Scheduler`.
+    """
+
+    def __init__(self, settings, client, make_scheduler):
+        self._settings = settings
+        self._client = client
+        self._make_scheduler = make_scheduler
+        self._pools = {}
+        self._tasks = set()
+
+    def holds(self, name):
+        """Tell whether a backend server is registered here."""
+        return self._find(name) is not None
+
+    def register(self, server, report, usable_from_ms, foreign):
+        """Take a backend server over, or renew its announcement.
+
+        :param server: the backend server.
+        :param report: its load report.
+        :param usable_from_ms: when a new owner may start.
+        :param foreign: requests that an earlier owner still runs on it.
+        """
+        now_ms = _now_ms()
+        until_ms = now_ms + self._settings.backend_lease_ms
+        held = self._find(server.name)
+        if held and held.server.incarnation == server.incarnation:
+            held.renew(report, until_ms)
+            self._pump(self._pools[server.service])
+            return
+        if held:
+            self.forget(server.name)
+        pool = self._pool(server.service)
+        slots = ServerSlots(
+            server,
+            self._settings.ramp_ms,
+            now_ms,
+            until_ms,
+            usable_from_ms,
+            report,
+            foreign=foreign,
+        )
+        pool.servers[server.name] = slots
+        log_event(
+            'backend_registered',
+            server=server.name,
+            service=server.service,
+            incarnation=server.incarnation,
+            wait_ms=int(max(0, usable_from_ms - now_ms)),
+        )
+        self._pump(pool)
+
+    def leave(self, name):
+        """Give a server that leaves no new work."""
+        held = self._find(name)
+        if held is not None:
+            held.leaving = True
+            log_event('backend_leaving', server=name)
+
+    def forget(self, name):
+        """Drop a server; what runs on it ends on its own.
+
+        :return: how many requests still run on it.
+        """
+        for pool in self._pools.values():
+            held = pool.servers.pop(name, None)
+            if held is None:
+                continue
+            for item in held.reserved:
+                self._refuse(item, ErrorKind.NO_BACKEND, 'owner changed')
+            return held.in_flight
+        return 0
+
+    def keep_owned(self, is_owner, drains):
+        """Drop the servers owned by others; mark those that are drained.
+
+        :param is_owner: tells whether this host owns a server.
+        :param drains: drains in force.
+        """
+        for pool in self._pools.values():
+            for name, held in list(pool.servers.items()):
+                held.drained = drains_server(drains, held.server)
+                if not is_owner(held.server):
+                    log_event('backend_given_up', server=name)
+                    self.forget(name)
+
+    async def submit(self, request):
+        """Serve a request on an owned server.
+
+        :param request: the :class:`ForwardRequest`.
+        :return: the :class:`ForwardReply`.
+        """
+        now_ms = _now_ms()
+        pool = self._pools.get(request.service)
+        if pool is None or pool.slots(now_ms) == 0:
+            return _refused(
+                ErrorKind.NO_BACKEND,
+                'no usable backend server is owned here',
+                NO_SLOTS_RETRY_MS,
+            )
+        item = Waiting(
+            request,
+            request.rank,
+            request.customer,
+            request.floor_percent,
+            now_ms + request.deadline_ms,
+            get_running_loop().create_future(),
+        )
+        refusal = self._enqueue(pool, item, now_ms)
+        if refusal is not None:
+            return refusal
+        self._pump(pool)
+        try:
+            return await item.done
+        except CancelledError:
+            self._give_up(pool, item)
+            raise
+
+    def loads(self):
+        """Return the load of each service."""
+        now_ms = _now_ms()
+        loads = []
+        for service, pool in self._pools.items():
+            slots = pool.slots(now_ms)
+            queued = pool.scheduler.queued()
+            pace = Pace(max(slots, 1), pool.service_ms)
+            waits = tuple(
+                sum(queued[: rank + 1]) / pace.per_ms for rank in Rank
+            )
+            loads.append(
+                ServiceLoad(service, slots, pool.in_flight(), queued, waits)
+            )
+        return tuple(loads)
+
+    def draining(self):
+        """Return the work left on servers that drain."""
+        return tuple(
+            DrainingServer(
+                held.server.name, held.server.failure_domain, held.in_flight
+            )
+            for pool in self._pools.values()
+            for held in pool.servers.values()
+            if held.drained or held.leaving or held.report.draining
+        )
+
+    def in_flight(self):
+        """Return all requests that run on owned servers or wait here."""
+        return sum(
+            pool.in_flight() + sum(pool.scheduler.queued())
+            for pool in self._pools.values()
+        )
+
+    async def sweep(self):
+        """Answer late requests, drop lapsed servers and fill free slots."""
+        while True:
+            await sleep(SWEEP_INTERVAL_S)
+            now_ms = _now_ms()
+            for pool in self._pools.values():
+                self._sweep_pool(pool, now_ms)
+            self._export_metrics(now_ms)
+
+    def _sweep_pool(self, pool, now_ms):
+        for item in pool.scheduler.late(now_ms):
+            self._refuse(item, ErrorKind.DEADLINE, 'too late in the queue')
+        for name, held in list(pool.servers.items()):
+            for item in list(held.reserved):
+                if item.deadline_ms <= now_ms:
+                    held.reserved.remove(item)
+                    self._refuse(item, ErrorKind.DEADLINE, 'too late alone')
+            lapsed = now_ms >= held.lease_until_ms
+            if lapsed and held.in_flight == 0:
+                log_event('backend_lapsed', server=name)
+                self.forget(name)
+        self._pump(pool)
+
+    def _export_metrics(self, now_ms):
+        pools = self._pools.values()
+        SLOTS.set(sum(pool.slots(now_ms) for pool in pools))
+        BUSY.set(sum(pool.in_flight() for pool in pools))
+        for rank in Rank:
+            waiting = sum(pool.scheduler.queued()[rank] for pool in pools)
+            QUEUED.labels(rank.label).set(waiting)
+
+    def _pool(self, service):
+        if service not in self._pools:
+            self._pools[service] = Pool(self._make_scheduler())
+        return self._pools[service]
+
+    def _find(self, name):
+        for pool in self._pools.values():
+            if name in pool.servers:
+                return pool.servers[name]
+        return None
+
+    def _enqueue(self, pool, item, now_ms):
+        request = item.request
+        if request.isolated:
+            held = pool.pick_reserve(request.exclude, now_ms)
+            if held is None:
+                return _refused(ErrorKind.NO_BACKEND, 'no server to run alone')
+            held.reserved.append(item)
+            return None
+        names = {
+            name
+            for name, held in pool.servers.items()
+            if held.is_usable(now_ms)
+        }
+        if not names - set(request.exclude):
+            return _refused(ErrorKind.NO_BACKEND, 'no other server is usable')
+        pace = Pace(pool.slots(now_ms), pool.service_ms)
+        admission = pool.scheduler.offer(item, pace, now_ms)
+        if admission.accepted:
+            return None
+        return _refused(
+            ErrorKind.OVERLOADED,
+            'the deadline cannot be kept',
+            admission.retry_after_ms,
+        )
+
+    def _pump(self, pool):
+        """Start what can start now."""
+        now_ms = _now_ms()
+        self._start_reserved(pool, now_ms)
+        deferred = []
+        while pool.pick((), now_ms) is not None:
+            item = pool.scheduler.take()
+            if item is None:
+                break
+            if item.done.done():
+                continue
+            if item.deadline_ms <= now_ms:
+                self._refuse(item, ErrorKind.DEADLINE, 'too late in the queue')
+                continue
+            held = pool.pick(item.request.exclude, now_ms)
+            if held is None:
+                deferred.append(item)
+                continue
+            self._start(pool, held, item, isolated=False)
+        for item in reversed(deferred):
+            pool.scheduler.put_back(item)
+
+    def _start_reserved(self, pool, now_ms):
+        for held in pool.servers.values():
+            if held.in_flight or not held.reserved:
+                continue
+            if held.is_usable(now_ms):
+                item = held.reserved.popleft()
+                self._start(pool, held, item, isolated=True)
+
+    def _start(self, pool, held, item, isolated):
+        held.start(isolated)
+        item.server = held.server
+        task = create_task(self._run(pool, held, item))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _run(self, pool, held, item):
+        started_ms = _now_ms()
+        try:
+            attempt = await self._client.send(
+                held.server, item.request, item.deadline_ms - started_ms
+            )
+            now_ms = _now_ms()
+            self._note(pool, held, attempt, now_ms, now_ms - started_ms)
+            if not item.done.done():
+                item.done.set_result(attempt.reply)
+            if attempt.loss is Loss.TOO_LATE:
+                await self._client.cancel(held.server, item.request.request_id)
+        finally:
+            held.finish()
+            self._pump(pool)
+
+    def _note(self, pool, held, attempt, now_ms, elapsed_ms):
+        if attempt.reply.shed:
+            held.note_shed()
+        elif attempt.loss in (Loss.NOT_CONNECTED, Loss.BROKEN):
+            held.note_failure(now_ms)
+        elif attempt.loss is None:
+            held.note_success()
+            pool.note_time(elapsed_ms)
+
+    def _give_up(self, pool, item):
+        """Take back a request whose caller has gone."""
+        pool.scheduler.remove(item)
+        for held in pool.servers.values():
+            if item in held.reserved:
+                held.reserved.remove(item)
+        if item.server is None:
+            return
+        task = create_task(
+            self._client.cancel(item.server, item.request.request_id)
+        )
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def _refuse(self, item, kind, detail):
+        if not item.done.done():
+            item.done.set_result(_refused(kind, detail))
+
+
+def _refused(kind, detail, retry_after_ms=0):
+    refusal = Refusal(kind, detail, Run.NO, retry_after_ms)
+    return ForwardReply(refusal=refusal)
+
+
+def _now_ms():
+    return monotonic() * 1000
--- /dev/null
+++ b/fuchsiacart/entry.py
@@ -0,0 +1,310 @@
+"""The entry role: all parts of one entry host and its supervisor tree."""
+
+from asyncio import gather
+from asyncio import sleep
+from asyncio import wait_for
+from random import Random
+from time import monotonic
+from time import time
+
+from tornado.web import Application
+
+from fuchsiacart.adapters import Method
+from fuchsiacart.announcements import AnnounceHandler
+from fuchsiacart.announcements import Registrar
+from fuchsiacart.backends import BackendClient
+from fuchsiacart.callers import LookupHandler
+from fuchsiacart.callers import RequestsHandler
+from fuchsiacart.claims import LogClaims
+from fuchsiacart.claims import NoClaims
+from fuchsiacart.controllers import ControlGroup
+from fuchsiacart.coordinators import Coordinator
+from fuchsiacart.coordinators import Parts
+from fuchsiacart.dispatch import Dispatcher
+from fuchsiacart.exceptions import ErrorKind
+from fuchsiacart.exceptions import FuchsiacartError
+from fuchsiacart.exceptions import RequestError
+from fuchsiacart.gossip import Gossip
+from fuchsiacart.keepers import LeaseKeeper
+from fuchsiacart.keepers import ViewKeeper
+from fuchsiacart.limits import LimitBook
+from fuchsiacart.logs import log_event
+from fuchsiacart.lookups import LookupTable
+from fuchsiacart.messages import GossipReply
+from fuchsiacart.messages import GossipRequest
+from fuchsiacart.messages import Summary
+from fuchsiacart.metrics import MetricsHandler
+from fuchsiacart.models import Host
+from fuchsiacart.models import HostId
+from fuchsiacart.ownership import Ownership
+from fuchsiacart.quarantine import Quarantine
+from fuchsiacart.queues import FifoScheduler
+from fuchsiacart.queues import RankScheduler
+from fuchsiacart.replicas import wall_ms
+from fuchsiacart.retries import BudgetedRetry
+from fuchsiacart.retries import EagerRetry
+from fuchsiacart.routing import PowerOfTwoRouter
+from fuchsiacart.routing import RoundRobinRouter
+from fuchsiacart.settings import Policy
+from fuchsiacart.states import is_live
+from fuchsiacart.supervisors import Supervisor
+
+GOSSIP_TIMEOUT_S = 1.0
+SUSPECT_TIMEOUT_S = 0.3
+SUSPECT_PEERS = 16
+OTHER_HOSTS = 3
+STOP_POLL_S = 0.05
+
+
+class EntryHost:
+    """One entry host.
+
+    :param settings: the settings of the process.
+    :param adapter: transport to other processes.
+    """
+
+    def __init__(self, settings, adapter):
+        self._settings = settings
+        self._adapter = adapter
+        self._random = Random(settings.seed or None)
+        is_full = settings.entry.policy is Policy.FULL
+        addresses = [host.peer_address for host in settings.control_hosts]
+        control = ControlGroup(adapter, addresses)
+        name = HostId(settings.host.name)
+        self._limits = LimitBook()
+        self._views = ViewKeeper(adapter, addresses)
+        self._lease = LeaseKeeper(settings, control, self._views, self._limits)
+        self._client = BackendClient(settings.entry.connect_timeout_ms)
+        self._dispatcher = Dispatcher(
+            settings.entry,
+            self._client,
+            RankScheduler if is_full else FifoScheduler,
+        )
+        self._ownership = Ownership(name, settings.entry.lease_ms)
+        self._registrar = Registrar(
+            settings,
+            self._lease,
+            self._views,
+            self._ownership,
+            self._dispatcher,
+            adapter,
+        )
+        self._gossip = Gossip(name, settings.host.region, self._random)
+        self._quarantine = Quarantine(settings.entry.quarantine_ms)
+        self._claims = LogClaims(control, name) if is_full else NoClaims()
+        router = RoundRobinRouter()
+        if is_full:
+            router = PowerOfTwoRouter(self._random)
+        self._coordinator = Coordinator(
+            settings,
+            Parts(
+                self._lease,
+                self._views,
+                self._limits,
+                self._claims,
+                router,
+                BudgetedRetry() if is_full else EagerRetry(),
+                self._quarantine,
+                self._gossip,
+                self._dispatcher,
+                adapter,
+                self._tell_suspect,
+            ),
+        )
+        self._sequence = 0
+        self._table = None
+        self._views.on_change(self._follow_view)
+        self._follow_view()
+
+    @property
+    def backend_digest(self):
+        """Return the digest of the backend servers' token."""
+        return self._settings.tokens.backend_sha256
+
+    def application(self):
+        """Return the web application for callers and backend servers."""
+        context = {'entry': self}
+        routes = [
+            ('/v1/lookup', LookupHandler, context),
+            ('/v1/announce', AnnounceHandler, context),
+            ('/metrics', MetricsHandler),
+            ('/s/([^/]+)(/.*)', RequestsHandler, context),
+        ]
+        return Application(routes, log_function=lambda handler: None)
+
+    def handlers(self):
+        """Return the handlers of the calls between processes."""
+        return {
+            Method.PULL: self._views.on_pull,
+            Method.GOSSIP: self._on_gossip,
+            Method.ANNOUNCE: self._registrar.on_announce,
+            Method.FORWARD: self._on_forward,
+        }
+
+    def start(self, http_address, peer_address):
+        """Set the addresses that others use for this host."""
+        host = Host(
+            HostId(self._settings.host.name),
+            int(time() * 1000),
+            self._settings.host.region,
+            self._settings.host.failure_domain,
+            http_address,
+            peer_address,
+        )
+        self._lease.start(host, self._dispatcher, self._in_flight)
+
+    def supervisor(self):
+        """Return the supervisor of all tasks."""
+        tree = Supervisor('entry')
+        tree.add('lease', self._lease.run)
+        tree.add('view', self._run_view)
+        tree.add('gossip', self._run_gossip)
+        tree.add('dispatch', self._dispatcher.sweep)
+        return tree
+
+    def look_up(self, service, client):
+        """Answer a look-up.
+
+        :raises RequestError: when it cannot be answered.
+        """
+        if not self._lease.holds():
+            raise RequestError('no lease is held', ErrorKind.STALE)
+        try:
+            answer = self._table.look_up(service, client)
+        except ValueError as error:
+            raise RequestError(str(error), ErrorKind.BAD_REQUEST) from error
+        if not answer.hosts:
+            raise RequestError(
+                f'no entry host in region {answer.region}',
+                ErrorKind.NO_BACKEND,
+                retry_after_ms=answer.ttl_ms,
+            )
+        return answer
+
+    async def handle(self, request):
+        """Serve a caller's request; see :meth:`Coordinator.handle`."""
+        return await self._coordinator.handle(request)
+
+    async def announce(self, request):
+        """Take an announcement; see :meth:`Registrar.announce`."""
+        return await self._registrar.announce(request)
+
+    def rank_label(self, request):
+        """Return the label of a request's rank for metrics."""
+        view = self._views.machine
+        contract = view.contract_for_token(request.token)
+        if contract is None:
+            return 'none'
+        route = contract.find_route(
+            request.service, request.method, request.path.partition('?')[0]
+        )
+        return route.rank.value if route else 'none'
+
+    def other_hosts(self):
+        """Return a few entry hosts that may be asked instead."""
+        own = self._settings.host.name
+        hosts = [
+            host.http_address
+            for host in self._views.machine.hosts
+            if host.name != own and is_live(host)
+        ]
+        count = min(OTHER_HOSTS, len(hosts))
+        return tuple(self._random.sample(hosts, count))
+
+    async def stop(self):
+        """Stop as planned: out of the look-ups, then finish, then leave."""
+        self._lease.leave_look_ups()
+        await self._lease.renew()
+        await sleep(self._settings.entry.lookup_ttl_ms / 1000)
+        timeout_s = self._settings.entry.stop_timeout_ms / 1000
+        try:
+            await wait_for(self._finish(), timeout_s)
+        except TimeoutError:
+            log_event('stop_timeout', in_flight=self._in_flight())
+        await self._claims.drain()
+        await self._lease.leave()
+
+    def close(self):
+        """Close the client."""
+        self._client.close()
+
+    def _in_flight(self):
+        return self._coordinator.in_flight + self._dispatcher.in_flight()
+
+    async def _finish(self):
+        while self._in_flight():
+            await sleep(STOP_POLL_S)
+
+    async def _run_view(self):
+        await self._views.run(self._lease.needed_revision)
+
+    def _follow_view(self):
+        view = self._views.machine
+        self._table = LookupTable(
+            view,
+            self._settings.host.region,
+            self._settings.entry.lookup_ttl_ms,
+        )
+        self._registrar.follow_view()
+        self._gossip.retain({host.name for host in view.hosts})
+
+    async def _run_gossip(self):
+        while True:
+            await sleep(self._settings.entry.gossip_ms / 1000)
+            self._refresh_own()
+            peers = self._gossip.peers(self._views.machine.hosts)
+            await gather(*(self._exchange(peer) for peer in peers))
+
+    def _refresh_own(self):
+        self._sequence += 1
+        host = self._lease.host
+        loads = self._dispatcher.loads() if self._lease.holds() else ()
+        summary = Summary(host.name, host.incarnation, self._sequence, loads)
+        self._gossip.set_own(summary, _now_ms())
+
+    async def _exchange(self, peer):
+        request = GossipRequest(
+            self._gossip.summaries(), self._quarantine.suspects(wall_ms())
+        )
+        try:
+            reply = await self._adapter.call(
+                peer.peer_address, Method.GOSSIP, request, GOSSIP_TIMEOUT_S
+            )
+        except FuchsiacartError:
+            return
+        self._merge(reply)
+
+    async def _on_gossip(self, request):
+        self._merge(request)
+        return GossipReply(
+            self._gossip.summaries(), self._quarantine.suspects(wall_ms())
+        )
+
+    def _merge(self, message):
+        self._gossip.merge(message.summaries, _now_ms())
+        self._quarantine.merge(message.suspects, wall_ms())
+
+    async def _on_forward(self, request):
+        if not self._lease.holds():
+            raise RequestError('no lease is held', ErrorKind.STALE)
+        return await self._dispatcher.submit(request)
+
+    async def _tell_suspect(self, suspect):
+        """Tell hosts nearby of a suspect before its next attempt."""
+        own = self._settings.host
+        hosts = [
+            host for host in self._views.machine.hosts if host.name != own.name
+        ]
+        hosts.sort(key=lambda host: host.region != own.region)
+        request = GossipRequest((), (suspect,))
+        calls = [
+            self._adapter.call(
+                host.peer_address, Method.GOSSIP, request, SUSPECT_TIMEOUT_S
+            )
+            for host in hosts[:SUSPECT_PEERS]
+        ]
+        await gather(*calls, return_exceptions=True)
+
+
+def _now_ms():
+    return monotonic() * 1000
--- /dev/null
+++ b/fuchsiacart/keepers.py
@@ -0,0 +1,215 @@
+"""Tasks of an entry host that keep its lease and its view."""
+
+from asyncio import get_running_loop
+from asyncio import shield
+from asyncio import sleep
+from asyncio import wait_for
+from time import monotonic
+
+from fuchsiacart.adapters import Method
+from fuchsiacart.control import answer_pull
+from fuchsiacart.exceptions import FuchsiacartError
+from fuchsiacart.leases import Lease
+from fuchsiacart.logs import log_event
+from fuchsiacart.logs import log_warning
+from fuchsiacart.messages import KeepAliveRequest
+from fuchsiacart.messages import LeaveRequest
+from fuchsiacart.messages import PullRequest
+from fuchsiacart.metrics import LEASE_LEFT
+from fuchsiacart.metrics import REVISION
+from fuchsiacart.models import HostState
+from fuchsiacart.views import View
+from fuchsiacart.views import with_state
+
+PULL_WAIT_MS = 1000
+PULL_TIMEOUT_S = 2.0
+PULL_PAUSE_S = 0.05
+LEAVE_TIMEOUT_S = 2.0
+
+
+class ViewKeeper:
+    """Owns the view: pulls changes and serves them to other hosts.
+
+    :param adapter: transport.
+    :param control_addresses: where to pull from until the first lease.
+    """
+
+    def __init__(self, adapter, control_addresses):
+        self._adapter = adapter
+        self._control_addresses = tuple(control_addresses)
+        self._parents = self._control_addresses
+        self._turn = 0
+        self._changed = get_running_loop().create_future()
+        self._listeners = []
+        self.machine = View()
+
+    def on_change(self, listener):
+        """Call a function after each change of the view."""
+        self._listeners.append(listener)
+
+    def set_parents(self, parents):
+        """Take over whom to pull from, best first."""
+        if parents and parents != self._parents:
+            self._parents = parents
+            self._turn = 0
+
+    async def on_pull(self, request):
+        """Answer a pull of another entry host."""
+        return await answer_pull(self, request)
+
+    async def wait_for_revision(self, revision, timeout_s):
+        """Wait until the view is past a revision, or the time is over."""
+        deadline_s = monotonic() + timeout_s
+        while self.machine.revision <= revision:
+            left_s = deadline_s - monotonic()
+            if left_s <= 0:
+                return
+            try:
+                await wait_for(shield(self._changed), left_s)
+            except TimeoutError:
+                return
+
+    async def run(self, needed_revision):
+        """Pull for ever.
+
+        :param needed_revision: returns the revision that the lease waits
+            for; while the view is behind it, another parent is asked.
+        """
+        while True:
+            address = self._parents[self._turn % len(self._parents)]
+            try:
+                await self._pull(address)
+            except FuchsiacartError:
+                self._turn += 1
+                await sleep(PULL_PAUSE_S)
+                continue
+            if self.machine.revision < needed_revision():
+                self._turn += 1
+                await sleep(PULL_PAUSE_S)
+
+    async def _pull(self, address):
+        request = PullRequest(self.machine.revision, PULL_WAIT_MS)
+        reply = await self._adapter.call(
+            address, Method.PULL, request, PULL_TIMEOUT_S
+        )
+        moved = self.machine.advance(reply.deltas)
+        if reply.snapshot is not None:
+            moved = self.machine.restore(reply.snapshot)
+        if moved:
+            self._tell()
+
+    def _tell(self):
+        REVISION.set(self.machine.revision)
+        self._changed.set_result(None)
+        self._changed = get_running_loop().create_future()
+        for listener in self._listeners:
+            listener()
+
+
+class LeaseKeeper:
+    """Renews the lease of this host and takes in its shares.
+
+    :param settings: the settings of the process.
+    :param control: the :class:`ControlGroup`.
+    :param views: the :class:`ViewKeeper`.
+    :param limits: the :class:`LimitBook`.
+    """
+
+    def __init__(self, settings, control, views, limits):
+        self._settings = settings
+        self._control = control
+        self._views = views
+        self._limits = limits
+        self._lease = Lease()
+        self._dispatcher = None
+        self._in_flight = None
+        self.host = None
+        views.on_change(self._reach)
+
+    def start(self, host, dispatcher, in_flight):
+        """Set who this host is and whose load it reports.
+
+        :param host: this host with its addresses.
+        :param dispatcher: the :class:`Dispatcher`.
+        :param in_flight: returns the requests under way on this host.
+        """
+        self.host = host
+        self._dispatcher = dispatcher
+        self._in_flight = in_flight
+
+    def holds(self):
+        """Tell whether this host may act."""
+        return self._lease.holds(_now_ms())
+
+    def needed_revision(self):
+        """Return the revision that the lease waits for."""
+        return self._lease.needed_revision
+
+    def leave_look_ups(self):
+        """Be named in look-ups no more; the next renewal says so."""
+        self.host = with_state(self.host, HostState.LEAVING)
+
+    async def run(self):
+        """Renew for ever."""
+        held = False
+        while True:
+            await self.renew()
+            now_holds = self.holds()
+            LEASE_LEFT.set(self._lease.left_ms(_now_ms()) / 1000)
+            if held and not now_holds:
+                log_warning(
+                    'lease_lost', revision=self._views.machine.revision
+                )
+            if now_holds and not held:
+                log_event('lease_held', revision=self._views.machine.revision)
+            held = now_holds
+            await sleep(self._settings.entry.keep_alive_ms / 1000)
+
+    async def renew(self):
+        """Renew once.
+
+        :return: True when a control host answered.
+        """
+        sent_ms = _now_ms()
+        request = KeepAliveRequest(
+            self.host,
+            self._views.machine.revision,
+            self._limits.demands(sent_ms),
+            self._limits.shares(),
+            self._dispatcher.loads(),
+            self._in_flight(),
+            self._dispatcher.draining(),
+        )
+        timeout_s = self._settings.entry.lease_ms / 3000
+        try:
+            reply = await self._control.call(
+                Method.KEEP_ALIVE, request, timeout_s
+            )
+        except FuchsiacartError:
+            return False
+        self._lease.renew(
+            sent_ms,
+            reply.lease_ms,
+            reply.revision,
+            self._views.machine.revision,
+        )
+        self._limits.set_shares(reply.shares)
+        self._views.set_parents(reply.parents)
+        return True
+
+    async def leave(self):
+        """End the lease at the end of a planned stop."""
+        request = LeaveRequest(self.host.name, self.host.incarnation)
+        try:
+            await self._control.call(
+                Method.KEEP_ALIVE, request, LEAVE_TIMEOUT_S
+            )
+        except FuchsiacartError as error:
+            log_warning('leave_not_told', detail=error.detail)
+
+    def _reach(self):
+        self._lease.reach(self._views.machine.revision)
+
+
+def _now_ms():
+    return monotonic() * 1000
--- /dev/null
+++ b/fuchsiacart/limits.py
@@ -0,0 +1,106 @@
+"""Limits of contracts at one entry host, within its leased shares."""
+
+from msgspec import Struct
+
+from fuchsiacart.messages import Demand
+from fuchsiacart.messages import Share
+
+BURST_S = 1.0
+DEMAND_MEMORY = 0.5
+SMALLEST_WAIT_MS = 50
+
+
+class Usage(Struct):
+    """What one customer's rank uses at this host."""
+
+    tokens: float = 0.0
+    filled_ms: float = 0.0
+    in_flight: int = 0
+    asked: int = 0
+    peak: int = 0
+    rate_demand: float = 0.0
+    slots_demand: float = 0.0
+
+
+class LimitBook:
+    """Pure count of rate and concurrency against the shares."""
+
+    def __init__(self):
+        self._shares = {}
+        self._usage = {}
+        self._measured_ms = 0.0
+
+    def set_shares(self, shares):
+        """Take over the shares of a renewed lease."""
+        self._shares = {
+            (share.customer, share.rank): share for share in shares
+        }
+
+    def shares(self):
+        """Return the shares in force."""
+        return tuple(self._shares.values())
+
+    def acquire(self, customer, rank, now_ms):
+        """Use the limit for one request.
+
+        :param customer: the customer.
+        :param rank: rank of the request.
+        :param now_ms: the present.
+        :return: 0 when the request may go on, else how many milliseconds
+            to wait before the next attempt.
+        """
+        usage = self._usage_of(customer, rank, now_ms)
+        usage.asked += 1
+        usage.peak = max(usage.peak, usage.in_flight + 1)
+        share = self._shares.get((customer, rank))
+        if share is None:
+            return SMALLEST_WAIT_MS
+        self._fill(usage, share, now_ms)
+        if usage.tokens < 1.0:
+            missing = 1.0 - usage.tokens
+            rate_per_ms = max(share.rate_per_s, 0.01) / 1000
+            return max(SMALLEST_WAIT_MS, int(missing / rate_per_ms))
+        if usage.in_flight + 1 > share.concurrency:
+            return SMALLEST_WAIT_MS
+        usage.tokens -= 1.0
+        usage.in_flight += 1
+        return 0
+
+    def release(self, customer, rank):
+        """Give back the concurrency of one request."""
+        self._usage[(customer, rank)].in_flight -= 1
+
+    def demands(self, now_ms):
+        """Return the demand since the last call, smoothed."""
+        elapsed_s = max(0.001, (now_ms - self._measured_ms) / 1000)
+        self._measured_ms = now_ms
+        demands = []
+        for (customer, rank), usage in self._usage.items():
+            rate = usage.asked / elapsed_s
+            usage.rate_demand = _smooth(usage.rate_demand, rate)
+            usage.slots_demand = _smooth(usage.slots_demand, usage.peak)
+            usage.asked = 0
+            usage.peak = usage.in_flight
+            demands.append(
+                Demand(customer, rank, usage.rate_demand, usage.slots_demand)
+            )
+        return tuple(demands)
+
+    def _usage_of(self, customer, rank, now_ms):
+        key = (customer, rank)
+        if key not in self._usage:
+            share = self._shares.get(key, Share(customer, rank, 0.0, 0.0))
+            tokens = max(1.0, share.rate_per_s * BURST_S)
+            self._usage[key] = Usage(tokens, now_ms)
+        return self._usage[key]
+
+    def _fill(self, usage, share, now_ms):
+        elapsed_s = max(0.0, now_ms - usage.filled_ms) / 1000
+        burst = max(1.0, share.rate_per_s * BURST_S)
+        filled = usage.tokens + elapsed_s * share.rate_per_s
+        usage.tokens = min(burst, filled)
+        usage.filled_ms = now_ms
+
+
+def _smooth(old, new):
+    return old * DEMAND_MEMORY + new * (1.0 - DEMAND_MEMORY)
--- /dev/null
+++ b/fuchsiacart/logs.py
@@ -0,0 +1,39 @@
+"""Logs: one line of key=value pairs for each event."""
+
+from json import dumps
+
+from absl import logging
+
+
+def _value(value):
+    text = str(value)
+    if text and all(char.isalnum() or char in '._-:/+' for char in text):
+        return text
+    return dumps(text)
+
+
+def format_event(event, **fields):
+    """Return the line for an event.
+
+    :param event: name of the event, a plain word.
+    :param fields: what to say about it.
+    :return: one line of key=value pairs.
+    """
+    pairs = [f'event={event}']
+    pairs += [f'{key}={_value(value)}' for key, value in fields.items()]
+    return ' '.join(pairs)
+
+
+def log_event(event, **fields):
+    """Write an event to the log at level info."""
+    logging.info('%s', format_event(event, **fields))
+
+
+def log_warning(event, **fields):
+    """Write an event to the log at level warning."""
+    logging.warning('%s', format_event(event, **fields))
+
+
+def log_error(event, **fields):
+    """Write an event to the log at level error."""
+    logging.error('%s', format_event(event, **fields))
--- /dev/null
+++ b/fuchsiacart/lookups.py
@@ -0,0 +1,119 @@
+"""Look-ups: which entry hosts the clients of a block should use."""
+
+from ipaddress import ip_address
+from ipaddress import ip_network
+
+from msgspec import Struct
+from xxhash import xxh64_intdigest
+
+from fuchsiacart.drains import drains_host
+from fuchsiacart.ownership import rendezvous_order
+from fuchsiacart.states import is_live
+from fuchsiacart.steering import WHOLE_PERMILLE
+
+BUCKETS = 1024
+HOSTS_IN_ANSWER = 3
+
+
+class LookupAnswer(Struct, frozen=True):
+    """Answer to a look-up; ``hosts`` are IP:port, best first."""
+
+    service: str
+    home: str
+    region: str
+    hosts: tuple[str, ...]
+    ttl_ms: int
+
+
+class BlockTable:
+    """Longest-prefix match from client addresses to home regions."""
+
+    def __init__(self, blocks):
+        self._by_length = {4: {}, 6: {}}
+        for block in blocks:
+            network = ip_network(block.prefix)
+            table = self._by_length[network.version]
+            row = table.setdefault(network.prefixlen, {})
+            row[int(network.network_address)] = block.region
+        self._lengths = {
+            version: sorted(table, reverse=True)
+            for version, table in self._by_length.items()
+        }
+
+    def home(self, client):
+        """Return the home region of a client address, or None.
+
+        :param client: the address as text.
+        :raises ValueError: when it is no IP address.
+        """
+        address = ip_address(client)
+        number = int(address)
+        bits = address.max_prefixlen
+        table = self._by_length[address.version]
+        for length in self._lengths[address.version]:
+            prefix = number >> (bits - length) << (bits - length)
+            region = table[length].get(prefix)
+            if region is not None:
+                return region
+        return None
+
+
+class LookupTable:
+    """Answers look-ups from one view, pure.
+
+    The hosts of each region are ordered once for each of ``BUCKETS``
+    buckets, so a look-up costs the same however many hosts there are.
+
+    :param view: the view.
+    :param region: region of this host, home of unknown clients.
+    :param ttl_ms: how long callers may keep an answer.
+    """
+
+    def __init__(self, view, region, ttl_ms):
+        self._region = region
+        self._ttl_ms = ttl_ms
+        self._hosts = [
+            host
+            for host in view.hosts
+            if is_live(host) and not drains_host(view.drains, host)
+        ]
+        self._blocks = BlockTable(
+            block for contract in view.contracts for block in contract.blocks
+        )
+        self._weights = {}
+        for row in view.weights:
+            self._weights.setdefault(row.home, []).append(row)
+        self._orders = {}
+
+    def look_up(self, service, client):
+        """Answer a look-up.
+
+        :param service: the service that the caller wants.
+        :param client: the caller's IP address, or an empty string.
+        :return: the answer; without hosts when none can be named.
+        :raises ValueError: when ``client`` is no IP address.
+        """
+        home = self._blocks.home(client) if client else None
+        home = home or self._region
+        score = xxh64_intdigest(client.encode())
+        region = self._target(home, score % WHOLE_PERMILLE)
+        bucket = (score // WHOLE_PERMILLE) % BUCKETS
+        return LookupAnswer(
+            service, home, region, self._order(region, bucket), self._ttl_ms
+        )
+
+    def _target(self, home, point):
+        reached = 0
+        for row in self._weights.get(home, ()):
+            reached += row.permille
+            if point < reached:
+                return row.target
+        return home
+
+    def _order(self, region, bucket):
+        key = (region, bucket)
+        if key not in self._orders:
+            near = [host for host in self._hosts if host.region == region]
+            ordered = rendezvous_order(bucket, near)[:HOSTS_IN_ANSWER]
+            self._orders[key] = tuple(host.http_address for host in ordered)
+        return self._orders[key]
--- /dev/null
+++ b/fuchsiacart/messages.py
@@ -0,0 +1,267 @@
+"""Messages between the system's own processes."""
+
+from msgspec import Struct
+
+from fuchsiacart.consensus import Message
+from fuchsiacart.exceptions import ErrorKind
+from fuchsiacart.exceptions import Run
+from fuchsiacart.models import Address
+from fuchsiacart.models import BackendServer
+from fuchsiacart.models import BackendServerId
+from fuchsiacart.models import CustomerId
+from fuchsiacart.models import FailureDomainId
+from fuchsiacart.models import Host
+from fuchsiacart.models import HostId
+from fuchsiacart.models import LoadReport
+from fuchsiacart.models import Rank
+from fuchsiacart.models import ServiceId
+from fuchsiacart.states import Command
+from fuchsiacart.states import Delta
+from fuchsiacart.states import Outcome
+from fuchsiacart.states import ViewSnapshot
+
+
+class Refusal(Struct, frozen=True, tag=True):
+    """An error as an answer."""
+
+    kind: ErrorKind
+    detail: str = ''
+    run: Run = Run.NO
+    retry_after_ms: int = 0
+
+
+class Deliver(Struct, frozen=True, tag=True):
+    """A message of the replicated log."""
+
+    message: Message
+
+
+class Done(Struct, frozen=True, tag=True):
+    """Empty answer."""
+
+
+class Demand(Struct, frozen=True):
+    """How much of a contract's limit a host would use."""
+
+    customer: CustomerId
+    rank: Rank
+    rate_per_s: float
+    concurrency: float
+
+
+class Share(Struct, frozen=True):
+    """How much of a contract's limit a host may use."""
+
+    customer: CustomerId
+    rank: Rank
+    rate_per_s: float
+    concurrency: float
+
+
+class ServiceLoad(Struct, frozen=True):
+    """Load of one service's backend servers that one host owns."""
+
+    service: ServiceId
+    slots: int
+    in_flight: int
+    queued: tuple[int, ...]
+    wait_ms: tuple[float, ...]
+
+
+class DrainingServer(Struct, frozen=True):
+    """Work that is left on a backend server that drains."""
+
+    name: BackendServerId
+    failure_domain: FailureDomainId
+    in_flight: int
+
+
+class KeepAliveRequest(Struct, frozen=True, tag=True):
+    """Renew the lease of an entry host."""
+
+    host: Host
+    revision: int
+    demands: tuple[Demand, ...] = ()
+    shares: tuple[Share, ...] = ()
+    loads: tuple[ServiceLoad, ...] = ()
+    in_flight: int = 0
+    draining: tuple[DrainingServer, ...] = ()
+
+
+class KeepAliveReply(Struct, frozen=True, tag=True):
+    """The lease runs from when the request was sent.
+
+    It holds only once the host has reached ``revision``.
+    """
+
+    lease_ms: int
+    revision: int
+    shares: tuple[Share, ...] = ()
+    parents: tuple[Address, ...] = ()
+
+
+class LeaveRequest(Struct, frozen=True, tag=True):
+    """A planned stop of an entry host has ended."""
+
+    name: HostId
+    incarnation: int
+
+
+class ProposeRequest(Struct, frozen=True, tag=True):
+    """A command for the replicated log."""
+
+    command: Command
+    relayed: bool = False
+
+
+class ProposeReply(Struct, frozen=True, tag=True):
+    """Outcome of a committed command."""
+
+    outcome: Outcome
+
+
+class ClaimQuery(Struct, frozen=True, tag=True):
+    """Ask what is known of a claimed key."""
+
+    customer: CustomerId
+    key: str
+    relayed: bool = False
+
+
+class PullRequest(Struct, frozen=True, tag=True):
+    """Ask for what came after a revision; wait for it if need be."""
+
+    revision: int
+    wait_ms: int
+
+
+class PullReply(Struct, frozen=True, tag=True):
+    """Deltas behind the revision, or a snapshot where they are gone."""
+
+    deltas: tuple[Delta, ...] = ()
+    snapshot: ViewSnapshot | None = None
+
+
+class Summary(Struct, frozen=True):
+    """What an entry host tells the others; a higher sequence wins."""
+
+    host: HostId
+    incarnation: int
+    sequence: int
+    loads: tuple[ServiceLoad, ...]
+
+
+class Suspect(Struct, frozen=True):
+    """A request that broke backend servers."""
+
+    digest: str
+    broken: tuple[BackendServerId, ...]
+    until_ms: int
+
+
+class GossipRequest(Struct, frozen=True, tag=True):
+    """Summaries and suspects that the sender knows."""
+
+    summaries: tuple[Summary, ...]
+    suspects: tuple[Suspect, ...] = ()
+
+
+class GossipReply(Struct, frozen=True, tag=True):
+    """Summaries and suspects that the receiver knows."""
+
+    summaries: tuple[Summary, ...]
+    suspects: tuple[Suspect, ...] = ()
+
+
+class AnnounceRequest(Struct, frozen=True, tag=True):
+    """An announcement of a backend server, on its way to its owner."""
+
+    server: BackendServer
+    report: LoadReport
+    leaving: bool = False
+
+
+class AnnounceReply(Struct, frozen=True, tag=True):
+    """How long the announcement holds, and who owns the server."""
+
+    owner: HostId
+    lease_ms: int
+
+
+class ReleaseRequest(Struct, frozen=True, tag=True):
+    """Ask an earlier owner to give a backend server up.
+
+    ``revision`` is the one under which the sender owns it.
+    """
+
+    server: BackendServer
+    revision: int
+
+
+class ReleaseReply(Struct, frozen=True, tag=True):
+    """The server is given up; so many requests still run on it."""
+
+    in_flight: int
+
+
+class Header(Struct, frozen=True):
+    """One HTTP header."""
+
+    name: str
+    value: str
+
+
+class ForwardRequest(Struct, frozen=True, tag=True):
+    """A request on its way to the owner of backend servers."""
+
+    request_id: str
+    customer: CustomerId
+    service: ServiceId
+    method: str
+    path: str
+    headers: tuple[Header, ...]
+    body: bytes
+    rank: Rank
+    floor_percent: int
+    deadline_ms: int
+    exclude: tuple[BackendServerId, ...] = ()
+    isolated: bool = False
+
+
+class ForwardReply(Struct, frozen=True, tag=True):
+    """The whole answer of a backend server, or why there is none.
+
+    ``broken`` tells that the backend server was lost while it ran the
+    request, ``shed`` that it refused it.
+    """
+
+    server: BackendServerId = ''
+    status: int = 0
+    headers: tuple[Header, ...] = ()
+    body: bytes = b''
+    refusal: Refusal | None = None
+    broken: bool = False
+    shed: bool = False
+
+
+PeerMessage = (
+    Refusal
+    | Deliver
+    | Done
+    | KeepAliveRequest
+    | KeepAliveReply
+    | ProposeRequest
+    | ProposeReply
+    | ClaimQuery
+    | PullRequest
+    | PullReply
+    | GossipRequest
+    | GossipReply
+    | AnnounceRequest
+    | AnnounceReply
+    | ReleaseRequest
+    | ReleaseReply
+    | LeaveRequest
+    | ForwardRequest
+    | ForwardReply
+)
--- /dev/null
+++ b/fuchsiacart/metrics.py
@@ -0,0 +1,65 @@
+"""Metrics of one process, for Prometheus."""
+
+from prometheus_client import CONTENT_TYPE_LATEST
+from prometheus_client import Counter
+from prometheus_client import Gauge
+from prometheus_client import generate_latest
+from prometheus_client import Histogram
+from tornado.web import RequestHandler
+
+LATENCY_BUCKETS_S = (
+    0.005,
+    0.01,
+    0.025,
+    0.05,
+    0.1,
+    0.25,
+    0.5,
+    1.0,
+    2.5,
+    5.0,
+    10.0,
+    30.0,
+)
+
+REQUESTS = Counter(
+    'fuchsiacart_requests_total',
+    'Requests of callers by rank and outcome',
+    ['rank', 'outcome'],
+)
+LATENCY = Histogram(
+    'fuchsiacart_request_seconds',
+    'Time from a request to its answer by rank',
+    ['rank'],
+    buckets=LATENCY_BUCKETS_S,
+)
+LOOKUPS = Counter('fuchsiacart_lookups_total', 'Look-ups answered')
+REVISION = Gauge('fuchsiacart_revision', 'Revision in force at this process')
+LEASE_LEFT = Gauge(
+    'fuchsiacart_lease_left_seconds', 'Time that the lease still holds'
+)
+QUEUED = Gauge(
+    'fuchsiacart_queued_requests', 'Requests waiting by rank', ['rank']
+)
+SLOTS = Gauge(
+    'fuchsiacart_owned_slots', 'Usable slots of owned backend servers'
+)
+BUSY = Gauge('fuchsiacart_busy_slots', 'Slots in use of owned backend servers')
+TERM = Gauge('fuchsiacart_term', 'Term of this replica')
+IS_LEADER = Gauge('fuchsiacart_is_leader', '1 where this replica leads')
+COMMIT_INDEX = Gauge(
+    'fuchsiacart_commit_index', 'Last index known to be committed'
+)
+QUARANTINED = Counter(
+    'fuchsiacart_quarantined_total', 'Requests put into quarantine'
+)
+RETRIES = Counter('fuchsiacart_retries_total', 'Attempts after the first')
+
+
+class MetricsHandler(RequestHandler):
+    """Answers the scrapes of Prometheus."""
+
+    def get(self):
+        """Return all metrics of the process."""
+        self.set_header('Content-Type', CONTENT_TYPE_LATEST)
+        self.finish(generate_latest())
--- /dev/null
+++ b/fuchsiacart/operators.py
@@ -0,0 +1,219 @@
+"""HTTP interface of the control role for operators."""
+
+from hmac import compare_digest
+
+from msgspec import convert
+from msgspec.json import decode
+from msgspec.json import encode
+from msgspec import MsgspecError
+from msgspec import to_builtins
+from tornado.web import Application
+from tornado.web import RequestHandler
+
+from fuchsiacart.consensus import Group
+from fuchsiacart.control import Replacement
+from fuchsiacart.exceptions import ChangeError
+from fuchsiacart.exceptions import ErrorKind
+from fuchsiacart.exceptions import FuchsiacartError
+from fuchsiacart.exceptions import Run
+from fuchsiacart.metrics import MetricsHandler
+from fuchsiacart.models import ChangeId
+from fuchsiacart.models import Contract
+from fuchsiacart.models import CustomerId
+from fuchsiacart.models import Drain
+from fuchsiacart.models import token_digest
+from fuchsiacart.problems import problem_document
+from fuchsiacart.problems import PROBLEM_TYPE
+from fuchsiacart.replicas import wall_ms
+from fuchsiacart.states import CancelDrain
+from fuchsiacart.states import Change
+from fuchsiacart.states import PutContract
+from fuchsiacart.states import StartDrain
+
+CHANGE_ID_HEADER = 'Fuchsiacart-Change-Id'
+ACTOR_HEADER = 'Fuchsiacart-Actor'
+VERSION_HEADER = 'If-Match'
+
+
+class OperatorHandler(RequestHandler):
+    """Base of all operators' handlers: token, errors, JSON.
+
+    :param service: what answers, a :class:`ControlService`.
+    :param operator_digest: digest of the operators' token.
+    """
+
+    def initialize(self, service, operator_digest):
+        """Take in what the application passes."""
+        self.service = service
+        self._operator_digest = operator_digest
+
+    def prepare(self):
+        """Refuse a call without the operators' token."""
+        header = self.request.headers.get('Authorization', '')
+        scheme, _, token = header.partition(' ')
+        digest = token_digest(token)
+        known = compare_digest(digest, self._operator_digest)
+        if scheme != 'Bearer' or not known:
+            raise ChangeError('operator token', ErrorKind.UNAUTHORIZED)
+
+    def write_error(self, status_code, **kwargs):
+        """Answer an error with a problem document."""
+        error = kwargs['exc_info'][1] if 'exc_info' in kwargs else None
+        if not isinstance(error, FuchsiacartError):
+            kind = ErrorKind.INTERNAL
+            if status_code < 500:
+                kind = ErrorKind.BAD_REQUEST
+            error = ChangeError(str(error), kind, Run.UNKNOWN)
+        self.set_status(error.answer.status)
+        self.set_header('Content-Type', PROBLEM_TYPE)
+        self.finish(problem_document(error))
+
+    def log_exception(self, typ, value, tb):
+        """Leave expected errors out of the log."""
+        if not isinstance(value, FuchsiacartError):
+            super().log_exception(typ, value, tb)
+
+    def reply(self, answer):
+        """Answer with JSON."""
+        self.set_header('Content-Type', 'application/json')
+        self.finish(encode(answer))
+
+    def change(self):
+        """Return who asks for which change.
+
+        :raises ChangeError: when the change id is missing.
+        """
+        change_id = self.request.headers.get(CHANGE_ID_HEADER, '')
+        if not change_id:
+            raise ChangeError(
+                f'{CHANGE_ID_HEADER} is missing', ErrorKind.BAD_REQUEST
+            )
+        actor = self.request.headers.get(ACTOR_HEADER, 'operator')
+        return Change(ChangeId(change_id), actor, wall_ms())
+
+    def decode_body(self, kind):
+        """Return the body as a typed document.
+
+        :raises ChangeError: naming the key at fault.
+        """
+        try:
+            return convert(decode(self.request.body), kind)
+        except (MsgspecError, ValueError) as error:
+            raise ChangeError(str(error), ErrorKind.BAD_REQUEST) from error
+
+
+class ContractsHandler(OperatorHandler):
+    """All contracts."""
+
+    async def get(self):
+        """List the contracts with their versions."""
+        state = await self.service.current_state()
+        self.reply(list(state.contracts.values()))
+
+
+class ContractHandler(OperatorHandler):
+    """One contract."""
+
+    async def get(self, customer):
+        """Return the contract with its version."""
+        state = await self.service.current_state()
+        held = state.contracts.get(customer)
+        if held is None:
+            raise ChangeError(customer, ErrorKind.NOT_FOUND)
+        self.reply(held)
+
+    async def put(self, customer):
+        """Replace the contract if its version is the one in If-Match."""
+        contract = self.decode_body(Contract)
+        if contract.customer != CustomerId(customer):
+            raise ChangeError(
+                'the path and the contract name different customers',
+                ErrorKind.BAD_REQUEST,
+            )
+        expected = self.request.headers.get(VERSION_HEADER, '').strip('"')
+        if not expected.isdigit():
+            raise ChangeError(
+                f'{VERSION_HEADER} must hold the version, 0 if new',
+                ErrorKind.BAD_REQUEST,
+            )
+        command = PutContract(self.change(), int(expected), contract)
+        self.reply(await self.service.commit(command))
+
+
+class DrainsHandler(OperatorHandler):
+    """Planned drains."""
+
+    async def get(self):
+        """List the drains with their progress."""
+        self.reply(await self.service.drain_progress())
+
+    async def post(self):
+        """Start a drain."""
+        command = StartDrain(self.change(), self.decode_body(Drain))
+        self.reply(await self.service.commit(command))
+
+    async def delete(self):
+        """Cancel a drain."""
+        command = CancelDrain(self.change(), self.decode_body(Drain))
+        self.reply(await self.service.commit(command))
+
+
+class AuditHandler(OperatorHandler):
+    """The audit trail."""
+
+    async def get(self):
+        """List the changes, oldest first; ``subject`` narrows the list."""
+        state = await self.service.current_state()
+        subject = self.get_query_argument('subject', '')
+        rows = [
+            entry
+            for entry in state.audit
+            if not subject or entry.subject == subject
+        ]
+        self.reply(rows)
+
+
+class StatusHandler(OperatorHandler):
+    """The state of the system at a glance."""
+
+    async def get(self):
+        """Return the status."""
+        self.reply(to_builtins(await self.service.status()))
+
+
+class GroupHandler(OperatorHandler):
+    """Members of the control group, as this control host knows them."""
+
+    async def get(self):
+        """Return this replica and its group; needs no quorum."""
+        self.reply(self.service.replica_status())
+
+    async def post(self):
+        """Set the first members on a blank control host."""
+        await self.service.bootstrap(self.decode_body(Group))
+        self.reply(self.service.replica_status())
+
+    async def put(self):
+        """Replace one replica by another; answers once it is done."""
+        replacement = self.decode_body(Replacement)
+        await self.service.replace_replica(replacement)
+        self.reply(self.service.replica_status())
+
+
+def operator_application(service, operator_digest):
+    """Return the web application for operators.
+
+    :param service: what answers, a :class:`ControlService`.
+    :param operator_digest: digest of the operators' token.
+    """
+    context = {'service': service, 'operator_digest': operator_digest}
+    routes = [
+        ('/v1/contracts', ContractsHandler, context),
+        ('/v1/contracts/([^/]+)', ContractHandler, context),
+        ('/v1/drains', DrainsHandler, context),
+        ('/v1/audit', AuditHandler, context),
+        ('/v1/status', StatusHandler, context),
+        ('/v1/group', GroupHandler, context),
+        ('/metrics', MetricsHandler),
+    ]
+    return Application(routes, log_function=lambda handler: None)
--- /dev/null
+++ b/fuchsiacart/reports.py
@@ -0,0 +1,142 @@
+"""Documents as text for people."""
+
+from datetime import datetime
+from datetime import timezone
+
+MILLISECONDS_IN_SECOND = 1000
+
+
+def format_fields(document, indent=''):
+    """Return a document as indented lines of keys and values."""
+    lines = []
+    for key, value in document.items():
+        if isinstance(value, dict):
+            lines.append(f'{indent}{key}:')
+            lines.append(format_fields(value, indent + '  '))
+        elif isinstance(value, list):
+            lines.append(f'{indent}{key}:')
+            lines += [f'{indent}  {_one_line(item)}' for item in value]
+        else:
+            lines.append(f'{indent}{key}: {value}')
+    return '\n'.join(lines)
+
+
+def format_table(heads, rows):
+    """Return rows in columns.
+
+    :param heads: names of the columns.
+    :param rows: lists of values, one for each column.
+    """
+    cells = [list(map(str, row)) for row in [heads, *rows]]
+    widths = [max(map(len, column)) for column in zip(*cells)]
+    return '\n'.join(
+        '  '.join(map(str.ljust, row, widths)).rstrip() for row in cells
+    )
+
+
+def format_time(at_ms):
+    """Return a time in UTC, or a dash where there is none."""
+    if not at_ms:
+        return '-'
+    at = datetime.fromtimestamp(at_ms / MILLISECONDS_IN_SECOND, timezone.utc)
+    return at.isoformat(timespec='milliseconds')
+
+
+def format_audit(entries):
+    """Return the audit trail as a table."""
+    rows = [
+        [
+            format_time(entry['accepted_ms']),
+            entry['actor'],
+            entry['what'],
+            entry['subject'],
+            f'{entry["from_version"]}->{entry["to_version"]}',
+            entry['outcome'].get('error') or 'accepted',
+            format_time(entry['in_force_ms']),
+            entry['change_id'],
+        ]
+        for entry in entries
+    ]
+    heads = (
+        'accepted',
+        'actor',
+        'what',
+        'subject',
+        'version',
+        'outcome',
+        'in force everywhere',
+        'change',
+    )
+    return format_table(heads, rows)
+
+
+def format_drains(drains):
+    """Return the drains with their progress as a table."""
+    rows = [
+        [
+            drain['scope'],
+            drain['name'],
+            format_time(drain['started_ms']),
+            f'{drain["informed"]}/{drain["hosts"]}',
+            drain['in_flight'],
+            f'{drain["drained_ms"]} ms' if drain['drained_ms'] else 'going on',
+        ]
+        for drain in drains
+    ]
+    heads = ('scope', 'name', 'started', 'informed', 'in flight', 'drained')
+    return format_table(heads, rows)
+
+
+def format_status(status):
+    """Return the state of the system at a glance."""
+    regions = format_table(
+        ('region', 'entry hosts', 'slots', 'busy', 'queued', 'headroom'),
+        [
+            [
+                region['region'],
+                region['entry_hosts'],
+                region['slots'],
+                region['busy'],
+                region['queued'],
+                max(0, region['slots'] - region['busy'] - region['queued']),
+            ]
+            for region in status['regions']
+        ],
+    )
+    hosts = format_table(
+        ('entry host', 'region', 'state', 'revision', 'lease', 'in flight'),
+        [
+            [
+                host['name'],
+                host['region'],
+                host['state'],
+                host['revision'],
+                f'{host["lease_left_ms"]} ms',
+                host['in_flight'],
+            ]
+            for host in status['hosts']
+        ],
+    )
+    weights = format_table(
+        ('home', 'target', 'permille'),
+        [
+            [row['home'], row['target'], row['permille']]
+            for row in status['weights']
+        ],
+    )
+    revisions = [host['revision'] for host in status['hosts']]
+    spread = f'{min(revisions)} to {max(revisions)}' if revisions else '-'
+    head = (
+        f'leader {status["leader"]} in term {status["term"]}\n'
+        f'revision {status["revision"]}, in force everywhere'
+        f' {status["in_force_revision"]}, on hosts {spread}\n'
+        f'contracts {status["contracts"]}, claims {status["claims"]}'
+    )
+    drains = format_drains(status['drains'])
+    return '\n\n'.join((head, regions, hosts, weights, drains))
+
+
+def _one_line(item):
+    if not isinstance(item, dict):
+        return str(item)
+    return ' '.join(f'{key}={value}' for key, value in item.items())
--- /dev/null
+++ b/fuchsiacart/settings.py
@@ -0,0 +1,218 @@
+"""Settings of one process, read from TOML and checked whole."""
+
+from enum import Enum
+from enum import unique
+from pathlib import Path
+from tomllib import load
+from tomllib import TOMLDecodeError
+from typing import Annotated
+
+from pydantic import BaseModel
+from pydantic import ConfigDict
+from pydantic import Field
+from pydantic import model_validator
+from pydantic import ValidationError
+
+from fuchsiacart.exceptions import SettingsError
+
+Name = Annotated[str, Field(pattern=r'^[a-z0-9][a-z0-9._-]{0,62}$')]
+IpAddress = Annotated[str, Field(pattern=r'^[0-9a-f.:]+$')]
+HostPort = Annotated[str, Field(pattern=r'^[0-9a-f.:\[\]]+:[0-9]{1,5}$')]
+Digest = Annotated[str, Field(pattern=r'^[0-9a-f]{64}$')]
+Port = Annotated[int, Field(ge=0, le=65535)]
+Milliseconds = Annotated[int, Field(gt=0, le=86_400_000)]
+
+
+@unique
+class DaemonRole(Enum):
+    """Which part of the system a process is."""
+
+    ENTRY = 'entry'
+    CONTROL = 'control'
+
+
+@unique
+class StalePolicy(Enum):
+    """What an entry host does when its lease has run out."""
+
+    REFUSE = 'refuse'
+    SERVE_REPEATABLE = 'serve_repeatable'
+
+
+@unique
+class Policy(Enum):
+    """Which set of decisions an entry host takes."""
+
+    FULL = 'full'
+    BASELINE = 'baseline'
+
+
+class Section(BaseModel):
+    """A table of the settings file; unknown keys are faults."""
+
+    model_config = ConfigDict(extra='forbid', frozen=True)
+
+
+class HostSettings(Section):
+    """Who and where this host is."""
+
+    name: Name = Field(description='name of this host, unique')
+    region: Name = Field(description='region that this host is in')
+    failure_domain: Name = Field(description='failure domain of this host')
+
+
+class ListenSettings(Section):
+    """Where this process listens."""
+
+    address: IpAddress = Field('127.0.0.1', description='IP to listen on')
+    http_port: Port = Field(0, description='HTTP port; 0 takes a free one')
+    peer_port: Port = Field(0, description='gRPC port; 0 takes a free one')
+    ports_file: str = Field('', description='file that says the ports taken')
+
+
+class TlsSettings(Section):
+    """Certificate and key; both empty leaves TLS off."""
+
+    certificate_file: str = Field('', description='PEM certificate chain')
+    key_file: str = Field('', description='PEM private key')
+
+    @model_validator(mode='after')
+    def _both_or_none(self):
+        if bool(self.certificate_file) != bool(self.key_file):
+            raise ValueError('certificate_file and key_file go together')
+        return self
+
+
+class ControlHost(Section):
+    """A control host as all processes know it."""
+
+    name: Name = Field(description='name of the control host')
+    peer_address: HostPort = Field(description='IP:port of its gRPC server')
+
+
+class TokenSettings(Section):
+    """Digests of the bearer tokens, and the token between processes."""
+
+    operator_sha256: Digest = Field(description='digest for operators')
+    backend_sha256: Digest = Field(description='digest for backend servers')
+    peer: str = Field(
+        min_length=16, description='shared by all processes of the system'
+    )
+
+
+class ControlSettings(Section):
+    """What only a control host needs."""
+
+    data_folder: str = Field('', description='folder on the disk')
+    election_timeout_ms: Milliseconds = Field(
+        1000, description='without a leader for so long, elect one'
+    )
+    heartbeat_ms: Milliseconds = Field(
+        100, description='time between two heartbeats of the leader'
+    )
+    compact_entries: Annotated[int, Field(gt=0)] = Field(
+        4096, description='entries in the log before a snapshot'
+    )
+    steer_interval_ms: Milliseconds = Field(
+        1000, description='time between two moves of the weights'
+    )
+    shift_cap_permille: Annotated[int, Field(gt=0, le=1000)] = Field(
+        100, description='share of a region moved per shift window at most'
+    )
+    shift_window_ms: Milliseconds = Field(
+        5000, description='window of the shift cap; not under lookup_ttl_ms'
+    )
+
+
+class EntrySettings(Section):
+    """What only an entry host needs."""
+
+    lease_ms: Milliseconds = Field(
+        3000, description='how long a lease from the control group holds'
+    )
+    keep_alive_ms: Milliseconds = Field(
+        500, description='time between two renewals of the lease'
+    )
+    gossip_ms: Milliseconds = Field(
+        200, description='time between two rounds of gossip'
+    )
+    lookup_ttl_ms: Milliseconds = Field(
+        2000, description='how long callers may keep a look-up'
+    )
+    backend_lease_ms: Milliseconds = Field(
+        3000, description='how long an announcement holds'
+    )
+    ramp_ms: Milliseconds = Field(
+        5000, description='time in which a new backend server gets its slots'
+    )
+    stop_timeout_ms: Milliseconds = Field(
+        30000, description='longest wait of a planned stop'
+    )
+    quarantine_ms: Milliseconds = Field(
+        600_000, description='how long a bad request is refused'
+    )
+    connect_timeout_ms: Milliseconds = Field(
+        1000, description='limit for a new connection to a backend server'
+    )
+    link_bytes_per_s: Annotated[int, Field(gt=0)] = Field(
+        4_000_000, description='bytes a second this host sends to a region'
+    )
+    on_stale: StalePolicy = Field(
+        StalePolicy.REFUSE, description='what to do without a lease'
+    )
+    policy: Policy = Field(
+        Policy.FULL, description='full, or the baseline to compare with'
+    )
+
+
+class Settings(Section):
+    """The whole settings file."""
+
+    role: DaemonRole = Field(description='entry or control')
+    seed: int = Field(0, description='seed of random choices; 0 takes any')
+    host: HostSettings
+    listen: ListenSettings = ListenSettings()
+    tls: TlsSettings = TlsSettings()
+    tokens: TokenSettings
+    control_hosts: Annotated[tuple[ControlHost, ...], Field(min_length=1)] = (
+        Field(description='all control hosts, in every settings file')
+    )
+    control: ControlSettings = ControlSettings()
+    entry: EntrySettings = EntrySettings()
+
+    @model_validator(mode='after')
+    def _control_needs_a_folder(self):
+        if self.role is not DaemonRole.CONTROL:
+            return self
+        if not self.control.data_folder:
+            raise ValueError('control.data_folder: a control host needs one')
+        if self.host.name not in {host.name for host in self.control_hosts}:
+            raise ValueError('control_hosts: this host is missing')
+        return self
+
+
+def check_settings(text_path):
+    """Read and check a settings file.
+
+    :param text_path: path of the TOML file.
+    :return: the settings.
+    :raises SettingsError: listing every fault with its key and wanted form.
+    """
+    path = Path(text_path)
+    try:
+        with open(path, 'rb') as file:
+            raw = load(file)
+    except OSError as error:
+        raise SettingsError(f'{path}: {error.strerror}') from error
+    except TOMLDecodeError as error:
+        raise SettingsError(f'{path}: {error}') from error
+    try:
+        return Settings.model_validate(raw)
+    except ValidationError as error:
+        raise SettingsError('\n'.join(_faults(error))) from error
+
+
+def _faults(error):
+    for fault in error.errors():
+        key = '.'.join(str(part) for part in fault['loc']) or 'settings'
+        yield f'{key}: {fault["msg"]}'
--- /dev/null
+++ b/fuchsiacart/states.py
@@ -0,0 +1,597 @@
+"""The replicated state and the commands that change it.
+
+Applying a command is deterministic: time comes with the command, as the
+leader read it, and never goes backwards in the state.
+"""
+
+from enum import Enum
+from enum import unique
+from uuid import UUID
+
+from msgspec import field
+from msgspec.msgpack import Decoder
+from msgspec.msgpack import encode
+from msgspec import Struct
+from msgspec.structs import replace
+
+from fuchsiacart.exceptions import ErrorKind
+from fuchsiacart.models import ChangeId
+from fuchsiacart.models import Contract
+from fuchsiacart.models import CustomerId
+from fuchsiacart.models import Drain
+from fuchsiacart.models import Host
+from fuchsiacart.models import HostId
+from fuchsiacart.models import HostState
+from fuchsiacart.models import Rank
+from fuchsiacart.models import RegionWeight
+
+AUDIT_LIMIT = 50_000
+DELTA_LIMIT = 2_000
+KEY_WINDOW_MS = 600_000
+KEY_SKEW_MS = 30_000
+ANSWER_LIMIT_BYTES = 16_384
+FULL_PERCENT = 100
+
+
+class Change(Struct, frozen=True):
+    """Who changes something; a resend has the same id."""
+
+    change_id: ChangeId
+    actor: str
+    at_ms: int
+
+
+class PutContract(Struct, frozen=True, tag=True):
+    """Replace a customer's contract if its version is as expected."""
+
+    change: Change
+    expected_version: int
+    contract: Contract
+
+
+class StartDrain(Struct, frozen=True, tag=True):
+    """Announce a planned drain."""
+
+    change: Change
+    drain: Drain
+
+
+class CancelDrain(Struct, frozen=True, tag=True):
+    """Take a drain back."""
+
+    change: Change
+    drain: Drain
+
+
+class JoinHost(Struct, frozen=True, tag=True):
+    """An entry host takes part, or changes its state."""
+
+    host: Host
+    at_ms: int
+
+
+class LeaveHost(Struct, frozen=True, tag=True):
+    """An entry host is gone; its lease has run out or it has stopped."""
+
+    name: HostId
+    incarnation: int
+    at_ms: int
+
+
+class SetWeights(Struct, frozen=True, tag=True):
+    """New weights between regions."""
+
+    weights: tuple[RegionWeight, ...]
+    at_ms: int
+
+
+class MarkInForce(Struct, frozen=True, tag=True):
+    """Every entry host has this revision or is fenced by its lease."""
+
+    revision: int
+    at_ms: int
+
+
+class Claim(Struct, frozen=True, tag=True):
+    """Claim the right to run a request that may not be repeated."""
+
+    customer: CustomerId
+    key: str
+    attempt: int
+    digest: str
+    owner: HostId
+    token: str
+    at_ms: int
+
+
+class Settle(Struct, frozen=True, tag=True):
+    """Record how a claimed request ended."""
+
+    customer: CustomerId
+    key: str
+    token: str
+    ran: bool
+    status: int
+    content_type: str
+    body: bytes
+    at_ms: int
+
+
+Command = (
+    PutContract
+    | StartDrain
+    | CancelDrain
+    | JoinHost
+    | LeaveHost
+    | SetWeights
+    | MarkInForce
+    | Claim
+    | Settle
+)
+
+
+@unique
+class ClaimState(Enum):
+    """What is known of a claimed request."""
+
+    RUNNING = 'running'
+    DONE = 'done'
+    CLOSED = 'closed'
+
+
+class ClaimRecord(Struct, frozen=True):
+    """The one record of a key."""
+
+    state: ClaimState
+    attempt: int
+    digest: str
+    owner: HostId
+    token: str
+    status: int = 0
+    content_type: str = ''
+    body: bytes = b''
+    kept: bool = True
+
+
+class Outcome(Struct, frozen=True):
+    """Result of applying a command.
+
+    ``error`` is None when the command was accepted.  ``granted`` tells
+    whether a claim gave the right to run; ``record`` what holds the key.
+    """
+
+    error: ErrorKind | None = None
+    detail: str = ''
+    version: int = 0
+    revision: int = 0
+    granted: bool = False
+    record: ClaimRecord | None = None
+
+
+class VersionedContract(Struct, frozen=True):
+    """A contract with its version."""
+
+    version: int
+    contract: Contract
+
+
+class AuditEntry(Struct, frozen=True):
+    """One accepted or refused change."""
+
+    change_id: ChangeId
+    actor: str
+    what: str
+    subject: str
+    from_version: int
+    to_version: int
+    accepted_ms: int
+    outcome: Outcome
+    in_force_ms: int = 0
+
+
+class ContractSet(Struct, frozen=True, tag=True):
+    """Delta: a contract has a new version."""
+
+    item: VersionedContract
+
+
+class DrainsSet(Struct, frozen=True, tag=True):
+    """Delta: the list of drains."""
+
+    drains: tuple[Drain, ...]
+
+
+class HostSet(Struct, frozen=True, tag=True):
+    """Delta: an entry host joined or changed."""
+
+    host: Host
+
+
+class HostGone(Struct, frozen=True, tag=True):
+    """Delta: an entry host left."""
+
+    name: HostId
+
+
+class WeightsSet(Struct, frozen=True, tag=True):
+    """Delta: the weights between regions."""
+
+    weights: tuple[RegionWeight, ...]
+
+
+DeltaBody = ContractSet | DrainsSet | HostSet | HostGone | WeightsSet
+
+
+class Delta(Struct, frozen=True):
+    """What one revision changed."""
+
+    revision: int
+    body: DeltaBody
+
+
+class ViewSnapshot(Struct, frozen=True):
+    """All that entry hosts enforce, at one revision."""
+
+    revision: int
+    contracts: tuple[VersionedContract, ...]
+    drains: tuple[Drain, ...]
+    hosts: tuple[Host, ...]
+    weights: tuple[RegionWeight, ...]
+
+
+class StoredState(Struct):
+    """The whole replicated state, as snapshots keep it."""
+
+    clock_ms: int = 0
+    revision: int = 0
+    contracts: dict[str, VersionedContract] = field(default_factory=dict)
+    drains: list[Drain] = field(default_factory=list)
+    hosts: dict[str, Host] = field(default_factory=dict)
+    weights: tuple[RegionWeight, ...] = ()
+    weights_history: list[SetWeights] = field(default_factory=list)
+    audit: list[AuditEntry] = field(default_factory=list)
+    deltas: list[Delta] = field(default_factory=list)
+    claims: dict[str, ClaimRecord] = field(default_factory=dict)
+    in_force_revision: int = 0
+
+
+WEIGHTS_HISTORY_MS = 120_000
+STORED_STATES = Decoder(StoredState)
+COMMANDS = Decoder(Command)
+
+
+def key_time_ms(key):
+    """Return the time in a UUIDv7 (RFC 9562, section 5.7).
+
+    :param key: the key in its usual text form.
+    :return: milliseconds since the epoch, or None for any other text.
+    """
+    try:
+        parsed = UUID(key)
+    except ValueError:
+        return None
+    if parsed.version != 7:
+        return None
+    return parsed.int >> 80
+
+
+class State:
+    """The state machine behind the replicated log."""
+
+    def __init__(self):
+        self.stored = StoredState()
+        self._changes = {}
+        self._handlers = {
+            PutContract: self._put_contract,
+            StartDrain: self._start_drain,
+            CancelDrain: self._cancel_drain,
+            JoinHost: self._join_host,
+            LeaveHost: self._leave_host,
+            SetWeights: self._set_weights,
+            MarkInForce: self._mark_in_force,
+            Claim: self._claim,
+            Settle: self._settle,
+        }
+
+    def apply(self, command):
+        """Apply a committed command.
+
+        :param command: the command.
+        :return: its outcome; a resent change gets its first outcome.
+        """
+        change = getattr(command, 'change', None)
+        at_ms = change.at_ms if change else command.at_ms
+        self.stored.clock_ms = max(self.stored.clock_ms, at_ms)
+        if change and change.change_id in self._changes:
+            return self._changes[change.change_id]
+        return self._handlers[type(command)](command)
+
+    def snapshot(self):
+        """Return the state as bytes."""
+        return encode(self.stored)
+
+    def restore(self, body):
+        """Replace the state by a snapshot's."""
+        self.stored = STORED_STATES.decode(body)
+        self._changes = {
+            entry.change_id: entry.outcome for entry in self.stored.audit
+        }
+
+    def view(self):
+        """Return all that entry hosts enforce."""
+        return ViewSnapshot(
+            self.stored.revision,
+            tuple(self.stored.contracts.values()),
+            tuple(self.stored.drains),
+            tuple(self.stored.hosts.values()),
+            self.stored.weights,
+        )
+
+    def deltas_after(self, revision):
+        """Return the deltas behind a revision, or None if some are gone."""
+        missing = self.stored.revision - revision
+        if missing <= 0:
+            return ()
+        if missing > len(self.stored.deltas):
+            return None
+        return tuple(self.stored.deltas[-missing:])
+
+    def _advance(self, body):
+        self.stored.revision += 1
+        self.stored.deltas.append(Delta(self.stored.revision, body))
+        del self.stored.deltas[:-DELTA_LIMIT]
+        return self.stored.revision
+
+    def _record(self, change, what, subject, versions, outcome):
+        entry = AuditEntry(
+            change.change_id,
+            change.actor,
+            what,
+            subject,
+            versions[0],
+            versions[1],
+            self.stored.clock_ms,
+            outcome,
+        )
+        self.stored.audit.append(entry)
+        self._changes[change.change_id] = outcome
+        for old in self.stored.audit[:-AUDIT_LIMIT]:
+            self._changes.pop(old.change_id, None)
+        del self.stored.audit[:-AUDIT_LIMIT]
+        return outcome
+
+    def _put_contract(self, command):
+        customer = command.contract.customer
+        held = self.stored.contracts.get(customer)
+        version = held.version if held else 0
+        if command.expected_version != version:
+            outcome = Outcome(
+                ErrorKind.CONFLICT, self._winner(customer, version), version
+            )
+            return self._record(
+                command.change,
+                'contract_put',
+                customer,
+                (version, version),
+                outcome,
+            )
+        fault = self._floor_fault(command.contract)
+        if fault:
+            outcome = Outcome(ErrorKind.BAD_REQUEST, fault, version)
+            return self._record(
+                command.change,
+                'contract_put',
+                customer,
+                (version, version),
+                outcome,
+            )
+        item = VersionedContract(version + 1, command.contract)
+        self.stored.contracts[customer] = item
+        revision = self._advance(ContractSet(item))
+        outcome = Outcome(version=version + 1, revision=revision)
+        return self._record(
+            command.change,
+            'contract_put',
+            customer,
+            (version, version + 1),
+            outcome,
+        )
+
+    def _winner(self, customer, version):
+        for entry in reversed(self.stored.audit):
+            if entry.subject != customer or entry.outcome.error:
+                continue
+            if entry.to_version == version:
+                return (
+                    f'version {version} was put by {entry.actor}'
+                    f' with change {entry.change_id}'
+                )
+        return f'the current version is {version}'
+
+    def _floor_fault(self, contract):
+        """Return what is wrong with the floors of a service, or None."""
+        contracts = [
+            item.contract
+            for item in self.stored.contracts.values()
+            if item.contract.customer != contract.customer
+        ]
+        for service in {route.service for route in contract.routes}:
+            total = sum(
+                floor_percent(each, service) for each in contracts + [contract]
+            )
+            if total > FULL_PERCENT:
+                return f'the floors of service {service} add up to {total} %'
+        return None
+
+    def _start_drain(self, command):
+        drain = replace(command.drain, started_ms=self.stored.clock_ms)
+        held = self._find_drain(drain)
+        if held:
+            outcome = Outcome(
+                ErrorKind.CONFLICT, 'this drain has been started'
+            )
+        else:
+            self.stored.drains.append(drain)
+            revision = self._advance(DrainsSet(tuple(self.stored.drains)))
+            outcome = Outcome(revision=revision)
+        return self._record(
+            command.change, 'drain_start', _subject(drain), (0, 0), outcome
+        )
+
+    def _cancel_drain(self, command):
+        held = self._find_drain(command.drain)
+        if held:
+            self.stored.drains.remove(held)
+            revision = self._advance(DrainsSet(tuple(self.stored.drains)))
+            outcome = Outcome(revision=revision)
+        else:
+            outcome = Outcome(ErrorKind.NOT_FOUND, 'there is no such drain')
+        return self._record(
+            command.change,
+            'drain_cancel',
+            _subject(command.drain),
+            (0, 0),
+            outcome,
+        )
+
+    def _find_drain(self, drain):
+        for held in self.stored.drains:
+            if (held.scope, held.name) == (drain.scope, drain.name):
+                return held
+        return None
+
+    def _join_host(self, command):
+        host = command.host
+        held = self.stored.hosts.get(host.name)
+        if held == host:
+            return Outcome(revision=self.stored.revision)
+        if held and held.incarnation > host.incarnation:
+            return Outcome(ErrorKind.CONFLICT, 'a newer incarnation is known')
+        self.stored.hosts[host.name] = host
+        return Outcome(revision=self._advance(HostSet(host)))
+
+    def _leave_host(self, command):
+        held = self.stored.hosts.get(command.name)
+        if held is None or held.incarnation != command.incarnation:
+            return Outcome(ErrorKind.NOT_FOUND, 'there is no such host')
+        del self.stored.hosts[command.name]
+        return Outcome(revision=self._advance(HostGone(command.name)))
+
+    def _set_weights(self, command):
+        self.stored.weights = command.weights
+        self.stored.weights_history.append(command)
+        horizon_ms = self.stored.clock_ms - WEIGHTS_HISTORY_MS
+        self.stored.weights_history = [
+            old
+            for old in self.stored.weights_history
+            if old.at_ms >= horizon_ms
+        ]
+        return Outcome(revision=self._advance(WeightsSet(command.weights)))
+
+    def _mark_in_force(self, command):
+        for position in range(len(self.stored.audit) - 1, -1, -1):
+            entry = self.stored.audit[position]
+            if not entry.outcome.revision:
+                continue
+            if entry.outcome.revision <= self.stored.in_force_revision:
+                break
+            if entry.outcome.revision <= command.revision:
+                self.stored.audit[position] = replace(
+                    entry, in_force_ms=self.stored.clock_ms
+                )
+        self.stored.in_force_revision = max(
+            self.stored.in_force_revision, command.revision
+        )
+        return Outcome(revision=self.stored.revision)
+
+    def _claim(self, command):
+        born_ms = key_time_ms(command.key)
+        now_ms = self.stored.clock_ms
+        if born_ms is None or born_ms > now_ms + KEY_SKEW_MS:
+            return Outcome(ErrorKind.BAD_KEY, 'the key is not usable')
+        if born_ms < now_ms - KEY_WINDOW_MS:
+            return Outcome(ErrorKind.KEY_EXPIRED, 'the key is too old')
+        self._forget_claims()
+        name = claim_name(command.customer, command.key)
+        held = self.stored.claims.get(name)
+        if held is None:
+            return self._grant(name, command)
+        if held.digest != command.digest:
+            return Outcome(ErrorKind.KEY_REUSED, 'another request has it')
+        if held.token == command.token:
+            granted = held.state is ClaimState.RUNNING
+            return Outcome(granted=granted, record=held)
+        is_closed = held.state is ClaimState.CLOSED
+        if is_closed and command.attempt > held.attempt:
+            return self._grant(name, command)
+        return Outcome(record=held)
+
+    def _grant(self, name, command):
+        record = ClaimRecord(
+            ClaimState.RUNNING,
+            command.attempt,
+            command.digest,
+            command.owner,
+            command.token,
+        )
+        self.stored.claims[name] = record
+        return Outcome(granted=True, record=record)
+
+    def _forget_claims(self):
+        """Forget keys that the age check refuses from now on."""
+        horizon_ms = self.stored.clock_ms - KEY_WINDOW_MS
+        while self.stored.claims:
+            name = next(iter(self.stored.claims))
+            if key_time_ms(name.partition('/')[2]) >= horizon_ms:
+                return
+            del self.stored.claims[name]
+
+    def _settle(self, command):
+        name = claim_name(command.customer, command.key)
+        held = self.stored.claims.get(name)
+        if held is None or held.token != command.token:
+            return Outcome(ErrorKind.NOT_FOUND, 'no such claim is held')
+        if held.state is not ClaimState.RUNNING:
+            return Outcome(record=held)
+        kept = len(command.body) <= ANSWER_LIMIT_BYTES
+        record = replace(
+            held,
+            state=ClaimState.DONE if command.ran else ClaimState.CLOSED,
+            status=command.status,
+            content_type=command.content_type,
+            body=command.body if kept else b'',
+            kept=kept,
+        )
+        self.stored.claims[name] = record
+        return Outcome(record=record)
+
+
+def claim_name(customer, key):
+    """Return the name under which a claim is held."""
+    return f'{customer}/{key}'
+
+
+def floor_percent(contract, service):
+    """Return the sum of a contract's floors on one service.
+
+    :param contract: the contract.
+    :param service: the service.
+    :return: percent of the service's slots.
+    """
+    ranks = {
+        route.rank.rank
+        for route in contract.routes
+        if route.service == service
+    }
+    return sum(
+        contract.terms(rank).floor_percent for rank in Rank if rank in ranks
+    )
+
+
+def _subject(drain):
+    return f'{drain.scope.value}/{drain.name}'
+
+
+def is_live(host):
+    """Tell whether a host may be named in look-ups and own work."""
+    return host.state is HostState.LIVE
--- /dev/null
+++ b/models/check.py
@@ -0,0 +1,1 @@
+"""Runs the model checker."""
--- /dev/null
+++ b/standins/audits.py
@@ -0,0 +1,52 @@
+"""Checks the invariants of a run from the records of both ends."""
+
+from collections import Counter
+
+from msgspec import Struct
+
+from standins.caller import Ending
+
+
+class Verdict(Struct):
+    """Broken invariants, each with its count."""
+
+    doubles: int = 0
+    false_not_run: int = 0
+    silent_drops: int = 0
+    not_whole: int = 0
+    slots_exceeded: int = 0
+
+    @property
+    def is_clean(self):
+        """Tell whether no invariant was broken."""
+        broken = (
+            self.doubles,
+            self.false_not_run,
+            self.silent_drops,
+            self.not_whole,
+            self.slots_exceeded,
+        )
+        return not any(broken)
+
+
+def audit(results, started, records):
+    """Return the verdict on a run.
+
+    :param results: the callers' results.
+    :param started: requests that callers have started.
+    :param records: lines of the backend servers.
+    """
+    runs = Counter(line[3] for line in records if line[0] == 'run')
+    verdict = Verdict()
+    verdict.slots_exceeded = sum(line[0] == 'over' for line in records)
+    verdict.silent_drops = started - len(results)
+    for result in results:
+        count = runs[result.key]
+        if not result.kind.repeatable and count > 1:
+            verdict.doubles += 1
+        is_final = result.sends == 1 or not result.kind.repeatable
+        if result.said_not_run and is_final and count:
+            verdict.false_not_run += 1
+        if result.ending is Ending.ANSWERED and not result.whole:
+            verdict.not_whole += 1
+    return verdict
--- /dev/null
+++ b/standins/backend.py
@@ -0,0 +1,224 @@
+"""Stand-in backend server, with faults that can be asked for.
+
+Usage:
+  backend --name=NAME --service=NAME --region=NAME --failure-domain=NAME
+          --entry=HOSTS --token=TOKEN [--address=IP] [--port=N] [--slots=N]
+          [--connections=N] [--service-ms=MS] [--seed=N] [--record=FILE]
+          [--report=KIND]
+
+Options:
+  --address=IP      Address to listen on [default: 127.0.0.1].
+  --port=N          Port, 0 for any [default: 0].
+  --slots=N         Requests served at a time [default: 4].
+  --connections=N   Connections accepted [default: 400].
+  --service-ms=MS   Mean time of a request [default: 20].
+  --seed=N          Seed of the times [default: 1].
+  --record=FILE     File that gets a line for each request run.
+  --report=KIND     honest, idle (a lie) or full (a lie) [default: honest].
+
+Paths that contain /poison crash the process; /slow takes ten times as long;
+/freeze never answers; /cut sends half an answer.
+"""
+
+from asyncio import CancelledError
+from asyncio import create_task
+from asyncio import Event
+from asyncio import get_running_loop
+from asyncio import run
+from asyncio import sleep
+from os import _exit
+from random import Random
+from signal import SIGTERM
+from time import time
+
+from docopt import docopt
+from msgspec.json import encode
+from tornado.httpclient import AsyncHTTPClient
+from tornado.httpclient import HTTPRequest
+from tornado.httpserver import HTTPServer
+from tornado.netutil import bind_sockets
+from tornado.web import Application
+from tornado.web import RequestHandler
+
+ANNOUNCE_INTERVAL_S = 0.5
+CRASH_CODE = 70
+SLOW_FACTOR = 10
+REQUEST_ID = 'Fuchsiacart-Request-Id'
+
+
+class Backend:
+    """State of the stand-in."""
+
+    def __init__(self, options):
+        self.options = options
+        self.name = options['--name']
+        self.slots = int(options['--slots'])
+        self.service_s = float(options['--service-ms']) / 1000
+        self.random = Random(f'{options["--seed"]}/{self.name}')
+        self.running = {}
+        self.highest = 0
+        self.leaving = False
+        self.incarnation = int(time() * 1000)
+        self.address = ''
+        record = options['--record']
+        self.record = open(record, 'a', buffering=1) if record else None
+
+    def write(self, what, request_id, key):
+        """Write a line to the record."""
+        if self.record is not None:
+            self.record.write(f'{what} {self.name} {request_id} {key}\n')
+
+    def announcement(self):
+        """Return what to announce now."""
+        busy = {'honest': len(self.running), 'idle': 0, 'full': self.slots}
+        return {
+            'server': {
+                'name': self.name,
+                'incarnation': self.incarnation,
+                'service': self.options['--service'],
+                'region': self.options['--region'],
+                'failure_domain': self.options['--failure-domain'],
+                'address': self.address,
+                'slots': self.slots,
+                'connections': int(self.options['--connections']),
+            },
+            'report': {
+                'busy_slots': busy[self.options['--report']],
+                'draining': self.leaving,
+            },
+            'leaving': self.leaving,
+        }
+
+    async def announce(self):
+        """Announce this server to one entry host that answers."""
+        hosts = self.options['--entry'].split(',')
+        self.random.shuffle(hosts)
+        client = AsyncHTTPClient()
+        for host in hosts:
+            request = HTTPRequest(
+                f'http://{host}/v1/announce',
+                method='POST',
+                headers={'Authorization': f'Bearer {self.options["--token"]}'},
+                body=encode(self.announcement()),
+                connect_timeout=0.5,
+                request_timeout=2.0,
+            )
+            try:
+                await client.fetch(request)
+                return True
+            except Exception:
+                continue
+        return False
+
+    async def keep_announcing(self):
+        """Announce again and again."""
+        while True:
+            await self.announce()
+            await sleep(ANNOUNCE_INTERVAL_S)
+
+
+class WorkHandler(RequestHandler):
+    """Runs requests."""
+
+    def initialize(self, backend):
+        """Take in the state."""
+        self.backend = backend
+
+    async def _work(self):
+        backend = self.backend
+        if len(backend.running) >= backend.slots:
+            backend.write('over', self._id(), self._key())
+            self.set_status(503)
+            self.set_header('Fuchsiacart-Run', 'no')
+            self.finish(b'full')
+            return
+        task = create_task(self._answer())
+        backend.running[self._id()] = task
+        backend.highest = max(backend.highest, len(backend.running))
+        try:
+            await task
+        except CancelledError:
+            backend.write('cancelled', self._id(), self._key())
+        finally:
+            backend.running.pop(self._id(), None)
+
+    get = post = put = patch = delete = _work
+
+    async def _answer(self):
+        backend = self.backend
+        path = self.request.path
+        backend.write('run', self._id(), self._key())
+        mean_s = backend.service_s
+        if '/slow' in path:
+            mean_s *= SLOW_FACTOR
+        await sleep(backend.random.uniform(0.5, 1.5) * mean_s)
+        if '/poison' in path:
+            _exit(CRASH_CODE)
+        if '/freeze' in path:
+            await Event().wait()
+        body = encode(
+            {'server': backend.name, 'path': path, 'key': self._key()}
+        )
+        self.set_header('Content-Type', 'application/json')
+        if '/cut' in path:
+            self.set_header('Content-Length', str(len(body)))
+            self.write(body[: len(body) // 2])
+            await self.flush()
+            self.request.connection.stream.close()
+            return
+        backend.write('done', self._id(), self._key())
+        self.finish(body)
+
+    def _id(self):
+        return self.request.headers.get(REQUEST_ID, '-')
+
+    def _key(self):
+        return self.request.headers.get('Idempotency-Key', '-')
+
+
+class CancelHandler(RequestHandler):
+    """Cancels a request that nobody waits for."""
+
+    def initialize(self, backend):
+        """Take in the state."""
+        self.backend = backend
+
+    def post(self, request_id):
+        """Cancel if it still runs."""
+        task = self.backend.running.get(request_id)
+        if task is not None:
+            task.cancel()
+        self.finish(b'')
+
+
+async def serve(options):
+    """Serve until SIGTERM, then leave and finish what runs."""
+    backend = Backend(options)
+    context = {'backend': backend}
+    server = HTTPServer(
+        Application(
+            [
+                ('/fuchsiacart/cancel/([^/]+)', CancelHandler, context),
+                ('/.*', WorkHandler, context),
+            ],
+            log_function=lambda handler: None,
+        )
+    )
+    sockets = bind_sockets(int(options['--port']), options['--address'])
+    server.add_sockets(sockets)
+    port = sockets[0].getsockname()[1]
+    backend.address = f'{options["--address"]}:{port}'
+    stop = Event()
+    get_running_loop().add_signal_handler(SIGTERM, stop.set)
+    announcing = create_task(backend.keep_announcing())
+    await stop.wait()
+    backend.leaving = True
+    announcing.cancel()
+    await backend.announce()
+    while backend.running:
+        await sleep(0.02)
+    server.stop()
+
+
+if __name__ == '__main__':
+    run(serve(docopt(__doc__)))
