--- /dev/null
+++ b/standins/fleet.py
@@ -0,0 +1,367 @@
+"""Starts and stops the processes of a small deployment on loopback."""
+
+from contextlib import AbstractContextManager
+from os import environ
+from pathlib import Path
+from shutil import rmtree
+from signal import SIGCONT
+from signal import SIGKILL
+from signal import SIGSTOP
+from signal import SIGTERM
+from socket import socket
+from subprocess import Popen
+from subprocess import STDOUT
+from subprocess import TimeoutExpired
+from sys import executable
+from tempfile import mkdtemp
+from time import monotonic
+from time import sleep
+from tomllib import loads
+
+from msgspec.json import decode
+from msgspec.json import encode
+from msgspec import Struct
+
+from fuchsiacart.exceptions import FuchsiacartError
+from fuchsiacart.sessions import CallerSession
+from fuchsiacart.sessions import OperatorSession
+from tools.deploy import EXAMPLE_TOKENS
+
+START_TIMEOUT_S = 30.0
+STOP_TIMEOUT_S = 20.0
+POLL_S = 0.05
+DEPLOY = Path(__file__).parent.parent / 'deploy'
+
+
+class Service(Struct, frozen=True):
+    """A service that stand-in backend servers offer."""
+
+    name: str
+    per_region: int
+    slots: int
+    service_ms: int
+
+
+class Shape(Struct, frozen=True):
+    """Which part of a user's deployment to start."""
+
+    user: str
+    control: int = 3
+    entry: int = 4
+    services: tuple[Service, ...] = ()
+    entry_settings: dict[str, object] = {}
+    control_settings: dict[str, object] = {}
+    daemon: str = 'fuchsiacart.daemon'
+    seed: int = 1
+
+
+def free_port():
+    """Return a port that is free now."""
+    with socket() as probe:
+        probe.bind(('127.0.0.1', 0))
+        return probe.getsockname()[1]
+
+
+class Process:
+    """One process with its log."""
+
+    def __init__(self, name, arguments, folder, environment=None):
+        self.name = name
+        self.arguments = arguments
+        self.log_path = folder / f'{name}.log'
+        self._environment = environ | (environment or {})
+        self._popen = None
+
+    def start(self):
+        """Start the process."""
+        with open(self.log_path, 'ab') as log:
+            self._popen = Popen(
+                [executable, '-m', *self.arguments],
+                stdout=log,
+                stderr=STDOUT,
+                env=self._environment,
+            )
+
+    @property
+    def is_running(self):
+        """Tell whether the process runs."""
+        return self._popen is not None and self._popen.poll() is None
+
+    @property
+    def process_id(self):
+        """Return the id of the process."""
+        return self._popen.pid
+
+    @property
+    def exit_code(self):
+        """Return the exit code, or None while it runs."""
+        return self._popen.poll()
+
+    def signal(self, signal):
+        """Send a signal."""
+        if self.is_running:
+            self._popen.send_signal(signal)
+
+    def wait(self, timeout_s=STOP_TIMEOUT_S):
+        """Wait for the end; kill the process when it takes too long."""
+        try:
+            return self._popen.wait(timeout_s)
+        except TimeoutExpired:
+            self._popen.kill()
+            return self._popen.wait()
+
+
+class Fleet(AbstractContextManager):
+    """Control hosts, entry hosts and backend servers of one user.
+
+    :param shape: what to start.
+    """
+
+    def __init__(self, shape):
+        self.shape = shape
+        self.folder = Path(mkdtemp(prefix='fuchsiacart-'))
+        self.processes = {}
+        self.regions = []
+        self._control_names = []
+        self._entry_names = []
+        self._peer_ports = {}
+
+    def __enter__(self):
+        """Start all, with members and contracts set."""
+        try:
+            self.start()
+        except BaseException:
+            self.stop()
+            raise
+        return self
+
+    def __exit__(self, *exc_info):
+        """Stop all and remove the folder."""
+        self.stop()
+
+    def start(self):
+        """Start all processes, set the members and put the contracts."""
+        self._start_role('control', self.shape.control, self._control_names)
+        self._wait_for_ports(self._control_names)
+        with self.operator() as session:
+            session.init_group()
+            for path in sorted(self._home.glob('contracts/*.toml')):
+                session.put_contract(loads(path.read_text()), 0)
+        self._start_role('entry', self.shape.entry, self._entry_names)
+        self._wait_for_ports(self._entry_names)
+        self.wait_until(self._all_leases_held)
+        for service in self.shape.services:
+            for region in self.regions:
+                for index in range(service.per_region):
+                    self.start_backend(service, region, index)
+
+    def start_backend(self, service, region, index, report='honest'):
+        """Start a stand-in backend server."""
+        name = f'{service.name}-{region}-{index + 1}'
+        arguments = [
+            'standins.backend',
+            f'--name={name}',
+            f'--service={service.name}',
+            f'--region={region}',
+            f'--failure-domain={region}-{"ab"[index % 2]}',
+            f'--entry={",".join(self.entry_hosts())}',
+            f'--token={EXAMPLE_TOKENS["backend"]}',
+            f'--slots={service.slots}',
+            f'--service-ms={service.service_ms}',
+            f'--seed={self.shape.seed}',
+            f'--record={self.folder / name}.record',
+            f'--report={report}',
+        ]
+        self._run(name, arguments)
+        return name
+
+    def operator(self):
+        """Return a session for operators."""
+        hosts = [self.http_address(name) for name in self._control_names]
+        return OperatorSession(hosts, EXAMPLE_TOKENS['operator'])
+
+    def caller(self, token):
+        """Return a session for callers."""
+        return CallerSession(self.entry_hosts(), token)
+
+    def entry_hosts(self):
+        """Return the addresses of all entry hosts."""
+        return [self.http_address(name) for name in self._entry_names]
+
+    @property
+    def entry_names(self):
+        """Return the names of all entry hosts."""
+        return tuple(self._entry_names)
+
+    @property
+    def control_names(self):
+        """Return the names of all control hosts."""
+        return tuple(self._control_names)
+
+    def http_address(self, name):
+        """Return the HTTP address of a daemon."""
+        return self._ports(name)['http_address']
+
+    def tokens(self):
+        """Return the callers' tokens by customer."""
+        paths = sorted(self._home.glob('contracts/*.toml'))
+        return {path.stem: f'example-token-{path.stem}' for path in paths}
+
+    def leader(self):
+        """Return the name of the leading control host."""
+        with self.operator() as session:
+            return session.get_status()['leader'].partition('/')[0]
+
+    def kill(self, name):
+        """Kill a process with no time to clean up."""
+        self.processes[name].signal(SIGKILL)
+        return self.processes[name].wait()
+
+    def pause(self, name):
+        """Freeze a process."""
+        self.processes[name].signal(SIGSTOP)
+
+    def resume(self, name):
+        """Let a frozen process go on."""
+        self.processes[name].signal(SIGCONT)
+
+    def restart(self, name):
+        """Start a process again that has ended."""
+        self.processes[name].start()
+
+    def stop_one(self, name):
+        """Stop a process as planned.
+
+        :return: its exit code.
+        """
+        self.processes[name].signal(SIGTERM)
+        return self.processes[name].wait()
+
+    def data_folder(self, name):
+        """Return the data folder of a control host."""
+        return self.folder / f'{name}.data'
+
+    def wait_until(self, condition, timeout_s=START_TIMEOUT_S):
+        """Wait until a condition holds.
+
+        :raises TimeoutError: when it does not in time.
+        """
+        deadline_s = monotonic() + timeout_s
+        while monotonic() < deadline_s:
+            if condition():
+                return
+            sleep(POLL_S)
+        raise TimeoutError(getattr(condition, '__name__', 'condition'))
+
+    def usable_slots(self):
+        """Return the usable slots by region."""
+        with self.operator() as session:
+            regions = session.get_status()['regions']
+        return {region['region']: region['slots'] for region in regions}
+
+    def records(self):
+        """Return the lines that the backend servers wrote, split."""
+        lines = []
+        for path in sorted(self.folder.glob('*.record')):
+            lines += [line.split() for line in path.read_text().splitlines()]
+        return lines
+
+    def stop(self):
+        """Stop all processes and remove the folder."""
+        for process in self.processes.values():
+            process.signal(SIGCONT)
+            process.signal(SIGKILL)
+        for process in self.processes.values():
+            process.wait()
+        rmtree(self.folder, ignore_errors=True)
+
+    @property
+    def _home(self):
+        return DEPLOY / self.shape.user
+
+    def _start_role(self, role, count, names):
+        for index in range(count):
+            name = f'{role}-{index + 1}'
+            names.append(name)
+            settings = loads((self._home / f'{name}.toml').read_text())
+            region = settings['host']['region']
+            if region not in self.regions:
+                self.regions.append(region)
+            if role == 'control':
+                self._peer_ports[name] = free_port()
+        for name in names:
+            path = self._write_settings(role, name)
+            self._run(name, [self.shape.daemon, str(path)])
+
+    def _write_settings(self, role, name):
+        settings = loads((self._home / f'{name}.toml').read_text())
+        settings['seed'] = self.shape.seed
+        settings['listen'] = {
+            'address': '127.0.0.1',
+            'peer_port': self._peer_ports.get(name, 0),
+            'ports_file': str(self.folder / f'{name}.ports'),
+        }
+        settings['control_hosts'] = [
+            {'name': other, 'peer_address': f'127.0.0.1:{port}'}
+            for other, port in self._peer_ports.items()
+        ]
+        entry = settings.get('entry', {})
+        settings['entry'] = entry | self.shape.entry_settings
+        if role == 'control':
+            control = {'data_folder': str(self.data_folder(name))}
+            settings['control'] = control | self.shape.control_settings
+        path = self.folder / f'{name}.toml'
+        path.write_text(_as_toml(settings))
+        return path
+
+    def _run(self, name, arguments):
+        process = Process(name, arguments, self.folder)
+        self.processes[name] = process
+        process.start()
+
+    def _ports(self, name):
+        return decode((self.folder / f'{name}.ports').read_bytes())
+
+    def _wait_for_ports(self, names):
+        def all_written():
+            return all(
+                (self.folder / f'{name}.ports').exists() for name in names
+            )
+
+        self.wait_until(all_written)
+
+    def _all_leases_held(self):
+        try:
+            for host in self.entry_hosts():
+                with CallerSession([host]) as session:
+                    session.lookup('any', '127.0.0.1')
+        except FuchsiacartError:
+            return False
+        with self.operator() as session:
+            status = session.get_status()
+        return len(status['hosts']) == len(self._entry_names)
+
+
+def _as_toml(settings):
+    """Return nested settings as TOML."""
+    lines = []
+    tables = []
+    for key, value in settings.items():
+        if isinstance(value, dict):
+            tables.append(f'[{key}]')
+            tables += [
+                f'{name} = {_value(item)}' for name, item in value.items()
+            ]
+        elif isinstance(value, list):
+            for row in value:
+                tables.append(f'[[{key}]]')
+                tables += [
+                    f'{name} = {_value(item)}' for name, item in row.items()
+                ]
+        else:
+            lines.append(f'{key} = {_value(value)}')
+    return '\n'.join(lines + tables) + '\n'
+
+
+def _value(value):
+    return encode(value).decode()
--- /dev/null
+++ b/tools/check.py
@@ -0,0 +1,110 @@
+"""Runs all checks and prints `N passed, N failed` as its last line.
+
+Usage:
+  check [lint]
+"""
+
+from pathlib import Path
+from subprocess import run
+from sys import executable
+from sys import exit as sys_exit
+from tempfile import TemporaryDirectory
+
+from docopt import docopt
+from msgspec.json import decode
+from msgspec import Struct
+
+SOURCES = ('fuchsiacart', 'standins', 'models', 'features', 'tools')
+KNOWN_RED = Path('KNOWN-RED.txt')
+LINT_COMMANDS = (
+    ('isort', '--check-only', '--quiet', *SOURCES),
+    ('black', '--check', '--quiet', *SOURCES),
+    ('flake8', *SOURCES),
+)
+
+
+class Outcome(Struct):
+    """Counts of one kind of check and the names that failed."""
+
+    passed: int
+    failed: list[str]
+
+
+def run_lint():
+    """Run the formatter and the linter."""
+    outcome = Outcome(0, [])
+    for command in LINT_COMMANDS:
+        print('running', command[0], flush=True)
+        if run([executable, '-m', *command]).returncode:
+            outcome.failed.append(command[0])
+        else:
+            outcome.passed += 1
+    return outcome
+
+
+def run_models():
+    """Run the model checker with its seeded faults."""
+    print('running models', flush=True)
+    code = run([executable, '-m', 'models.check']).returncode
+    return Outcome(0, ['models']) if code else Outcome(1, [])
+
+
+def run_behave():
+    """Run all scenarios and read their results."""
+    with TemporaryDirectory() as folder:
+        report = Path(folder) / 'report.json'
+        command = ['behave', '--format', 'progress3', '--format', 'json']
+        command += ['--outfile', '/dev/stdout', '--outfile', str(report)]
+        run([executable, '-m', *command])
+        features = decode(report.read_bytes())
+    outcome = Outcome(0, [])
+    for feature in features:
+        for element in feature.get('elements', ()):
+            if element['type'] == 'background':
+                continue
+            if element.get('status') == 'passed':
+                outcome.passed += 1
+            else:
+                name = f'{feature["name"]}: {element["name"]}'
+                outcome.failed.append(name)
+    if not features:
+        outcome.failed.append('behave ran no feature')
+    return outcome
+
+
+def known_red():
+    """Return the names of the checks that are known to fail."""
+    if not KNOWN_RED.exists():
+        return set()
+    lines = KNOWN_RED.read_text().splitlines()
+    prefix = 'test: '
+    return {
+        line.removeprefix(prefix) for line in lines if line.startswith(prefix)
+    }
+
+
+def report(outcomes):
+    """Print the result and return the exit code."""
+    red = known_red()
+    failed = [name for outcome in outcomes for name in outcome.failed]
+    passed = sum(outcome.passed for outcome in outcomes)
+    for name in failed:
+        print('known red:' if name in red else 'failed:', name)
+    for name in sorted(red - set(failed)):
+        print('listed in KNOWN-RED.txt but did not fail:', name)
+    new = [name for name in failed if name not in red]
+    print(f'{passed} passed, {len(new)} failed')
+    return 1 if new else 0
+
+
+def main():
+    """Run the checks."""
+    options = docopt(__doc__)
+    outcomes = [run_lint()]
+    if not options['lint']:
+        outcomes += [run_models(), run_behave()]
+    sys_exit(report(outcomes))
+
+
+if __name__ == '__main__':
+    main()
