Keep the first entry host from taking a whole limit

Cause: with no demand measured yet, the first host to renew was granted the whole limit; the next got nothing until two renewals later, so requests in the first second were refused as rate_limited. Ruled out: the token bucket (986 requests in a pure replay gave no refusal) and the opening of a new leader's ledger. Change: a share without measured demand is half of an even part.

--- a/fuchsiacart/consensus.py
+++ b/fuchsiacart/consensus.py
@@ -219,8 +219,13 @@
 
     The rules are those of the Raft algorithm (Ongaro and Ousterhout, 2014)
     with pre-vote, check quorum and changes of one voter at a time.
+
+    :param batch_entries: entries in one message at most.
     """
 
+    def __init__(self, batch_entries=BATCH_ENTRIES):
+        self._batch_entries = batch_entries
+
     def start_election(self, state):
         """Ask for pre-votes after an election timeout.
 
@@ -510,7 +515,7 @@
             state.term,
             previous,
             state.term_at(previous),
-            state.entries_from(progress.next_index, BATCH_ENTRIES),
+            state.entries_from(progress.next_index, self._batch_entries),
             state.commit_index,
             state.round,
         )
@@ -519,8 +524,9 @@
         """Count entries as sent; a refusal later takes that back."""
         if progress.next_index <= state.base_index:
             return progress
-        sent = min(state.last_index, progress.next_index + BATCH_ENTRIES - 1)
-        return replace(progress, next_index=sent + 1)
+        following = progress.next_index + self._batch_entries
+        following = min(state.last_index + 1, following)
+        return replace(progress, next_index=following)
 
     def _on_append(self, state, message):
         if message.term < state.term:
--- a/fuchsiacart/shares.py
+++ b/fuchsiacart/shares.py
@@ -13,6 +13,7 @@
 from fuchsiacart.models import Rank
 
 SPARE_PART = 0.2
+FIRST_PART = 0.5
 SMALLEST_SHARE = 1.0
 
 
@@ -67,7 +68,7 @@
         rest = self.limit - least * count
         wanted = sum(held.demand for held in self._held.values())
         if wanted <= 0:
-            return self.limit / count
+            return max(SMALLEST_SHARE, self.limit * FIRST_PART / count)
         return least + rest * ask.demand / wanted
 
     def _expire(self, now_ms):
