Agree claims in the region that a key names; seed hosts apart

Claims through the one log cost a round between regions, or two. Change: a key may name its home (HOME:UUID, from the look-up); the control hosts of that region then agree its claims. The home is part of the key, so all sends of a key meet in one group. A key with a home that is not known is refused with run unknown. With a seed in the settings all control hosts had the same election timeouts. Change: the seed is mixed with the host's name.

--- a/features/failures.feature
+++ b/features/failures.feature
@@ -93,3 +93,10 @@
     And callers of lloegr send 20 interactive requests to /stock/1
     Then every request has a whole answer
     And no invariant is broken
+
+  Scenario: claims agreed in a region run once and survive its leader
+    Given a deployment of golau-beic with 3 claim hosts in each region
+    When callers send 40 urgent requests to /orders/slow
+    And claim-lloegr-1 is killed while they run
+    Then every request has an answer, a refusal or an unknown outcome
+    And no invariant is broken
--- a/features/outcomes.feature
+++ b/features/outcomes.feature
@@ -76,3 +76,15 @@
     When it is handled 5 times
     Then it was attempted 2 times
     And the caller is told that it is quarantined
+
+  Scenario: a key with a home is agreed by its home's group
+    Given an order whose key has the home "lloegr"
+    When it is handled 2 times
+    Then it was attempted 1 times
+    And its claim is held by the group of lloegr alone
+
+  Scenario: a key with a home that is not known here may have run elsewhere
+    Given an order whose key has the home "nowhere"
+    When it is handled
+    Then it was attempted 0 times
+    And the caller is told that its outcome is unknown
--- a/features/steps/outcome_steps.py
+++ b/features/steps/outcome_steps.py
@@ -9,6 +9,7 @@
 from behave import given
 from behave import then
 from behave import when
+from msgspec.structs import replace
 
 from fuchsiacart.claims import LogClaims
 from fuchsiacart.coordinators import CallerRequest
@@ -180,6 +181,7 @@
         )
         self.lease = FakeLease()
         self.control = FakeControl()
+        self.far = FakeControl()
         self.owner = FakeOwner()
         self.retries = BudgetedRetry()
         self.error = None
@@ -196,7 +198,7 @@
                 self.lease,
                 FakeViews(),
                 FakeLimits(),
-                LogClaims(self.control, OWN),
+                LogClaims({'': self.control, 'lloegr': self.far}, OWN),
                 PowerOfTwoRouter(Random(1)),
                 self.retries,
                 Quarantine(600_000),
@@ -292,6 +294,27 @@
     context.outcome.lease.held = False
 
 
+@given('an order whose key has the home "{home}"')
+def given_home(context, home):
+    """Put a home into the key."""
+    context.outcome = OutcomeSubject('POST')
+    context.outcome.owner.plan = [answered]
+    request = context.outcome.request
+    key = f'{home}:{request.key}'
+    context.outcome.request = replace(request, key=key)
+
+
+@then('its claim is held by the group of {home} alone')
+def then_home(context, home):
+    """Check which group holds the claim."""
+    outcome = context.outcome
+    held = {
+        'nobody': outcome.control.state.stored.claims,
+        'lloegr': outcome.far.state.stored.claims,
+    }
+    assert [name for name, claims in held.items() if claims] == [home]
+
+
 @given('whose second attempt is refused as not run')
 def given_second_refused(context):
     """Plan a refusal next."""
--- a/features/steps/whole_path_steps.py
+++ b/features/steps/whole_path_steps.py
@@ -100,6 +100,14 @@
     context.path.start()
 
 
+@given('a deployment of golau-beic with {count:d} claim hosts in each region')
+def given_claim_groups(context, count):
+    """Start a deployment whose regions agree their own claims."""
+    context.path = WholePath('golau-beic', 3, 3, claim_hosts=count)
+    context.resources.callback(context.path.fleet.stop)
+    context.path.start()
+
+
 @when('callers send {count:d} requests of each rank')
 def when_each_rank(context, count):
     """Send requests of each rank."""
--- a/fuchsiacart/claims.py
+++ b/fuchsiacart/claims.py
@@ -29,13 +29,24 @@
 
 SETTLE_TIMEOUT_S = 30.0
 POLL_INTERVAL_S = 0.1
+HOME_SEPARATOR = ':'
+
+
+class IdempotencyKey(Struct, frozen=True):
+    """A key: ``UUID`` or ``HOME:UUID``.
+
+    The home is part of the key, so all sends of a key meet in one group.
+    """
+
+    home: str
+    uuid: str
 
 
 class ClaimRequest(Struct, frozen=True):
     """Which request is to be claimed."""
 
     customer: CustomerId
-    key: str
+    key: IdempotencyKey
     attempt: int
     digest: str
 
@@ -105,12 +116,13 @@
     The state machine puts the claims of a key in order, so one at most is
     granted; a settled key never runs again.
 
-    :param control: the :class:`ControlGroup`.
+    :param groups: the :class:`ControlGroup` of each home, and that of keys
+        without a home under the empty name.
     :param owner: name of this host.
     """
 
-    def __init__(self, control, owner):
-        self._control = control
+    def __init__(self, groups, owner):
+        self._groups = groups
         self._owner = owner
         self._settling = set()
 
@@ -118,16 +130,17 @@
         """See :meth:`ClaimBook.claim`."""
         deadline_s = monotonic() + timeout_s
         token = uuid4().hex
+        group = self._group(request)
         command = Claim(
             request.customer,
-            request.key,
+            request.key.uuid,
             request.attempt,
             request.digest,
             self._owner,
             token,
             wall_ms(),
         )
-        outcome = await self._commit(command, timeout_s)
+        outcome = await self._commit(group, command, timeout_s)
         if outcome.error is not None:
             raise RequestError(outcome.detail, outcome.error, Run.UNKNOWN)
         if outcome.granted:
@@ -147,7 +160,7 @@
                 content_type = header.value
         command = Settle(
             request.customer,
-            request.key,
+            request.key.uuid,
             token,
             ran,
             reply.status,
@@ -155,7 +168,7 @@
             reply.body if ran else b'',
             wall_ms(),
         )
-        task = create_task(self._settle(command))
+        task = create_task(self._settle(self._group(request), command))
         self._settling.add(task)
         task.add_done_callback(self._settling.discard)
 
@@ -163,9 +176,23 @@
         """See :meth:`ClaimBook.drain`."""
         await gather(*self._settling, return_exceptions=True)
 
-    async def _commit(self, command, timeout_s):
+    def _group(self, request):
+        """Return the group that agrees a key's claims.
+
+        :raises RequestError: when the home is not known here; the key may
+            have been used where it is.
+        """
+        if request.key.home not in self._groups:
+            raise RequestError(
+                f'home {request.key.home} is not known here',
+                ErrorKind.BAD_KEY,
+                Run.UNKNOWN,
+            )
+        return self._groups[request.key.home]
+
+    async def _commit(self, group, command, timeout_s):
         try:
-            return await self._control.commit(command, timeout_s)
+            return await group.commit(command, timeout_s)
         except FuchsiacartError as error:
             raise RequestError(
                 'the claim was not agreed in time',
@@ -174,19 +201,19 @@
                 retry_after_ms=error.retry_after_ms,
             ) from error
 
-    async def _settle(self, command):
+    async def _settle(self, group, command):
         try:
-            await self._control.commit(command, SETTLE_TIMEOUT_S)
+            await group.commit(command, SETTLE_TIMEOUT_S)
         except FuchsiacartError as error:
             log_warning(
                 'claim_not_settled', key=command.key, detail=error.detail
             )
 
     async def _look(self, request, deadline_s):
-        query = ClaimQuery(request.customer, request.key)
+        query = ClaimQuery(request.customer, request.key.uuid)
         left_s = max(0.01, deadline_s - monotonic())
         try:
-            outcome = await self._control.ask(query, left_s)
+            outcome = await self._group(request).ask(query, left_s)
         except FuchsiacartError as error:
             raise RequestError(
                 'the earlier attempt cannot be looked up',
@@ -232,14 +259,15 @@
 
 
 def parse_key(text):
-    """Return the usual form of an idempotency key.
+    """Read an idempotency key.
 
     :param text: the header's value.
-    :return: a UUIDv7 in its usual form.
-    :raises RequestError: when it is none.
+    :return: the :class:`IdempotencyKey` in its usual form.
+    :raises RequestError: when it holds no UUIDv7.
     """
-    if key_time_ms(text.strip()) is None:
+    home, _, uuid = text.strip().rpartition(HOME_SEPARATOR)
+    if key_time_ms(uuid) is None:
         raise RequestError(
             'a UUIDv7 (RFC 9562) is wanted', ErrorKind.BAD_KEY, Run.NO
         )
-    return str(UUID(text.strip()))
+    return IdempotencyKey(home, str(UUID(uuid)))
--- a/fuchsiacart/control.py
+++ b/fuchsiacart/control.py
@@ -185,7 +185,11 @@
             RELAY_FAN_OUT,
         )
         return KeepAliveReply(
-            self._settings.entry.lease_ms, stored.revision, shares, parents
+            self._settings.entry.lease_ms,
+            stored.revision,
+            shares,
+            parents,
+            self._replica.leader_address,
         )
 
     async def on_propose(self, request):
--- a/fuchsiacart/controllers.py
+++ b/fuchsiacart/controllers.py
@@ -87,6 +87,11 @@
                     raise
             await sleep(PAUSE_S)
 
+    def prefer(self, leader):
+        """Call the leader from now on, which saves a hop."""
+        if leader in self._addresses:
+            self._current = self._addresses.index(leader)
+
     def _turn(self, failed):
         """Go on to the next host unless another call has done so."""
         if self._addresses[self._current] == failed:
--- a/fuchsiacart/entry.py
+++ b/fuchsiacart/entry.py
@@ -3,7 +3,6 @@
 from asyncio import gather
 from asyncio import sleep
 from asyncio import wait_for
-from random import Random
 from time import monotonic
 from time import time
 
@@ -40,6 +39,7 @@
 from fuchsiacart.quarantine import Quarantine
 from fuchsiacart.queues import FifoScheduler
 from fuchsiacart.queues import RankScheduler
+from fuchsiacart.randoms import make_random
 from fuchsiacart.replicas import wall_ms
 from fuchsiacart.retries import BudgetedRetry
 from fuchsiacart.retries import EagerRetry
@@ -66,7 +66,7 @@
     def __init__(self, settings, adapter):
         self._settings = settings
         self._adapter = adapter
-        self._random = Random(settings.seed or None)
+        self._random = make_random(settings.seed, settings.host.name)
         is_full = settings.entry.policy is Policy.FULL
         addresses = [host.peer_address for host in settings.control_hosts]
         control = ControlGroup(adapter, addresses)
@@ -91,7 +91,13 @@
         )
         self._gossip = Gossip(name, settings.host.region, self._random)
         self._quarantine = Quarantine(settings.entry.quarantine_ms)
-        self._claims = LogClaims(control, name) if is_full else NoClaims()
+        groups = {'': control} | {
+            group.home: ControlGroup(
+                adapter, [host.peer_address for host in group.hosts]
+            )
+            for group in settings.entry.claim_groups
+        }
+        self._claims = LogClaims(groups, name) if is_full else NoClaims()
         router = RoundRobinRouter()
         if is_full:
             router = PowerOfTwoRouter(self._random)
@@ -244,6 +250,7 @@
             view,
             self._settings.host.region,
             self._settings.entry.lookup_ttl_ms,
+            {group.home for group in self._settings.entry.claim_groups},
         )
         self._registrar.follow_view()
         self._gossip.retain({host.name for host in view.hosts})
--- a/fuchsiacart/keepers.py
+++ b/fuchsiacart/keepers.py
@@ -212,6 +212,7 @@
         )
         self._limits.set_shares(reply.shares)
         self._views.set_parents(reply.parents)
+        self._control.prefer(reply.leader)
         return True
 
     async def leave(self):
--- a/fuchsiacart/lookups.py
+++ b/fuchsiacart/lookups.py
@@ -16,13 +16,17 @@
 
 
 class LookupAnswer(Struct, frozen=True):
-    """Answer to a look-up; ``hosts`` are IP:port, best first."""
+    """Answer to a look-up; ``hosts`` are IP:port, best first.
+
+    ``key_home`` is the home to put into idempotency keys, if any.
+    """
 
     service: str
     home: str
     region: str
     hosts: tuple[str, ...]
     ttl_ms: int
+    key_home: str = ''
 
 
 class BlockTable:
@@ -67,9 +71,11 @@
     :param view: the view.
     :param region: region of this host, home of unknown clients.
     :param ttl_ms: how long callers may keep an answer.
+    :param key_homes: regions that agree claims of their own.
     """
 
-    def __init__(self, view, region, ttl_ms):
+    def __init__(self, view, region, ttl_ms, key_homes=frozenset()):
+        self._key_homes = key_homes
         self._region = region
         self._ttl_ms = ttl_ms
         self._hosts = [
@@ -99,7 +105,12 @@
         region = self._target(home, score % WHOLE_PERMILLE)
         bucket = (score // WHOLE_PERMILLE) % BUCKETS
         return LookupAnswer(
-            service, home, region, self._order(region, bucket), self._ttl_ms
+            service,
+            home,
+            region,
+            self._order(region, bucket),
+            self._ttl_ms,
+            region if region in self._key_homes else '',
         )
 
     def _target(self, home, point):
--- a/fuchsiacart/messages.py
+++ b/fuchsiacart/messages.py
@@ -91,13 +91,15 @@
 class KeepAliveReply(Struct, frozen=True, tag=True):
     """The lease runs from when the request was sent.
 
-    It holds only once the host has reached ``revision``.
+    It holds only once the host has reached ``revision``.  ``leader`` is the
+    control host to call from now on.
     """
 
     lease_ms: int
     revision: int
     shares: tuple[Share, ...] = ()
     parents: tuple[Address, ...] = ()
+    leader: Address = ''
 
 
 class LeaveRequest(Struct, frozen=True, tag=True):
--- a/fuchsiacart/replicas.py
+++ b/fuchsiacart/replicas.py
@@ -8,7 +8,6 @@
 from asyncio import sleep
 from asyncio import to_thread
 from asyncio import wait_for
-from random import Random
 from time import monotonic
 from time import time
 
@@ -37,6 +36,7 @@
 from fuchsiacart.messages import Deliver
 from fuchsiacart.models import HostId
 from fuchsiacart.models import ReplicaId
+from fuchsiacart.randoms import make_random
 from fuchsiacart.states import Command
 from fuchsiacart.states import COMMANDS
 from fuchsiacart.states import State
@@ -114,7 +114,7 @@
         }
         self._inbox = Queue()
         self._journal = Journal(settings.control.data_folder)
-        self._random = Random(settings.seed or None)
+        self._random = make_random(settings.seed, settings.host.name)
         self._sending = {}
         self._tasks = set()
         self._waiters = {}
--- a/fuchsiacart/sessions.py
+++ b/fuchsiacart/sessions.py
@@ -223,7 +223,7 @@
         """
         answer = self.lookup(service)
         headers = {
-            'Idempotency-Key': key or str(uuid7()),
+            'Idempotency-Key': key or new_key(answer['key_home']),
             'Fuchsiacart-Deadline-Ms': str(deadline_ms),
         }
         try:
@@ -244,6 +244,14 @@
         return reply
 
 
+def new_key(home=''):
+    """Return a new idempotency key.
+
+    :param home: ``key_home`` of the look-up, if any.
+    """
+    return f'{home}:{uuid7()}' if home else str(uuid7())
+
+
 def _document(reply):
     """Return the JSON document of a reply, or raise its problem."""
     if reply.status < STATUS_ERROR:
--- a/fuchsiacart/settings.py
+++ b/fuchsiacart/settings.py
@@ -90,6 +90,15 @@
     peer_address: HostPort = Field(description='IP:port of its gRPC server')
 
 
+class ClaimGroup(Section):
+    """Control hosts of one region that agree the claims of its keys."""
+
+    home: Name = Field(description='region that keys name as their home')
+    hosts: Annotated[tuple[ControlHost, ...], Field(min_length=1)] = Field(
+        description='its control hosts'
+    )
+
+
 class TokenSettings(Section):
     """Digests of the bearer tokens, and the token between processes."""
 
@@ -157,6 +166,9 @@
     link_bytes_per_s: Annotated[int, Field(gt=0)] = Field(
         4_000_000, description='bytes a second this host sends to a region'
     )
+    claim_groups: tuple[ClaimGroup, ...] = Field(
+        (), description='groups for keys with a home; the same everywhere'
+    )
     on_stale: StalePolicy = Field(
         StalePolicy.REFUSE, description='what to do without a lease'
     )
--- a/standins/bench.py
+++ b/standins/bench.py
@@ -2,7 +2,7 @@
 
 Usage:
   bench [--user=USER] [--scenario=NAME] [--policy=POLICY] [--seconds=S]
-        [--seed=N]
+        [--seed=N] [--claim-hosts=N]
 
 Options:
   --user=USER      golau-beic, halvorsen or all [default: all].
@@ -11,6 +11,7 @@
   --policy=POLICY  full, baseline or all [default: all].
   --seconds=S      How long callers send [default: 8].
   --seed=N         Seed of all choices [default: 1].
+  --claim-hosts=N  Hosts of a claim group in each region [default: 0].
 
 The users' distances are put in at the transport between processes.  Each
 request takes 100 ms on average, so that a small load fills the slots.
@@ -106,14 +107,16 @@
     :param policy: full or baseline.
     :param seconds: how long callers send.
     :param seed: seed of all choices.
+    :param claim_hosts: hosts of a claim group in each region.
     """
 
-    def __init__(self, workload, scenario, policy, seconds, seed):
+    def __init__(self, workload, scenario, policy, seconds, seed, claim_hosts):
         self._workload = workload
         self._scenario = scenario
         self._policy = policy
         self._seconds = seconds
         self._seed = seed
+        self._claim_hosts = claim_hosts
         self._drain_ms = 0
 
     def run(self):
@@ -128,6 +131,7 @@
             services=services,
             entry_settings={'policy': self._policy, 'ramp_ms': RAMP_MS},
             distances_ms=DISTANCES_MS[self._workload.user],
+            claim_hosts=self._claim_hosts,
             seed=self._seed,
         )
         with Fleet(shape) as fleet:
@@ -209,6 +213,7 @@
         print(
             f'\n{self._workload.user}, {self._scenario.name},'
             f' {self._policy}, {self._seconds:g} s, seed {self._seed}'
+            + (', claim groups' if self._claim_hosts else '')
         )
         print(format_table(HEADS, rows))
         print(
@@ -275,7 +280,14 @@
                     (options['--policy'], policy),
                 )
                 if all(want in ('all', have) for want, have in asked):
-                    Bench(workload, scenario, policy, seconds, seed).run()
+                    Bench(
+                        workload,
+                        scenario,
+                        policy,
+                        seconds,
+                        seed,
+                        int(options['--claim-hosts']),
+                    ).run()
 
 
 if __name__ == '__main__':
--- a/standins/caller.py
+++ b/standins/caller.py
@@ -14,7 +14,8 @@
 from msgspec import Struct
 from tornado.httpclient import HTTPRequest
 from tornado.simple_httpclient import SimpleAsyncHTTPClient
-from uuid6 import uuid7
+
+from fuchsiacart.sessions import new_key
 
 LOOKUP_TIMEOUT_S = 1.0
 RESEND_LIMIT = 4
@@ -66,6 +67,7 @@
 
     hosts: list
     region: str
+    key_home: str
     until_s: float
 
 
@@ -94,7 +96,8 @@
         :return: the :class:`Result`.
         """
         started_s = monotonic()
-        key = str(uuid7())
+        cached = await self._look_up(kind.service)
+        key = new_key(cached.key_home if cached else '')
         result = Result(kind, key, Ending.UNKNOWN, 'unsent', 0.0, 0)
         until_s = started_s + kind.deadline_ms / 1000
         while result.sends < RESEND_LIMIT and monotonic() < until_s:
@@ -173,7 +176,12 @@
                 continue
             answer = decode(response.body)
             until_s = monotonic() + answer['ttl_ms'] / 1000
-            cached = Cached(answer['hosts'], answer['region'], until_s)
+            cached = Cached(
+                answer['hosts'],
+                answer['region'],
+                answer['key_home'],
+                until_s,
+            )
             self._cache[service] = cached
             return cached
         return None
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -52,6 +52,7 @@
     entry_settings: dict[str, object] = {}
     control_settings: dict[str, object] = {}
     distances_ms: tuple[float, float] = ()
+    claim_hosts: int = 0
     seed: int = 1
 
 
@@ -125,6 +126,7 @@
         self._control_names = []
         self._entry_names = []
         self._peer_ports = {}
+        self._claim_groups = []
 
     def __enter__(self):
         """Start all, with members and contracts set."""
@@ -147,6 +149,7 @@
             session.init_group()
             for path in sorted(self._home.glob('contracts/*.toml')):
                 session.put_contract(loads(path.read_text()), 0)
+        self._start_claim_groups()
         self._start_role('entry', self.shape.entry, self._entry_names)
         self._wait_for_ports(self._entry_names)
         self.wait_until(self._all_leases_held)
@@ -207,6 +210,19 @@
         paths = sorted(self._home.glob('contracts/*.toml'))
         return {path.stem: f'example-token-{path.stem}' for path in paths}
 
+    def control_addresses(self):
+        """Return the peer addresses of all control hosts."""
+        return [self.control_address(name) for name in self._control_names]
+
+    def control_address(self, name):
+        """Return the peer address of a control host."""
+        return f'127.0.0.1:{self._peer_ports[name]}'
+
+    def region_of(self, name):
+        """Return the region of a daemon."""
+        settings = loads((self.folder / f'{name}.toml').read_text())
+        return settings['host']['region']
+
     def leader(self):
         """Return the name of the leading control host."""
         with self.operator() as session:
@@ -306,20 +322,59 @@
             path = self._write_settings(role, name)
             self._run_daemon(name, path)
 
-    def _write_settings(self, role, name):
-        settings = loads((self._home / f'{name}.toml').read_text())
-        settings['seed'] = self.shape.seed
-        settings['listen'] = {
+    def _start_claim_groups(self):
+        """Start a group of control hosts in each region, if wanted."""
+        if not self.shape.claim_hosts:
+            return
+        for region in self.regions:
+            names = [
+                f'claim-{region}-{index + 1}'
+                for index in range(self.shape.claim_hosts)
+            ]
+            ports = {name: free_port() for name in names}
+            self._claim_groups.append(
+                {'home': region, 'hosts': _control_hosts(ports)}
+            )
+            for index, name in enumerate(names):
+                path = self._write_claim_settings(region, index, name, ports)
+                self._run_daemon(name, path)
+            self._wait_for_ports(names)
+            hosts = [self.http_address(name) for name in names]
+            token = EXAMPLE_TOKENS['operator']
+            with OperatorSession(hosts, token) as session:
+                session.init_group()
+
+    def _write_claim_settings(self, region, index, name, ports):
+        text = (self._home / 'control-1.toml').read_text()
+        settings = loads(text)
+        settings['host'] = {
+            'name': name,
+            'region': region,
+            'failure_domain': f'{region}-{"ab"[index % 2]}',
+        }
+        settings['listen'] = self._listen(name, ports[name])
+        settings['control_hosts'] = _control_hosts(ports)
+        settings['control'] = {'data_folder': str(self.data_folder(name))}
+        path = self.folder / f'{name}.toml'
+        path.write_text(_as_toml(settings))
+        return path
+
+    def _listen(self, name, peer_port):
+        return {
             'address': '127.0.0.1',
-            'peer_port': self._peer_ports.get(name, 0),
+            'peer_port': peer_port,
             'ports_file': str(self.folder / f'{name}.ports'),
         }
-        settings['control_hosts'] = [
-            {'name': other, 'peer_address': f'127.0.0.1:{port}'}
-            for other, port in self._peer_ports.items()
-        ]
+
+    def _write_settings(self, role, name):
+        settings = loads((self._home / f'{name}.toml').read_text())
+        settings['seed'] = self.shape.seed
+        settings['listen'] = self._listen(name, self._peer_ports.get(name, 0))
+        settings['control_hosts'] = _control_hosts(self._peer_ports)
         entry = settings.get('entry', {})
         settings['entry'] = entry | self.shape.entry_settings
+        if role == 'entry' and self._claim_groups:
+            settings['entry']['claim_groups'] = self._claim_groups
         if role == 'control':
             control = {'data_folder': str(self.data_folder(name))}
             settings['control'] = control | self.shape.control_settings
@@ -388,5 +443,19 @@
     return '\n'.join(lines + tables) + '\n'
 
 
+def _control_hosts(ports):
+    """Return the table of control hosts from their peer ports."""
+    return [
+        {'name': name, 'peer_address': f'127.0.0.1:{port}'}
+        for name, port in ports.items()
+    ]
+
+
 def _value(value):
+    """Return a value as TOML; a table is written on one line."""
+    if isinstance(value, dict):
+        pairs = [f'{name} = {_value(item)}' for name, item in value.items()]
+        return '{' + ', '.join(pairs) + '}'
+    if isinstance(value, list):
+        return '[' + ', '.join(map(_value, value)) + ']'
     return encode(value).decode()
