--- /dev/null
+++ b/features/settings.feature
@@ -0,0 +1,31 @@
+Feature: settings and the command line
+
+  Scenario: every fault is listed with its key
+    Given a settings file with an unknown key, a bad port and no host name
+    When the daemon checks it
+    Then its exit code is 2
+    And each of the 3 faults is listed with its key
+
+  Scenario: a valid file is only checked
+    Given the settings file of entry-1 of golau-beic
+    When the daemon checks it
+    Then its exit code is 0
+
+  Scenario: every settings file under deploy is valid
+    Then all settings files of both users are valid
+
+  Scenario: the page of settings is that of the classes
+    Then docs/user/settings.md is what the settings classes give
+
+  Scenario: every error kind has one answer, and the callers' page names it
+    Then each error kind has one answer
+    And docs/user/callers.md names each error kind
+
+  Scenario: a contract with a fault is refused with the key at fault
+    Given a contract with a floor of 101 percent
+    When it is read
+    Then the fault names the floor_percent
+
+  Scenario: a wrong call of the command has the exit code of its error
+    When the command asks for the status of no control host
+    Then its exit code is 9
--- a/features/steps/agreement_steps.py
+++ b/features/steps/agreement_steps.py
@@ -8,7 +8,7 @@
 
 from fuchsiacart.leases import Lease
 from fuchsiacart.leases import LeaseTable
-from fuchsiacart.leases import relay_parents
+from fuchsiacart.leases import RelayTree
 from fuchsiacart.models import Drain
 from fuchsiacart.models import DrainScope
 from fuchsiacart.models import Host
@@ -189,13 +189,11 @@
     by_address = {each.peer_address: each.name for each in hosts}
     names = [each.name for each in hosts]
     context.parents = {}
-    for position in list(range(0, count, 97)) + list(range(100)):
-        name = names[position]
-        parents = relay_parents(hosts, name, CONTROL, fan_out)
+    tree = RelayTree(hosts, CONTROL, fan_out)
+    context.tree = tree
+    for name in names:
+        parents = tree.parents(name)
         context.parents[name] = by_address.get(parents[0], 'control')
-    context.order = names
-    context.fan_out = fan_out
-    context.all_hosts = hosts
     context.by_address = by_address
 
 
@@ -221,9 +219,7 @@
     for name in list(context.parents)[::5]:
         steps = 0
         while name != 'control':
-            parents = relay_parents(
-                context.all_hosts, name, CONTROL, context.fan_out
-            )
+            parents = context.tree.parents(name)
             name = context.by_address.get(parents[0], 'control')
             steps += 1
             assert steps <= most, steps
--- /dev/null
+++ b/features/steps/connection_steps.py
@@ -0,0 +1,200 @@
+"""Steps for channels between processes, over real sockets."""
+
+from asyncio import gather
+from asyncio import new_event_loop
+from asyncio import open_connection
+from asyncio import start_server
+from asyncio import wait_for
+
+from behave import given
+from behave import then
+from behave import when
+
+from fuchsiacart.adapters import GrpcAdapter
+from fuchsiacart.adapters import Method
+from fuchsiacart.adapters import PeerServer
+from fuchsiacart.adapters import SILENT_LIMIT_S
+from fuchsiacart.exceptions import ErrorKind
+from fuchsiacart.exceptions import FuchsiacartError
+from fuchsiacart.exceptions import Run
+from fuchsiacart.exceptions import TransportError
+from fuchsiacart.messages import Done
+from fuchsiacart.messages import PullRequest
+from fuchsiacart.settings import TlsSettings
+
+TOKEN = 'token-between-processes'
+TIMEOUT_S = SILENT_LIMIT_S * 0.75
+REQUEST = PullRequest(1, 1)
+CHUNK_BYTES = 65_536
+
+
+class Proxy:
+    """Passes bytes on until its open connections are made silent."""
+
+    def __init__(self, port):
+        self._port = port
+        self._silent = []
+        self._generation = 0
+        self.port = 0
+        self._server = None
+
+    async def start(self):
+        """Listen on any free port."""
+        self._server = await start_server(self._accept, '127.0.0.1', 0)
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    def silence(self):
+        """Pass nothing on for the connections that are open now."""
+        self._generation += 1
+
+    async def _accept(self, reader, writer):
+        born = self._generation
+        far_reader, far_writer = await open_connection('127.0.0.1', self._port)
+        await gather(
+            self._pass(reader, far_writer, born),
+            self._pass(far_reader, writer, born),
+            return_exceptions=True,
+        )
+
+    async def _pass(self, reader, writer, born):
+        while True:
+            data = await reader.read(CHUNK_BYTES)
+            if not data:
+                writer.close()
+                return
+            if born == self._generation:
+                writer.write(data)
+
+
+class ConnectionSubject:
+    """A process that answers, a proxy before it, and a caller."""
+
+    def __init__(self, handler):
+        self.loop = new_event_loop()
+        self.run(self._start(handler))
+
+    def run(self, coroutine):
+        """Run a coroutine to its end."""
+        return self.loop.run_until_complete(coroutine)
+
+    async def _start(self, handler):
+        handlers = {Method.PULL: handler}
+        self.server = PeerServer(TOKEN, handlers, TlsSettings())
+        port = await self.server.start('127.0.0.1', 0)
+        self.proxy = Proxy(port)
+        await self.proxy.start()
+        self.address = f'127.0.0.1:{self.proxy.port}'
+        self.direct = f'127.0.0.1:{port}'
+        self.adapter = GrpcAdapter(TOKEN)
+
+    async def call(self, adapter=None, address=None):
+        """Call the process."""
+        adapter = adapter or self.adapter
+        address = address or self.address
+        return await adapter.call(address, Method.PULL, REQUEST, TIMEOUT_S)
+
+    def close(self):
+        """Close all."""
+        self.run(self.adapter.close())
+        self.run(self.server.stop(0))
+        self.loop.close()
+
+
+async def answer(request):
+    """Answer a call."""
+    return Done()
+
+
+async def refuse(request):
+    """Refuse a call."""
+    raise FuchsiacartError('full', ErrorKind.OVERLOADED, Run.UNKNOWN)
+
+
+@given('a process that answers behind a proxy')
+def given_process(context):
+    """Start the process and the proxy."""
+    context.connection = ConnectionSubject(answer)
+    context.resources.callback(context.connection.close)
+
+
+@given('a process that refuses as overloaded with run unknown')
+def given_refusing(context):
+    """Start a process that refuses."""
+    context.connection = ConnectionSubject(refuse)
+    context.resources.callback(context.connection.close)
+
+
+@given('the address of a process that has ended')
+def given_ended(context):
+    """Start and stop a process."""
+    context.connection = ConnectionSubject(answer)
+    context.resources.callback(context.connection.close)
+    context.connection.run(context.connection.server.stop(0))
+    context.connection.address = context.connection.direct
+
+
+@given('a channel to it over the proxy that has worked')
+def given_channel(context):
+    """Call once."""
+    assert context.connection.run(context.connection.call()) == Done()
+
+
+@when('the open connections go silent for good while new ones work')
+def when_silent(context):
+    """Make the open connections silent."""
+    context.connection.proxy.silence()
+
+
+@when('it is called with another token')
+def when_other_token(context):
+    """Call with a wrong token."""
+    connection = context.connection
+    connection.adapter = GrpcAdapter('another-token-of-no-use')
+    when_called(context)
+
+
+@when('it is called')
+def when_called(context):
+    """Call and keep the error."""
+    context.error = None
+    try:
+        context.connection.run(context.connection.call())
+    except FuchsiacartError as error:
+        context.error = error
+
+
+@then('calls work again within {count:d} more timeouts')
+def then_again(context, count):
+    """Call until it works; each call may time out."""
+    connection = context.connection
+
+    async def until_it_works():
+        for _ in range(count):
+            try:
+                return await wait_for(connection.call(), 5 * TIMEOUT_S)
+            except TransportError:
+                continue
+        raise AssertionError('the channel stays silent')
+
+    assert connection.run(until_it_works()) == Done()
+
+
+@then('the call is refused')
+def then_refused(context):
+    """Check that there was no answer."""
+    assert isinstance(context.error, TransportError)
+    assert 'unauthenticated' in context.error.detail, context.error.detail
+
+
+@then('the caller gets the same kind and run')
+def then_same(context):
+    """Check the error."""
+    assert context.error.kind is ErrorKind.OVERLOADED
+    assert context.error.run is Run.UNKNOWN
+
+
+@then('the call failed and was not run')
+def then_not_run(context):
+    """Check the error."""
+    assert isinstance(context.error, TransportError)
+    assert context.error.run is Run.NO, context.error.detail
--- /dev/null
+++ b/features/steps/settings_steps.py
@@ -0,0 +1,137 @@
+"""Steps for settings, error kinds and the command line."""
+
+from pathlib import Path
+from subprocess import run
+from sys import executable
+from tempfile import mkdtemp
+
+from behave import given
+from behave import then
+from behave import when
+from msgspec import convert
+from msgspec import ValidationError
+
+from fuchsiacart.exceptions import ANSWERS
+from fuchsiacart.exceptions import ErrorKind
+from fuchsiacart.models import Contract
+from fuchsiacart.settings import check_settings
+from standins.fleet import DEPLOY
+from standins.fleet import free_port
+from tools.settings_reference import reference
+
+ROOT = DEPLOY.parent
+USERS = ('golau-beic', 'halvorsen')
+FILES_OF_A_USER = 13
+
+
+def call(module, *arguments):
+    """Run a program of the product to its end."""
+    command = [executable, '-m', f'fuchsiacart.{module}', *arguments]
+    return run(command, capture_output=True, text=True)
+
+
+@given('a settings file with an unknown key, a bad port and no host name')
+def given_faults(context):
+    """Spoil a settings file in three places."""
+    text = (DEPLOY / 'golau-beic' / 'entry-1.toml').read_text()
+    text = text.replace('name = "entry-1"\n', '', 1)
+    text = text.replace('http_port = 8080', 'http_port = 99999')
+    text = text.replace('[entry]', '[entry]\nno_such_key = 1')
+    context.path = Path(mkdtemp()) / 'settings.toml'
+    context.path.write_text(text)
+
+
+@given('the settings file of {name} of {user}')
+def given_file(context, name, user):
+    """Take a file of a user."""
+    context.path = DEPLOY / user / f'{name}.toml'
+
+
+@given('a contract with a floor of {percent:d} percent')
+def given_contract(context, percent):
+    """Write a contract with a floor."""
+    context.document = {
+        'customer': 'shop',
+        'token_sha256': [],
+        'routes': [],
+        'ranks': [
+            {
+                'rank': 'urgent',
+                'rate_per_s': 1,
+                'concurrency': 1,
+                'floor_percent': percent,
+            }
+        ],
+    }
+
+
+@when('it is read')
+def when_read(context):
+    """Read the contract and keep the fault."""
+    try:
+        convert(context.document, Contract)
+    except ValidationError as error:
+        context.fault = str(error)
+
+
+@when('the daemon checks it')
+def when_checked(context):
+    """Run the daemon with --check."""
+    context.done = call('daemon', '--check', str(context.path))
+
+
+@when('the command asks for the status of no control host')
+def when_status(context):
+    """Ask where nobody listens."""
+    host = f'127.0.0.1:{free_port()}'
+    context.done = call('cli', f'--control={host}', '--token=x', 'status')
+
+
+@then('its exit code is {code:d}')
+def then_code(context, code):
+    """Check the exit code."""
+    assert context.done.returncode == code, context.done
+
+
+@then('each of the 3 faults is listed with its key')
+def then_faults(context):
+    """Check the keys listed."""
+    for key in ('host.name', 'listen.http_port', 'entry.no_such_key'):
+        assert f'{key}: ' in context.done.stderr, context.done.stderr
+
+
+@then('all settings files of both users are valid')
+def then_all_valid(context):
+    """Check every file."""
+    for user in USERS:
+        paths = sorted((DEPLOY / user).glob('*.toml'))
+        assert len(paths) == FILES_OF_A_USER, paths
+        for path in paths:
+            check_settings(path)
+
+
+@then('docs/user/settings.md is what the settings classes give')
+def then_page(context):
+    """Compare the page."""
+    page = ROOT / 'docs' / 'user' / 'settings.md'
+    assert page.read_text() == reference()
+
+
+@then('each error kind has one answer')
+def then_answers(context):
+    """Compare the table with the list."""
+    assert set(ANSWERS) == set(ErrorKind)
+
+
+@then('docs/user/callers.md names each error kind')
+def then_named(context):
+    """Search the page."""
+    page = (ROOT / 'docs' / 'user' / 'callers.md').read_text()
+    missing = [kind for kind in ErrorKind if f'`{kind.value}`' not in page]
+    assert not missing, missing
+
+
+@then('the fault names the floor_percent')
+def then_floor(context):
+    """Check the fault."""
+    assert 'floor_percent' in context.fault, context.fault
--- a/fuchsiacart/control.py
+++ b/fuchsiacart/control.py
@@ -14,7 +14,7 @@
 from fuchsiacart.exceptions import ChangeError
 from fuchsiacart.exceptions import ErrorKind
 from fuchsiacart.leases import LeaseTable
-from fuchsiacart.leases import relay_parents
+from fuchsiacart.leases import RelayTree
 from fuchsiacart.logs import log_event
 from fuchsiacart.messages import ClaimQuery
 from fuchsiacart.messages import Done
@@ -130,6 +130,8 @@
         self._leases = None
         self._ledger = None
         self._reports = {}
+        self._tree = None
+        self._tree_revision = 0
         self._drained_ms = {}
         self._policy = HeadroomWeights()
         self._limiter = ShiftLimiter(
@@ -178,12 +180,7 @@
         shares = self._ledger.grant(
             host.name, contracts, request.demands, request.shares, now_ms
         )
-        parents = relay_parents(
-            stored.hosts.values(),
-            host.name,
-            self._control_addresses(),
-            RELAY_FAN_OUT,
-        )
+        parents = self._relay_tree().parents(host.name)
         return KeepAliveReply(
             self._settings.entry.lease_ms,
             stored.revision,
@@ -333,9 +330,18 @@
             address, method, request, RELAY_TIMEOUT_S
         )
 
-    def _control_addresses(self):
-        hosts = self._settings.control_hosts
-        return [host.peer_address for host in hosts]
+    def _relay_tree(self):
+        """Return the relay tree of the present revision."""
+        stored = self._replica.machine.stored
+        if self._tree is None or self._tree_revision != stored.revision:
+            addresses = [
+                host.peer_address for host in self._settings.control_hosts
+            ]
+            self._tree = RelayTree(
+                stored.hosts.values(), addresses, RELAY_FAN_OUT
+            )
+            self._tree_revision = stored.revision
+        return self._tree
 
     def _follow_term(self):
         """Start leases and shares anew in each term that this host leads."""
--- a/fuchsiacart/leases.py
+++ b/fuchsiacart/leases.py
@@ -128,26 +128,39 @@
         return self._needed_revision
 
 
-def relay_parents(hosts, name, control_addresses, fan_out):
-    """Return whom a host pulls changes from, best first.
+class RelayTree:
+    """Whom each host pulls changes from, worked out once for a revision.
 
     Hosts stand in a tree by the order of their names, so each serves at
     most ``fan_out`` others, however many there are.
 
     :param hosts: all entry hosts.
-    :param name: the host that asks.
     :param control_addresses: addresses of the control hosts.
     :param fan_out: children of a host, and of the control group.
-    :return: addresses; control hosts follow as a last resort.
     """
-    ordered = sorted(hosts, key=lambda host: host.name)
-    names = [host.name for host in ordered]
-    if name not in names:
-        return tuple(control_addresses)
-    position = names.index(name)
-    first = position % max(1, len(control_addresses))
-    turned = control_addresses[first:] + control_addresses[:first]
-    if position < fan_out:
-        return tuple(turned)
-    parent = ordered[position // fan_out - 1]
-    return (parent.peer_address,) + tuple(turned)
+
+    def __init__(self, hosts, control_addresses, fan_out):
+        self._ordered = sorted(hosts, key=lambda host: host.name)
+        self._positions = {
+            host.name: position for position, host in enumerate(self._ordered)
+        }
+        self._control_addresses = tuple(control_addresses)
+        self._fan_out = fan_out
+
+    def parents(self, name):
+        """Return whom a host pulls from, best first.
+
+        :param name: the host that asks.
+        :return: addresses; control hosts follow as a last resort.
+        """
+        position = self._positions.get(name)
+        if position is None:
+            return self._control_addresses
+        first = position % len(self._control_addresses)
+        turned = (
+            self._control_addresses[first:] + self._control_addresses[:first]
+        )
+        if position < self._fan_out:
+            return turned
+        parent = self._ordered[position // self._fan_out - 1]
+        return (parent.peer_address,) + turned
