--- a/features/failures.feature
+++ b/features/failures.feature
@@ -100,3 +100,13 @@
     And claim-lloegr-1 is killed while they run
     Then every request has an answer, a refusal or an unknown outcome
     And no invariant is broken
+
+  Scenario: a connection that goes silent is found before the deadline
+    Given a deployment of golau-beic with 3 control and 3 entry hosts
+    When a caller sends an order to /orders/silent
+    Then it is refused as outcome_unknown with run unknown
+
+  Scenario: a server that still runs a request is waited for until its deadline
+    Given a deployment of golau-beic with 3 control and 3 entry hosts
+    When a caller sends an order to /orders/freeze
+    Then it is refused as deadline with run unknown
--- a/features/outcomes.feature
+++ b/features/outcomes.feature
@@ -88,3 +88,24 @@
     When it is handled
     Then it was attempted 0 times
     And the caller is told that its outcome is unknown
+
+  Scenario: an order over its limit is surely not run, and its key is closed
+    Given an order whose customer's limit is used up
+    When it is handled
+    Then it was attempted 0 times
+    And the caller is told that it was not run
+    And its claim is settled as not run
+
+  Scenario: a resend over the limit gets the answer of the attempt that ran
+    Given an order whose first attempt is answered late
+    When it is handled
+    And the limit of its customer is used up
+    And it is handled
+    Then it was attempted 1 times
+    And the caller gets the whole answer
+
+  Scenario: the next attempt after a closed one may run
+    Given an order that every owner refuses as not run
+    When it is handled
+    And it is sent again as its attempt 2 and owners answer
+    Then the caller gets the whole answer
--- a/features/steps/agreement_steps.py
+++ b/features/steps/agreement_steps.py
@@ -6,16 +6,16 @@
 from behave import then
 from behave import when
 
+from fuchsiacart.commands import Change
+from fuchsiacart.commands import StartDrain
 from fuchsiacart.leases import Lease
 from fuchsiacart.leases import LeaseTable
 from fuchsiacart.leases import RelayTree
 from fuchsiacart.models import Drain
 from fuchsiacart.models import DrainScope
 from fuchsiacart.models import Host
-from fuchsiacart.states import Change
 from fuchsiacart.states import Delta
 from fuchsiacart.states import DrainsSet
-from fuchsiacart.states import StartDrain
 from fuchsiacart.states import State
 from fuchsiacart.states import ViewSnapshot
 from fuchsiacart.views import View
--- a/features/steps/control_group_steps.py
+++ b/features/steps/control_group_steps.py
@@ -14,9 +14,8 @@
 from behave import when
 
 from fuchsiacart.adapters import PeerAdapter
-from fuchsiacart.consensus import AppendRequest
-from fuchsiacart.consensus import Group
-from fuchsiacart.consensus import SnapshotRequest
+from fuchsiacart.commands import Change
+from fuchsiacart.commands import PutContract
 from fuchsiacart.control import ControlService
 from fuchsiacart.control import Replacement
 from fuchsiacart.exceptions import ChangeError
@@ -25,10 +24,11 @@
 from fuchsiacart.models import Contract
 from fuchsiacart.models import RankName
 from fuchsiacart.models import RankTerms
+from fuchsiacart.replica_messages import AppendRequest
+from fuchsiacart.replica_messages import SnapshotRequest
+from fuchsiacart.replica_states import Group
 from fuchsiacart.replicas import ReplicaTask
 from fuchsiacart.settings import Settings
-from fuchsiacart.states import Change
-from fuchsiacart.states import PutContract
 
 ELECTION_MS = 150
 PATIENCE_S = 20.0
--- a/features/steps/outcome_steps.py
+++ b/features/steps/outcome_steps.py
@@ -12,6 +12,7 @@
 from msgspec.structs import replace
 
 from fuchsiacart.claims import LogClaims
+from fuchsiacart.clocks import wall_ms
 from fuchsiacart.coordinators import CallerRequest
 from fuchsiacart.coordinators import Coordinator
 from fuchsiacart.coordinators import Parts
@@ -31,7 +32,6 @@
 from fuchsiacart.models import Route
 from fuchsiacart.models import token_digest
 from fuchsiacart.quarantine import Quarantine
-from fuchsiacart.replicas import wall_ms
 from fuchsiacart.retries import BudgetedRetry
 from fuchsiacart.retries import EagerRetry
 from fuchsiacart.routing import PowerOfTwoRouter
@@ -89,11 +89,14 @@
 
 
 class FakeLimits:
-    """Limits that are never used up."""
+    """Limits that are used up or not."""
+
+    def __init__(self):
+        self.used_up = False
 
     def acquire(self, customer, rank, now_ms):
-        """Let everything through."""
-        return 0
+        """Let everything through, or nothing."""
+        return 50 if self.used_up else 0
 
     def release(self, customer, rank):
         """Nothing to give back."""
@@ -180,6 +183,7 @@
             key=_key(),
         )
         self.lease = FakeLease()
+        self.limits = FakeLimits()
         self.control = FakeControl()
         self.far = FakeControl()
         self.owner = FakeOwner()
@@ -197,7 +201,7 @@
             Parts(
                 self.lease,
                 FakeViews(),
-                FakeLimits(),
+                self.limits,
                 LogClaims({'': self.control, 'lloegr': self.far}, OWN),
                 PowerOfTwoRouter(Random(1)),
                 self.retries,
@@ -315,6 +319,30 @@
     assert [name for name, claims in held.items() if claims] == [home]
 
 
+@given("an order whose customer's limit is used up")
+def given_used_up(context):
+    """Use the limit up."""
+    context.outcome = OutcomeSubject('POST')
+    context.outcome.owner.plan = [answered]
+    context.outcome.limits.used_up = True
+
+
+@when('the limit of its customer is used up')
+def when_used_up(context):
+    """Use the limit up, after an answer that is forgotten here."""
+    context.outcome.limits.used_up = True
+    context.outcome.reply = None
+
+
+@when('it is sent again as its attempt 2 and owners answer')
+def when_next(context):
+    """Send the next attempt."""
+    outcome = context.outcome
+    outcome.owner.plan = [answered]
+    outcome.request = replace(outcome.request, attempt=2)
+    run(outcome.handle(1))
+
+
 @given('whose second attempt is refused as not run')
 def given_second_refused(context):
     """Plan a refusal next."""
--- a/features/steps/owner_steps.py
+++ b/features/steps/owner_steps.py
@@ -11,6 +11,7 @@
 from behave import when
 
 from fuchsiacart.backends import Attempt
+from fuchsiacart.backends import Probed
 from fuchsiacart.dispatch import Dispatcher
 from fuchsiacart.exceptions import Run
 from fuchsiacart.messages import ForwardReply
@@ -82,6 +83,10 @@
         own.remove(request.request_id)
         return Attempt(ForwardReply(server.name, 200))
 
+    async def probe(self, server, request_id):
+        """Say that everything runs."""
+        return Probed.RUNNING
+
     async def cancel(self, server, request_id):
         """Take note of a cancellation."""
         self.cancelled.append(request_id)
--- a/features/steps/record_steps.py
+++ b/features/steps/record_steps.py
@@ -11,9 +11,9 @@
 from msgspec.structs import replace
 
 from fuchsiacart.consensus import Consensus
-from fuchsiacart.consensus import Entry
 from fuchsiacart.exceptions import JournalError
 from fuchsiacart.journals import Journal
+from fuchsiacart.replica_states import Entry
 
 HALF_RECORD = b'\x00\x00\x00\x40half of it'
 
--- a/fuchsiacart/announcements.py
+++ b/fuchsiacart/announcements.py
@@ -1,7 +1,6 @@
 """Announcements of backend servers, on their way to their owners."""
 
 from hmac import compare_digest
-from time import monotonic
 
 from msgspec import convert
 from msgspec.json import decode
@@ -11,6 +10,7 @@
 
 from fuchsiacart.adapters import Method
 from fuchsiacart.callers import CallerHandler
+from fuchsiacart.clocks import steady_ms
 from fuchsiacart.exceptions import ErrorKind
 from fuchsiacart.exceptions import FuchsiacartError
 from fuchsiacart.exceptions import RequestError
@@ -85,7 +85,7 @@
     def follow_view(self):
         """Take in the hosts of a new view and drop what others own."""
         view = self._views.machine
-        self._ownership.observe(view.hosts, view.drains, _now_ms())
+        self._ownership.observe(view.hosts, view.drains, steady_ms())
         self._dispatcher.keep_owned(self._ownership.is_owner, view.drains)
 
     async def _register(self, request):
@@ -93,7 +93,7 @@
         if request.leaving:
             self._dispatcher.leave(server.name)
             return
-        usable_from_ms, foreign = _now_ms(), 0
+        usable_from_ms, foreign = steady_ms(), 0
         if not self._dispatcher.holds(server.name):
             usable_from_ms, foreign = await self._take_over(server)
         self._dispatcher.register(
@@ -108,7 +108,9 @@
         :return: when this host may start, and how much still runs there.
         """
         view = self._views.machine
-        earlier = self._ownership.earlier_owners(server, view.hosts, _now_ms())
+        earlier = self._ownership.earlier_owners(
+            server, view.hosts, steady_ms()
+        )
         foreign = 0
         for host in earlier:
             request = ReleaseRequest(server, view.revision)
@@ -124,9 +126,9 @@
                     'release_refused', host=host.name, detail=error.detail
                 )
                 wait_ms = self._settings.entry.lease_ms
-                return _now_ms() + wait_ms, foreign
+                return steady_ms() + wait_ms, foreign
             foreign += reply.in_flight
-        return _now_ms(), foreign
+        return steady_ms(), foreign
 
     def _release(self, request):
         view = self._views.machine
@@ -175,7 +177,3 @@
             return convert(decode(self.request.body), Announcement)
         except (MsgspecError, ValueError) as error:
             raise RequestError(str(error), ErrorKind.BAD_REQUEST) from error
-
-
-def _now_ms():
-    return monotonic() * 1000
--- a/fuchsiacart/backends.py
+++ b/fuchsiacart/backends.py
@@ -4,6 +4,7 @@
 from enum import Enum
 from enum import unique
 
+from msgspec.json import decode
 from msgspec import Struct
 from tornado.httpclient import HTTPRequest
 from tornado.httputil import HTTPHeaders
@@ -21,6 +22,8 @@
 RUN_HEADER = 'Fuchsiacart-Run'
 CANCEL_PATH = '/fuchsiacart/cancel'
 CANCEL_TIMEOUT_S = 1.0
+RUNNING_PATH = '/fuchsiacart/running'
+PROBE_TIMEOUT_S = 1.0
 CLIENT_LIMIT = 100_000
 BODY_LIMIT_BYTES = 64 * 1024 * 1024
 STATUS_UNAVAILABLE = 503
@@ -50,6 +53,22 @@
     NOT_CONNECTED = 'not_connected'
     TOO_LATE = 'too_late'
     BROKEN = 'broken'
+    SILENT = 'silent'
+
+
+@unique
+class Probed(Enum):
+    """What a backend server says of a request."""
+
+    RUNNING = 'running'
+    NOT_RUNNING = 'not_running'
+    UNKNOWN = 'unknown'
+
+
+class RunningDocument(Struct, frozen=True):
+    """A backend server's answer to a probe."""
+
+    running: bool
 
 
 class Attempt(Struct, frozen=True):
@@ -113,6 +132,26 @@
             return _lost(server, Loss.BROKEN, repr(error))
         return self._answer(server, response)
 
+    async def probe(self, server, request_id):
+        """Ask a server over a new connection whether a request runs.
+
+        :param server: the :class:`BackendServer`.
+        :param request_id: id of the request.
+        :return: what it says; UNKNOWN where it does not answer the probe.
+        """
+        url = f'http://{server.address}{RUNNING_PATH}/{request_id}'
+        request = HTTPRequest(
+            url,
+            connect_timeout=PROBE_TIMEOUT_S,
+            request_timeout=PROBE_TIMEOUT_S,
+        )
+        try:
+            response = await self._client.fetch(request)
+            document = decode(response.body, type=RunningDocument)
+        except Exception:
+            return Probed.UNKNOWN
+        return Probed.RUNNING if document.running else Probed.NOT_RUNNING
+
     async def cancel(self, server, request_id):
         """Tell a server that nobody waits for a request any more."""
         url = f'http://{server.address}{CANCEL_PATH}/{request_id}'
@@ -181,11 +220,18 @@
     return response.headers.get(RUN_HEADER, '') == Run.NO.value
 
 
+def silent_attempt(server):
+    """Return what comes of a request whose connection has gone silent."""
+    detail = 'it runs no more, and its connection is silent'
+    return _lost(server, Loss.SILENT, detail)
+
+
 def _lost(server, loss, detail):
     kinds = {
         Loss.NOT_CONNECTED: ErrorKind.NO_BACKEND,
         Loss.TOO_LATE: ErrorKind.DEADLINE,
         Loss.BROKEN: ErrorKind.OUTCOME_UNKNOWN,
+        Loss.SILENT: ErrorKind.OUTCOME_UNKNOWN,
     }
     run = Run.NO if loss is Loss.NOT_CONNECTED else Run.UNKNOWN
     refusal = Refusal(kinds[loss], f'{server.name}: {detail}', run)
--- a/fuchsiacart/callers.py
+++ b/fuchsiacart/callers.py
@@ -12,6 +12,7 @@
 from fuchsiacart.coordinators import CallerRequest
 from fuchsiacart.exceptions import ErrorKind
 from fuchsiacart.exceptions import FuchsiacartError
+from fuchsiacart.exceptions import Run
 from fuchsiacart.logs import log_error
 from fuchsiacart.metrics import LATENCY
 from fuchsiacart.metrics import LOOKUPS
@@ -84,7 +85,7 @@
             reply = await self._task
         except FuchsiacartError as error:
             self._count(error.kind.value, started_s)
-            if error.kind is ErrorKind.KEY_CLOSED:
+            if error.run is Run.NO and self._request_seen.key:
                 self.set_header(ATTEMPT_HEADER, str(self._attempt() + 1))
             self.refuse(error)
             return
--- a/fuchsiacart/claims.py
+++ b/fuchsiacart/claims.py
@@ -13,6 +13,10 @@
 
 from msgspec import Struct
 
+from fuchsiacart.clocks import wall_ms
+from fuchsiacart.commands import Claim
+from fuchsiacart.commands import Close
+from fuchsiacart.commands import Settle
 from fuchsiacart.exceptions import ErrorKind
 from fuchsiacart.exceptions import FuchsiacartError
 from fuchsiacart.exceptions import RequestError
@@ -20,15 +24,13 @@
 from fuchsiacart.logs import log_warning
 from fuchsiacart.messages import ClaimQuery
 from fuchsiacart.models import CustomerId
-from fuchsiacart.replicas import wall_ms
-from fuchsiacart.states import Claim
 from fuchsiacart.states import ClaimRecord
 from fuchsiacart.states import ClaimState
 from fuchsiacart.states import key_time_ms
-from fuchsiacart.states import Settle
 
 SETTLE_TIMEOUT_S = 30.0
 POLL_INTERVAL_S = 0.1
+SHORTEST_S = 0.01
 HOME_SEPARATOR = ':'
 
 
@@ -81,6 +83,17 @@
         :raises RequestError: when the request may not run now.
         """
 
+    @abstractmethod
+    async def close(self, request, timeout_s):
+        """Make the refusal of a request final.
+
+        :param request: the :class:`ClaimRequest`.
+        :param timeout_s: seconds to wait.
+        :return: the answer of an earlier attempt as :class:`Claimed`, or
+            None where the key is closed and was surely not run.
+        :raises RequestError: when an earlier attempt may have run.
+        """
+
     @abstractmethod
     def settle(self, request, token, reply, ran):
         """Record how a claimed request ended, in the background.
@@ -103,6 +116,9 @@
         """See :meth:`ClaimBook.claim`."""
         return Claimed(ClaimResult.GRANTED)
 
+    async def close(self, request, timeout_s):
+        """See :meth:`ClaimBook.close`."""
+
     def settle(self, request, token, reply, ran):
         """See :meth:`ClaimBook.settle`."""
 
@@ -129,28 +145,45 @@
     async def claim(self, request, is_host_live, timeout_s):
         """See :meth:`ClaimBook.claim`."""
         deadline_s = monotonic() + timeout_s
-        token = uuid4().hex
-        group = self._group(request)
-        command = Claim(
+        command = self._command(Claim, request)
+        while True:
+            left_s = max(SHORTEST_S, deadline_s - monotonic())
+            outcome = await self._commit(request, command, left_s)
+            if outcome.granted:
+                return Claimed(ClaimResult.GRANTED, command.token)
+            record = outcome.record
+            while record.state is ClaimState.RUNNING:
+                self._check_owner(record, is_host_live, deadline_s)
+                await sleep(POLL_INTERVAL_S)
+                record = await self._look(request, deadline_s) or record
+            if not _may_follow(request, record):
+                return self._earlier(record)
+
+    async def close(self, request, timeout_s):
+        """See :meth:`ClaimBook.close`."""
+        command = self._command(Close, request)
+        outcome = await self._commit(request, command, timeout_s)
+        record = outcome.record
+        if record.state is ClaimState.RUNNING:
+            raise RequestError(
+                'an earlier attempt is running',
+                ErrorKind.OUTCOME_UNKNOWN,
+                Run.UNKNOWN,
+            )
+        if record.state is ClaimState.CLOSED:
+            return None
+        return self._earlier(record)
+
+    def _command(self, kind, request):
+        return kind(
             request.customer,
             request.key.uuid,
             request.attempt,
             request.digest,
             self._owner,
-            token,
+            uuid4().hex,
             wall_ms(),
         )
-        outcome = await self._commit(group, command, timeout_s)
-        if outcome.error is not None:
-            raise RequestError(outcome.detail, outcome.error, Run.UNKNOWN)
-        if outcome.granted:
-            return Claimed(ClaimResult.GRANTED, token)
-        record = outcome.record
-        while record.state is ClaimState.RUNNING:
-            self._check_owner(record, is_host_live, deadline_s)
-            await sleep(POLL_INTERVAL_S)
-            record = await self._look(request, deadline_s) or record
-        return self._earlier(record)
 
     def settle(self, request, token, reply, ran):
         """See :meth:`ClaimBook.settle`."""
@@ -190,9 +223,10 @@
             )
         return self._groups[request.key.home]
 
-    async def _commit(self, group, command, timeout_s):
+    async def _commit(self, request, command, timeout_s):
+        group = self._group(request)
         try:
-            return await group.commit(command, timeout_s)
+            outcome = await group.commit(command, timeout_s)
         except FuchsiacartError as error:
             raise RequestError(
                 'the claim was not agreed in time',
@@ -200,6 +234,9 @@
                 Run.UNKNOWN,
                 retry_after_ms=error.retry_after_ms,
             ) from error
+        if outcome.error is not None:
+            raise RequestError(outcome.detail, outcome.error, Run.UNKNOWN)
+        return outcome
 
     async def _settle(self, group, command):
         try:
@@ -258,6 +295,12 @@
         return Claimed(ClaimResult.ANSWERED, record=record)
 
 
+def _may_follow(request, record):
+    """Tell whether an attempt comes after a closed one."""
+    is_closed = record.state is ClaimState.CLOSED
+    return is_closed and request.attempt > record.attempt
+
+
 def parse_key(text):
     """Read an idempotency key.
 
--- a/fuchsiacart/consensus.py
+++ b/fuchsiacart/consensus.py
@@ -6,194 +6,22 @@
 The model checker steps this very class.
 """
 
-from enum import Enum
-from enum import unique
-
 from msgspec import Struct
 from msgspec.structs import replace
 
-from fuchsiacart.models import ReplicaId
-
-
-@unique
-class Role(Enum):
-    """Part that a replica plays in its group."""
-
-    FOLLOWER = 'follower'
-    PRE_CANDIDATE = 'pre_candidate'
-    CANDIDATE = 'candidate'
-    LEADER = 'leader'
-
-
-class Group(Struct, frozen=True):
-    """Members of the control group; learners do not vote."""
-
-    voters: tuple[ReplicaId, ...] = ()
-    learners: tuple[ReplicaId, ...] = ()
-
-    @property
-    def everyone(self):
-        """Return voters and learners."""
-        return self.voters + self.learners
-
-    def is_quorum(self, replicas):
-        """Tell whether a set of replicas holds a majority of the voters."""
-        votes = sum(voter in replicas for voter in self.voters)
-        return votes * 2 > len(self.voters)
-
-
-class Entry(Struct, frozen=True):
-    """One entry of the log; ``group`` is set when it changes the members."""
-
-    term: int
-    body: bytes = b''
-    group: Group | None = None
-
-
-class PreVoteRequest(Struct, frozen=True, tag=True):
-    """Ask whether an election in ``term`` could be won."""
-
-    sender: ReplicaId
-    term: int
-    last_index: int
-    last_term: int
-
-
-class PreVoteResponse(Struct, frozen=True, tag=True):
-    """Answer to a pre-vote; ``own_term`` is the responder's term."""
-
-    sender: ReplicaId
-    term: int
-    own_term: int
-    granted: bool
-
-
-class VoteRequest(Struct, frozen=True, tag=True):
-    """Ask for a vote in ``term``."""
-
-    sender: ReplicaId
-    term: int
-    last_index: int
-    last_term: int
-
-
-class VoteResponse(Struct, frozen=True, tag=True):
-    """Answer to a vote request."""
-
-    sender: ReplicaId
-    term: int
-    granted: bool
-
-
-class AppendRequest(Struct, frozen=True, tag=True):
-    """Entries after ``prev_index``, also sent empty as a heartbeat."""
-
-    sender: ReplicaId
-    term: int
-    prev_index: int
-    prev_term: int
-    entries: tuple[Entry, ...]
-    commit_index: int
-    round: int
-
-
-class AppendResponse(Struct, frozen=True, tag=True):
-    """Answer to an append or snapshot; ``match_index`` counts when ok."""
-
-    sender: ReplicaId
-    term: int
-    ok: bool
-    match_index: int
-    round: int
-
-
-class SnapshotRequest(Struct, frozen=True, tag=True):
-    """State up to ``index`` for a replica whose next entries are gone."""
-
-    sender: ReplicaId
-    term: int
-    index: int
-    index_term: int
-    group: Group
-    body: bytes
-    round: int
-
-
-Message = (
-    PreVoteRequest
-    | PreVoteResponse
-    | VoteRequest
-    | VoteResponse
-    | AppendRequest
-    | AppendResponse
-    | SnapshotRequest
-)
-
-
-class Send(Struct, frozen=True):
-    """A message and the replica it goes to."""
-
-    to: ReplicaId
-    message: Message
-
-
-class Progress(Struct, frozen=True):
-    """What a leader knows of one other replica."""
-
-    replica: ReplicaId
-    next_index: int
-    match_index: int = 0
-    round: int = 0
-
-
-class ReplicaState(Struct, frozen=True):
-    """All state of one replica; term, vote and log are durable."""
-
-    replica: ReplicaId
-    term: int = 0
-    voted_for: ReplicaId | None = None
-    log: tuple[Entry, ...] = ()
-    base_index: int = 0
-    base_term: int = 0
-    base_group: Group = Group()
-    group: Group = Group()
-    commit_index: int = 0
-    role: Role = Role.FOLLOWER
-    leader: ReplicaId | None = None
-    granted: frozenset[ReplicaId] = frozenset()
-    progress: tuple[Progress, ...] = ()
-    round: int = 0
-
-    @property
-    def last_index(self):
-        """Return the index of the last entry in the log."""
-        return self.base_index + len(self.log)
-
-    @property
-    def last_term(self):
-        """Return the term of the last entry in the log."""
-        return self.log[-1].term if self.log else self.base_term
-
-    def term_at(self, index):
-        """Return the term of an entry, or None where it is not held."""
-        if index == self.base_index:
-            return self.base_term
-        if self.base_index < index <= self.last_index:
-            return self.log[index - self.base_index - 1].term
-        return None
-
-    def entries_from(self, index, limit=None):
-        """Return the entries from ``index`` on, at most ``limit``."""
-        start = index - self.base_index - 1
-        stop = None if limit is None else start + limit
-        return self.log[start:stop]
-
-    def progress_of(self, replica):
-        """Return what is known of a replica, or None."""
-        for progress in self.progress:
-            if progress.replica == replica:
-                return progress
-        return None
+from fuchsiacart.replica_messages import AppendRequest
+from fuchsiacart.replica_messages import AppendResponse
+from fuchsiacart.replica_messages import PreVoteRequest
+from fuchsiacart.replica_messages import PreVoteResponse
+from fuchsiacart.replica_messages import Send
+from fuchsiacart.replica_messages import SnapshotRequest
+from fuchsiacart.replica_messages import VoteRequest
+from fuchsiacart.replica_messages import VoteResponse
+from fuchsiacart.replica_states import Entry
+from fuchsiacart.replica_states import group_in
+from fuchsiacart.replica_states import Progress
+from fuchsiacart.replica_states import ReplicaState
+from fuchsiacart.replica_states import Role
 
 
 class Step(Struct, frozen=True):
@@ -206,14 +34,6 @@
 BATCH_ENTRIES = 256
 
 
-def group_in(base_group, log):
-    """Return the members in force after a log: the last entry's count."""
-    for entry in reversed(log):
-        if entry.group is not None:
-            return entry.group
-    return base_group
-
-
 class Consensus:
     """Leader election with pre-vote, replication and member changes.
 
--- a/fuchsiacart/control.py
+++ b/fuchsiacart/control.py
@@ -7,7 +7,11 @@
 from msgspec.structs import replace
 
 from fuchsiacart.adapters import Method
-from fuchsiacart.consensus import Group
+from fuchsiacart.clocks import steady_ms
+from fuchsiacart.clocks import wall_ms
+from fuchsiacart.commands import JoinHost
+from fuchsiacart.commands import LeaveHost
+from fuchsiacart.commands import MarkInForce
 from fuchsiacart.drains import DrainProgress
 from fuchsiacart.drains import drains_host
 from fuchsiacart.drains import drains_region
@@ -21,21 +25,24 @@
 from fuchsiacart.messages import KeepAliveReply
 from fuchsiacart.messages import LeaveRequest
 from fuchsiacart.messages import ProposeReply
-from fuchsiacart.messages import PullReply
 from fuchsiacart.metrics import COMMIT_INDEX
 from fuchsiacart.metrics import IS_LEADER
 from fuchsiacart.metrics import REVISION
 from fuchsiacart.metrics import TERM
-from fuchsiacart.models import DrainScope
 from fuchsiacart.models import HostState
 from fuchsiacart.models import ReplicaId
-from fuchsiacart.replicas import wall_ms
+from fuchsiacart.pulls import answer_pull
+from fuchsiacart.replica_states import Group
 from fuchsiacart.shares import ShareLedger
 from fuchsiacart.states import claim_name
-from fuchsiacart.states import JoinHost
-from fuchsiacart.states import LeaveHost
-from fuchsiacart.states import MarkInForce
 from fuchsiacart.states import Outcome
+from fuchsiacart.statuses import HostStatus
+from fuchsiacart.statuses import in_flight_under
+from fuchsiacart.statuses import queued
+from fuchsiacart.statuses import RegionStatus
+from fuchsiacart.statuses import ReplicaStatus
+from fuchsiacart.statuses import Status
+from fuchsiacart.statuses import total
 from fuchsiacart.steering import HeadroomWeights
 from fuchsiacart.steering import RegionLoad
 from fuchsiacart.steering import ShiftLimiter
@@ -45,61 +52,10 @@
 RELAY_FAN_OUT = 8
 RELAY_TIMEOUT_S = 2.0
 WATCH_INTERVAL_S = 0.1
-LONGEST_PULL_S = 10.0
 CATCH_UP_TIMEOUT_S = 60.0
 REPORT_STALE_MS = 2000
 
 
-class RegionStatus(Struct, frozen=True):
-    """One region at a glance."""
-
-    region: str
-    entry_hosts: int
-    slots: int
-    busy: float
-    queued: int
-
-
-class HostStatus(Struct, frozen=True):
-    """One entry host at a glance."""
-
-    name: str
-    region: str
-    failure_domain: str
-    state: HostState
-    revision: int
-    lease_left_ms: int
-    in_flight: int
-    http_address: str
-
-
-class Status(Struct, frozen=True):
-    """The system at a glance."""
-
-    leader: str
-    term: int
-    revision: int
-    in_force_revision: int
-    regions: tuple[RegionStatus, ...]
-    hosts: tuple[HostStatus, ...]
-    drains: tuple[DrainProgress, ...]
-    weights: tuple
-    contracts: int
-    claims: int
-
-
-class ReplicaStatus(Struct, frozen=True):
-    """One control host as it sees itself."""
-
-    replica: ReplicaId
-    leader: str
-    term: int
-    last_index: int
-    commit_index: int
-    blank: bool
-    group: Group
-
-
 class Replacement(Struct, frozen=True, forbid_unknown_fields=True):
     """Which replica takes the place of which."""
 
@@ -160,7 +116,7 @@
         self._follow_term()
         if isinstance(request, LeaveRequest):
             return await self._end_lease(request)
-        now_ms = _now_ms()
+        now_ms = steady_ms()
         host = request.host
         known = self._replica.machine.stored.hosts.get(host.name)
         if known is not None and known.incarnation > host.incarnation:
@@ -350,7 +306,7 @@
             return
         self._term = term
         lease_ms = self._settings.entry.lease_ms
-        now_ms = _now_ms()
+        now_ms = steady_ms()
         hosts = self._replica.machine.stored.hosts.values()
         self._leases = LeaseTable(lease_ms, hosts, now_ms)
         self._ledger = ShareLedger(lease_ms, now_ms + lease_ms)
@@ -371,7 +327,7 @@
         return ProposeReply(Outcome(record=record))
 
     async def _expire_leases(self):
-        for host in self._leases.expired(_now_ms()):
+        for host in self._leases.expired(steady_ms()):
             log_event('lease_expired', host=host.name)
             await self._replica.propose(
                 LeaveHost(host.name, host.incarnation, wall_ms())
@@ -386,7 +342,7 @@
         )
         if newest <= stored.in_force_revision:
             return
-        revision = self._leases.revision_in_force(stored.revision, _now_ms())
+        revision = self._leases.revision_in_force(stored.revision, steady_ms())
         if revision <= stored.in_force_revision:
             return
         await self._replica.propose(MarkInForce(revision, wall_ms()))
@@ -431,7 +387,7 @@
 
     def _loads(self):
         stored = self._replica.machine.stored
-        now_ms = _now_ms()
+        now_ms = steady_ms()
         loads = []
         for region in self._regions():
             hosts = [
@@ -454,8 +410,8 @@
             loads.append(
                 RegionLoad(
                     region,
-                    _total(fresh, 'slots'),
-                    _total(fresh, 'in_flight') + _queued(fresh),
+                    total(fresh, 'slots'),
+                    total(fresh, 'in_flight') + queued(fresh),
                     len(fresh) == len(hosts),
                     bool(hosts) and not drains_region(stored.drains, region),
                 )
@@ -472,9 +428,9 @@
         reports = [
             self._reports[name] for name in names if name in self._reports
         ]
-        queued = _queued(reports)
+        waiting = queued(reports)
         return RegionStatus(
-            load.region, len(names), load.slots, load.busy - queued, queued
+            load.region, len(names), load.slots, load.busy - waiting, waiting
         )
 
     def _sessions(self):
@@ -490,7 +446,7 @@
             session.host.failure_domain,
             session.host.state,
             session.revision,
-            max(0, int(session.expires_ms - _now_ms())),
+            max(0, int(session.expires_ms - steady_ms())),
             report.request.in_flight if report else 0,
             session.host.http_address,
         )
@@ -509,7 +465,7 @@
         sessions = self._sessions()
         informed = [each for each in sessions if each.revision >= needed]
         reports = [report.request for report in self._reports.values()]
-        in_flight = sum(_in_flight(drain, report) for report in reports)
+        in_flight = sum(in_flight_under(drain, report) for report in reports)
         key = (drain.scope, drain.name, drain.started_ms)
         if len(informed) == len(sessions) and in_flight == 0:
             self._drained_ms.setdefault(key, wall_ms() - drain.started_ms)
@@ -543,58 +499,3 @@
         IS_LEADER.set(int(self._replica.is_leader))
         COMMIT_INDEX.set(state.commit_index)
         REVISION.set(self._replica.machine.stored.revision)
-
-
-async def answer_pull(source, request):
-    """Answer a pull from a source of revisions.
-
-    :param source: has ``wait_for_revision`` and ``machine``.
-    :param request: the :class:`PullRequest`.
-    :return: the :class:`PullReply`.
-    """
-    wait_s = min(request.wait_ms / 1000, LONGEST_PULL_S)
-    await source.wait_for_revision(request.revision, wait_s)
-    deltas = source.machine.deltas_after(request.revision)
-    if deltas is None:
-        return PullReply(snapshot=source.machine.view())
-    return PullReply(deltas)
-
-
-def _total(reports, field):
-    return sum(
-        getattr(load, field)
-        for report in reports
-        for load in report.request.loads
-    )
-
-
-def _queued(reports):
-    return sum(
-        sum(load.queued) for report in reports for load in report.request.loads
-    )
-
-
-def _in_flight(drain, report):
-    """Return the requests that run on what a drain covers."""
-    if drain.scope is DrainScope.HOST:
-        return report.in_flight if report.host.name == drain.name else 0
-    if drain.scope is DrainScope.BACKEND_SERVER:
-        return sum(
-            server.in_flight
-            for server in report.draining
-            if server.name == drain.name
-        )
-    if drain.scope is DrainScope.REGION:
-        return report.in_flight if report.host.region == drain.name else 0
-    own = 0
-    if report.host.failure_domain == drain.name:
-        own = report.in_flight
-    return own + sum(
-        server.in_flight
-        for server in report.draining
-        if server.failure_domain == drain.name
-    )
-
-
-def _now_ms():
-    return monotonic() * 1000
--- a/fuchsiacart/coordinators.py
+++ b/fuchsiacart/coordinators.py
@@ -3,7 +3,6 @@
 from asyncio import create_task
 from asyncio import shield
 from asyncio import sleep
-from time import monotonic
 from uuid import uuid4
 
 from msgspec import Struct
@@ -12,6 +11,8 @@
 from fuchsiacart.claims import ClaimRequest
 from fuchsiacart.claims import ClaimResult
 from fuchsiacart.claims import parse_key
+from fuchsiacart.clocks import steady_ms
+from fuchsiacart.clocks import wall_ms
 from fuchsiacart.exceptions import ErrorKind
 from fuchsiacart.exceptions import FuchsiacartError
 from fuchsiacart.exceptions import RequestError
@@ -26,7 +27,6 @@
 from fuchsiacart.models import Contract
 from fuchsiacart.models import Route
 from fuchsiacart.quarantine import request_digest
-from fuchsiacart.replicas import wall_ms
 from fuchsiacart.retries import Failure
 from fuchsiacart.routing import Candidate
 from fuchsiacart.settings import StalePolicy
@@ -38,6 +38,8 @@
 OWNER_PATIENCE_MS = 1000
 OWNER_POLL_S = 0.05
 MOVE_LIMIT = 8
+CLOSING_LIMIT = 64
+CLOSING_TIMEOUT_S = 2.0
 REPLAYED_HEADER = Header('Fuchsiacart-Replayed', 'true')
 
 
@@ -71,7 +73,7 @@
 
     def left_ms(self):
         """Return the milliseconds until the deadline."""
-        return self.until_ms - _now_ms()
+        return self.until_ms - steady_ms()
 
 
 class Parts(Struct, frozen=True):
@@ -102,6 +104,7 @@
         self._parts = parts
         self._links = {}
         self._impatient = 0
+        self._closing = 0
         self.in_flight = 0
 
     async def handle(self, request):
@@ -131,23 +134,59 @@
 
     async def _within_limits(self, admitted, serve):
         customer = admitted.contract.customer
-        await self._acquire(admitted)
+        try:
+            await self._acquire(admitted)
+        except RequestError as error:
+            return await self._refuse_finally(admitted, error)
         try:
             return await serve(admitted)
         finally:
             self._parts.limits.release(customer, admitted.rank)
 
+    async def _refuse_finally(self, admitted, error):
+        """Refuse a request so that its caller knows it was not run.
+
+        Work that may not be repeated needs its key closed for that, which
+        is agreed like a claim; beyond ``CLOSING_LIMIT`` at a time the
+        refusal stays unknown, so that a flood cannot fill the log.
+
+        :return: the answer of an earlier attempt, if there is one.
+        :raises RequestError: the refusal.
+        """
+        if admitted.route.repeatable or self._closing >= CLOSING_LIMIT:
+            raise error
+        self._closing += 1
+        try:
+            closed = await self._parts.claims.close(
+                self._claim_request(admitted), CLOSING_TIMEOUT_S
+            )
+        finally:
+            self._closing -= 1
+        if closed is not None:
+            return _replay(closed.record)
+        raise RequestError(
+            error.detail, error.kind, Run.NO, error.retry_after_ms
+        )
+
+    def _claim_request(self, admitted):
+        return ClaimRequest(
+            admitted.contract.customer,
+            parse_key(admitted.request.key),
+            admitted.request.attempt,
+            admitted.digest,
+        )
+
     async def _acquire(self, admitted):
         """Use the limit; wait a little for a larger share if need be."""
         customer = admitted.contract.customer
         limits = self._parts.limits
         patience_ms = min(SHARE_PATIENCE_MS, admitted.left_ms() / 4)
-        until_ms = _now_ms() + patience_ms
+        until_ms = steady_ms() + patience_ms
         while True:
-            wait_ms = limits.acquire(customer, admitted.rank, _now_ms())
+            wait_ms = limits.acquire(customer, admitted.rank, steady_ms())
             if not wait_ms:
                 return
-            if _now_ms() >= until_ms or self._impatient >= WAITING_LIMIT:
+            if steady_ms() >= until_ms or self._impatient >= WAITING_LIMIT:
                 raise RequestError(
                     'the limit of the contract is used up',
                     ErrorKind.RATE_LIMITED,
@@ -187,7 +226,7 @@
             request.body,
         )
         admitted = Admitted(
-            request, contract, route, digest, _now_ms() + limit_ms
+            request, contract, route, digest, steady_ms() + limit_ms
         )
         self._check_lease(admitted)
         return admitted
@@ -212,13 +251,7 @@
         )
 
     async def _run_once(self, admitted):
-        request = admitted.request
-        claim = ClaimRequest(
-            admitted.contract.customer,
-            parse_key(request.key),
-            request.attempt,
-            admitted.digest,
-        )
+        claim = self._claim_request(admitted)
         claimed = await self._parts.claims.claim(
             claim, self._is_host_live, max(0.01, admitted.left_ms() / 1000)
         )
@@ -300,13 +333,13 @@
     async def _choose(self, admitted, tried_hosts):
         """Return an owner; wait a little while none is known."""
         patience_ms = min(OWNER_PATIENCE_MS, admitted.left_ms() / 4)
-        until_ms = _now_ms() + patience_ms
+        until_ms = steady_ms() + patience_ms
         while True:
             candidates = self._candidates(admitted, tried_hosts)
             chosen = self._parts.router.choose(
                 candidates, self._settings.host.region
             )
-            if chosen is not None or _now_ms() >= until_ms:
+            if chosen is not None or steady_ms() >= until_ms:
                 return chosen
             await sleep(OWNER_POLL_S)
 
@@ -325,7 +358,7 @@
         view = self._parts.views.machine
         service = admitted.request.service
         candidates = []
-        for known in self._parts.gossip.fresh(_now_ms()):
+        for known in self._parts.gossip.fresh(steady_ms()):
             host = view.host(known.summary.host)
             if host is None or host.name in tried_hosts:
                 continue
@@ -389,7 +422,7 @@
     def _may_cross(self, chosen, request):
         if chosen.region == self._settings.host.region:
             return True
-        now_ms = _now_ms()
+        now_ms = steady_ms()
         if chosen.region not in self._links:
             rate = self._settings.entry.link_bytes_per_s
             self._links[chosen.region] = LinkBudget(rate, now_ms)
@@ -431,7 +464,3 @@
     return RequestError(
         refusal.detail, refusal.kind, run, refusal.retry_after_ms
     )
-
-
-def _now_ms():
-    return monotonic() * 1000
--- a/fuchsiacart/dispatch.py
+++ b/fuchsiacart/dispatch.py
@@ -4,13 +4,17 @@
 from asyncio import create_task
 from asyncio import get_running_loop
 from asyncio import sleep
-from time import monotonic
+from asyncio import wait
 
 from fuchsiacart.backends import Loss
+from fuchsiacart.backends import Probed
+from fuchsiacart.backends import silent_attempt
+from fuchsiacart.clocks import steady_ms
 from fuchsiacart.drains import drains_server
 from fuchsiacart.exceptions import ErrorKind
 from fuchsiacart.exceptions import Run
 from fuchsiacart.logs import log_event
+from fuchsiacart.logs import log_warning
 from fuchsiacart.messages import DrainingServer
 from fuchsiacart.messages import ForwardReply
 from fuchsiacart.messages import Refusal
@@ -27,6 +31,9 @@
 SERVICE_MEMORY = 0.9
 SWEEP_INTERVAL_S = 0.02
 NO_SLOTS_RETRY_MS = 500
+PROBE_LEAST_S = 0.5
+PROBE_FACTOR = 4
+PROBE_GRACE_S = 0.2
 
 
 class Pool:
@@ -101,7 +108,7 @@
         :param usable_from_ms: when a new owner may start.
         :param foreign: requests that an earlier owner still runs on it.
         """
-        now_ms = _now_ms()
+        now_ms = steady_ms()
         until_ms = now_ms + self._settings.backend_lease_ms
         held = self._find(server.name)
         if held and held.server.incarnation == server.incarnation:
@@ -172,7 +179,7 @@
         :param request: the :class:`ForwardRequest`.
         :return: the :class:`ForwardReply`.
         """
-        now_ms = _now_ms()
+        now_ms = steady_ms()
         pool = self._pools.get(request.service)
         if pool is None or pool.slots(now_ms) == 0:
             return _refused(
@@ -200,7 +207,7 @@
 
     def loads(self):
         """Return the load of each service."""
-        now_ms = _now_ms()
+        now_ms = steady_ms()
         loads = []
         for service, pool in self._pools.items():
             slots = pool.slots(now_ms)
@@ -236,7 +243,7 @@
         """Answer late requests, drop lapsed servers and fill free slots."""
         while True:
             await sleep(SWEEP_INTERVAL_S)
-            now_ms = _now_ms()
+            now_ms = steady_ms()
             for pool in self._pools.values():
                 self._sweep_pool(pool, now_ms)
             self._export_metrics(now_ms)
@@ -301,7 +308,7 @@
 
     def _pump(self, pool):
         """Start what can start now."""
-        now_ms = _now_ms()
+        now_ms = steady_ms()
         self._start_reserved(pool, now_ms)
         deferred = []
         while pool.pick((), now_ms) is not None:
@@ -337,12 +344,10 @@
         task.add_done_callback(self._tasks.discard)
 
     async def _run(self, pool, held, item):
-        started_ms = _now_ms()
+        started_ms = steady_ms()
         try:
-            attempt = await self._client.send(
-                held.server, item.request, item.deadline_ms - started_ms
-            )
-            now_ms = _now_ms()
+            attempt = await self._send(pool, held, item, started_ms)
+            now_ms = steady_ms()
             self._note(pool, held, attempt, now_ms, now_ms - started_ms)
             if not item.done.done():
                 item.done.set_result(attempt.reply)
@@ -352,6 +357,36 @@
             held.finish()
             self._pump(pool)
 
+    async def _send(self, pool, held, item, started_ms):
+        """Send a request and watch its connection.
+
+        When the answer takes long, the server is asked over a new
+        connection. If it says that the request does not run, and no answer
+        comes a moment later, the connection has gone silent.
+        """
+        left_ms = item.deadline_ms - started_ms
+        sending = create_task(
+            self._client.send(held.server, item.request, left_ms)
+        )
+        patience_s = max(PROBE_LEAST_S, pool.service_ms * PROBE_FACTOR / 1000)
+        try:
+            while True:
+                await wait((sending,), timeout=patience_s)
+                if sending.done():
+                    return sending.result()
+                probed = await self._client.probe(
+                    held.server, item.request.request_id
+                )
+                if probed is not Probed.NOT_RUNNING:
+                    continue
+                await wait((sending,), timeout=PROBE_GRACE_S)
+                if sending.done():
+                    return sending.result()
+                log_warning('silent_connection', server=held.server.name)
+                return silent_attempt(held.server)
+        finally:
+            sending.cancel()
+
     def _note(self, pool, held, attempt, now_ms, elapsed_ms):
         if attempt.reply.shed:
             held.note_shed()
@@ -396,7 +431,3 @@
 def _refused(kind, detail, retry_after_ms=0):
     refusal = Refusal(kind, detail, Run.NO, retry_after_ms)
     return ForwardReply(refusal=refusal)
-
-
-def _now_ms():
-    return monotonic() * 1000
--- a/fuchsiacart/entry.py
+++ b/fuchsiacart/entry.py
@@ -3,7 +3,6 @@
 from asyncio import gather
 from asyncio import sleep
 from asyncio import wait_for
-from time import monotonic
 from time import time
 
 from tornado.web import Application
@@ -16,6 +15,8 @@
 from fuchsiacart.callers import RequestsHandler
 from fuchsiacart.claims import LogClaims
 from fuchsiacart.claims import NoClaims
+from fuchsiacart.clocks import steady_ms
+from fuchsiacart.clocks import wall_ms
 from fuchsiacart.controllers import ControlGroup
 from fuchsiacart.coordinators import Coordinator
 from fuchsiacart.coordinators import Parts
@@ -40,7 +41,6 @@
 from fuchsiacart.queues import FifoScheduler
 from fuchsiacart.queues import RankScheduler
 from fuchsiacart.randoms import make_random
-from fuchsiacart.replicas import wall_ms
 from fuchsiacart.retries import BudgetedRetry
 from fuchsiacart.retries import EagerRetry
 from fuchsiacart.routing import PowerOfTwoRouter
@@ -267,7 +267,7 @@
         host = self._lease.host
         loads = self._dispatcher.loads() if self._lease.holds() else ()
         summary = Summary(host.name, host.incarnation, self._sequence, loads)
-        self._gossip.set_own(summary, _now_ms())
+        self._gossip.set_own(summary, steady_ms())
 
     async def _exchange(self, peer):
         request = GossipRequest(
@@ -288,7 +288,7 @@
         )
 
     def _merge(self, message):
-        self._gossip.merge(message.summaries, _now_ms())
+        self._gossip.merge(message.summaries, steady_ms())
         self._quarantine.merge(message.suspects, wall_ms())
 
     async def _on_forward(self, request):
@@ -311,7 +311,3 @@
             for host in hosts[:SUSPECT_PEERS]
         ]
         await gather(*calls, return_exceptions=True)
-
-
-def _now_ms():
-    return monotonic() * 1000
--- a/fuchsiacart/keepers.py
+++ b/fuchsiacart/keepers.py
@@ -1,14 +1,11 @@
 """Tasks of an entry host that keep its lease and its view."""
 
 from asyncio import Event
-from asyncio import get_running_loop
-from asyncio import shield
 from asyncio import sleep
 from asyncio import wait_for
-from time import monotonic
 
 from fuchsiacart.adapters import Method
-from fuchsiacart.control import answer_pull
+from fuchsiacart.clocks import steady_ms
 from fuchsiacart.exceptions import FuchsiacartError
 from fuchsiacart.leases import Lease
 from fuchsiacart.logs import log_event
@@ -19,6 +16,8 @@
 from fuchsiacart.metrics import LEASE_LEFT
 from fuchsiacart.metrics import REVISION
 from fuchsiacart.models import HostState
+from fuchsiacart.pulls import answer_pull
+from fuchsiacart.signals import RevisionSignal
 from fuchsiacart.views import View
 from fuchsiacart.views import with_state
 
@@ -41,7 +40,7 @@
         self._control_addresses = tuple(control_addresses)
         self._parents = self._control_addresses
         self._turn = 0
-        self._changed = get_running_loop().create_future()
+        self.moved = RevisionSignal(lambda: self.machine.revision)
         self._listeners = []
         self.machine = View()
 
@@ -59,18 +58,6 @@
         """Answer a pull of another entry host."""
         return await answer_pull(self, request)
 
-    async def wait_for_revision(self, revision, timeout_s):
-        """Wait until the view is past a revision, or the time is over."""
-        deadline_s = monotonic() + timeout_s
-        while self.machine.revision <= revision:
-            left_s = deadline_s - monotonic()
-            if left_s <= 0:
-                return
-            try:
-                await wait_for(shield(self._changed), left_s)
-            except TimeoutError:
-                return
-
     async def run(self, needed_revision):
         """Pull for ever.
 
@@ -102,8 +89,7 @@
 
     def _tell(self):
         REVISION.set(self.machine.revision)
-        self._changed.set_result(None)
-        self._changed = get_running_loop().create_future()
+        self.moved.notify()
         for listener in self._listeners:
             listener()
 
@@ -142,7 +128,7 @@
 
     def holds(self):
         """Tell whether this host may act."""
-        return self._lease.holds(_now_ms())
+        return self._lease.holds(steady_ms())
 
     def needed_revision(self):
         """Return the revision that the lease waits for."""
@@ -159,7 +145,7 @@
             self._hurry.clear()
             answered = await self.renew()
             now_holds = self.holds()
-            LEASE_LEFT.set(self._lease.left_ms(_now_ms()) / 1000)
+            LEASE_LEFT.set(self._lease.left_ms(steady_ms()) / 1000)
             if held and not now_holds:
                 log_warning(
                     'lease_lost', revision=self._views.machine.revision
@@ -187,7 +173,7 @@
 
         :return: True when a control host answered.
         """
-        sent_ms = _now_ms()
+        sent_ms = steady_ms()
         request = KeepAliveRequest(
             self.host,
             self._views.machine.revision,
@@ -227,7 +213,3 @@
 
     def _reach(self):
         self._lease.reach(self._views.machine.revision)
-
-
-def _now_ms():
-    return monotonic() * 1000
--- a/fuchsiacart/messages.py
+++ b/fuchsiacart/messages.py
@@ -2,7 +2,7 @@
 
 from msgspec import Struct
 
-from fuchsiacart.consensus import Message
+from fuchsiacart.commands import Command
 from fuchsiacart.exceptions import ErrorKind
 from fuchsiacart.exceptions import Run
 from fuchsiacart.models import Address
@@ -15,7 +15,7 @@
 from fuchsiacart.models import LoadReport
 from fuchsiacart.models import Rank
 from fuchsiacart.models import ServiceId
-from fuchsiacart.states import Command
+from fuchsiacart.replica_messages import Message
 from fuchsiacart.states import Delta
 from fuchsiacart.states import Outcome
 from fuchsiacart.states import ViewSnapshot
--- a/fuchsiacart/operators.py
+++ b/fuchsiacart/operators.py
@@ -10,7 +10,11 @@
 from tornado.web import Application
 from tornado.web import RequestHandler
 
-from fuchsiacart.consensus import Group
+from fuchsiacart.clocks import wall_ms
+from fuchsiacart.commands import CancelDrain
+from fuchsiacart.commands import Change
+from fuchsiacart.commands import PutContract
+from fuchsiacart.commands import StartDrain
 from fuchsiacart.control import Replacement
 from fuchsiacart.exceptions import ChangeError
 from fuchsiacart.exceptions import ErrorKind
@@ -24,11 +28,7 @@
 from fuchsiacart.models import token_digest
 from fuchsiacart.problems import problem_document
 from fuchsiacart.problems import PROBLEM_TYPE
-from fuchsiacart.replicas import wall_ms
-from fuchsiacart.states import CancelDrain
-from fuchsiacart.states import Change
-from fuchsiacart.states import PutContract
-from fuchsiacart.states import StartDrain
+from fuchsiacart.replica_states import Group
 
 CHANGE_ID_HEADER = 'Fuchsiacart-Change-Id'
 ACTOR_HEADER = 'Fuchsiacart-Actor'
--- a/fuchsiacart/replicas.py
+++ b/fuchsiacart/replicas.py
@@ -4,26 +4,20 @@
 from asyncio import Future
 from asyncio import get_running_loop
 from asyncio import Queue
-from asyncio import shield
 from asyncio import sleep
 from asyncio import to_thread
 from asyncio import wait_for
 from time import monotonic
-from time import time
 
 from msgspec.msgpack import encode
 from msgspec import Struct
 from msgspec.structs import replace
 
 from fuchsiacart.adapters import Method
-from fuchsiacart.consensus import AppendRequest
+from fuchsiacart.clocks import steady_ms
+from fuchsiacart.commands import Command
+from fuchsiacart.commands import COMMANDS
 from fuchsiacart.consensus import Consensus
-from fuchsiacart.consensus import Entry
-from fuchsiacart.consensus import Group
-from fuchsiacart.consensus import Message
-from fuchsiacart.consensus import ReplicaState
-from fuchsiacart.consensus import Role
-from fuchsiacart.consensus import SnapshotRequest
 from fuchsiacart.consensus import Step
 from fuchsiacart.elections import ElectionTimer
 from fuchsiacart.exceptions import ChangeError
@@ -37,8 +31,14 @@
 from fuchsiacart.models import HostId
 from fuchsiacart.models import ReplicaId
 from fuchsiacart.randoms import make_random
-from fuchsiacart.states import Command
-from fuchsiacart.states import COMMANDS
+from fuchsiacart.replica_messages import AppendRequest
+from fuchsiacart.replica_messages import Message
+from fuchsiacart.replica_messages import SnapshotRequest
+from fuchsiacart.replica_states import Entry
+from fuchsiacart.replica_states import Group
+from fuchsiacart.replica_states import ReplicaState
+from fuchsiacart.replica_states import Role
+from fuchsiacart.signals import RevisionSignal
 from fuchsiacart.states import State
 
 TICK_S = 0.02
@@ -123,7 +123,7 @@
         self._barrier_round = 0
         self._snapshot = b''
         self._applied_index = 0
-        self._changed = get_running_loop().create_future()
+        self.moved = RevisionSignal(lambda: self.machine.stored.revision)
         self._last_heartbeat_ms = 0.0
         self.led_since_s = 0.0
         self.machine = State()
@@ -199,18 +199,6 @@
         done = get_running_loop().create_future()
         await self._ask(Barrier(done), done, timeout_s)
 
-    async def wait_for_revision(self, revision, timeout_s):
-        """Wait until the state is past a revision, or the time is over."""
-        deadline_s = monotonic() + timeout_s
-        while self.machine.stored.revision <= revision:
-            left_s = deadline_s - monotonic()
-            if left_s <= 0:
-                return
-            try:
-                await wait_for(shield(self._changed), left_s)
-            except TimeoutError:
-                return
-
     async def run(self):
         """Run until cancelled."""
         ticker = create_task(self._tick())
@@ -233,7 +221,7 @@
         self._timer = ElectionTimer(
             self._settings.control.election_timeout_ms,
             self._random,
-            _now_ms(),
+            steady_ms(),
         )
         log_event(
             'replica_opened',
@@ -299,7 +287,7 @@
         return self._take_tick(state)
 
     def _take_message(self, state, message):
-        now_ms = _now_ms()
+        now_ms = steady_ms()
         fresh = self._timer.has_fresh_leader(now_ms)
         if state.role is Role.LEADER:
             fresh = self._timer.has_fresh_quorum(now_ms)
@@ -362,7 +350,7 @@
         return Step(state)
 
     def _take_tick(self, state):
-        now_ms = _now_ms()
+        now_ms = steady_ms()
         if state.role is Role.LEADER:
             return self._take_leader_tick(state, now_ms)
         if not self._timer.is_due(now_ms):
@@ -400,7 +388,7 @@
         await to_thread(self._journal.save, before, after)
 
     def _note_role(self, before, after):
-        now_ms = _now_ms()
+        now_ms = steady_ms()
         if after.role is before.role and after.term == before.term:
             return
         if after.role is Role.LEADER:
@@ -471,8 +459,7 @@
             else:
                 _refuse(waiter.done, 'another entry was committed')
         if self.machine.stored.revision != revision:
-            self._changed.set_result(None)
-            self._changed = get_running_loop().create_future()
+            self.moved.notify()
 
     def _resolve_barriers(self):
         if not self._round_barriers and not self._waiting_barriers:
@@ -527,12 +514,3 @@
 def _refuse(done, detail, run=Run.NO):
     if not done.done():
         done.set_exception(ChangeError(detail, ErrorKind.NO_QUORUM, run))
-
-
-def _now_ms():
-    return monotonic() * 1000
-
-
-def wall_ms():
-    """Return the wall clock in milliseconds since the epoch."""
-    return int(time() * 1000)
--- a/fuchsiacart/states.py
+++ b/fuchsiacart/states.py
@@ -14,10 +14,19 @@
 from msgspec import Struct
 from msgspec.structs import replace
 
+from fuchsiacart.commands import CancelDrain
+from fuchsiacart.commands import Claim
+from fuchsiacart.commands import Close
+from fuchsiacart.commands import JoinHost
+from fuchsiacart.commands import LeaveHost
+from fuchsiacart.commands import MarkInForce
+from fuchsiacart.commands import PutContract
+from fuchsiacart.commands import Settle
+from fuchsiacart.commands import SetWeights
+from fuchsiacart.commands import StartDrain
 from fuchsiacart.exceptions import ErrorKind
 from fuchsiacart.models import ChangeId
 from fuchsiacart.models import Contract
-from fuchsiacart.models import CustomerId
 from fuchsiacart.models import Drain
 from fuchsiacart.models import Host
 from fuchsiacart.models import HostId
@@ -33,103 +42,6 @@
 FULL_PERCENT = 100
 
 
-class Change(Struct, frozen=True):
-    """Who changes something; a resend has the same id."""
-
-    change_id: ChangeId
-    actor: str
-    at_ms: int
-
-
-class PutContract(Struct, frozen=True, tag=True):
-    """Replace a customer's contract if its version is as expected."""
-
-    change: Change
-    expected_version: int
-    contract: Contract
-
-
-class StartDrain(Struct, frozen=True, tag=True):
-    """Announce a planned drain."""
-
-    change: Change
-    drain: Drain
-
-
-class CancelDrain(Struct, frozen=True, tag=True):
-    """Take a drain back."""
-
-    change: Change
-    drain: Drain
-
-
-class JoinHost(Struct, frozen=True, tag=True):
-    """An entry host takes part, or changes its state."""
-
-    host: Host
-    at_ms: int
-
-
-class LeaveHost(Struct, frozen=True, tag=True):
-    """An entry host is gone; its lease has run out or it has stopped."""
-
-    name: HostId
-    incarnation: int
-    at_ms: int
-
-
-class SetWeights(Struct, frozen=True, tag=True):
-    """New weights between regions."""
-
-    weights: tuple[RegionWeight, ...]
-    at_ms: int
-
-
-class MarkInForce(Struct, frozen=True, tag=True):
-    """Every entry host has this revision or is fenced by its lease."""
-
-    revision: int
-    at_ms: int
-
-
-class Claim(Struct, frozen=True, tag=True):
-    """Claim the right to run a request that may not be repeated."""
-
-    customer: CustomerId
-    key: str
-    attempt: int
-    digest: str
-    owner: HostId
-    token: str
-    at_ms: int
-
-
-class Settle(Struct, frozen=True, tag=True):
-    """Record how a claimed request ended."""
-
-    customer: CustomerId
-    key: str
-    token: str
-    ran: bool
-    status: int
-    content_type: str
-    body: bytes
-    at_ms: int
-
-
-Command = (
-    PutContract
-    | StartDrain
-    | CancelDrain
-    | JoinHost
-    | LeaveHost
-    | SetWeights
-    | MarkInForce
-    | Claim
-    | Settle
-)
-
-
 @unique
 class ClaimState(Enum):
     """What is known of a claimed request."""
@@ -257,7 +169,6 @@
 
 WEIGHTS_HISTORY_MS = 120_000
 STORED_STATES = Decoder(StoredState)
-COMMANDS = Decoder(Command)
 
 
 def key_time_ms(key):
@@ -291,6 +202,7 @@
             MarkInForce: self._mark_in_force,
             Claim: self._claim,
             Settle: self._settle,
+            Close: self._close,
         }
 
     def apply(self, command):
@@ -505,6 +417,16 @@
         return Outcome(revision=self.stored.revision)
 
     def _claim(self, command):
+        return self._take_key(command, ClaimState.RUNNING)
+
+    def _close(self, command):
+        return self._take_key(command, ClaimState.CLOSED)
+
+    def _take_key(self, command, state):
+        """Put a key into a state unless an earlier attempt holds it.
+
+        An attempt may follow a closed one of a lower number.
+        """
         born_ms = key_time_ms(command.key)
         now_ms = self.stored.clock_ms
         if born_ms is None or born_ms > now_ms + KEY_SKEW_MS:
@@ -515,7 +437,7 @@
         name = claim_name(command.customer, command.key)
         held = self.stored.claims.get(name)
         if held is None:
-            return self._grant(name, command)
+            return self._hold(name, command, state)
         if held.digest != command.digest:
             return Outcome(ErrorKind.KEY_REUSED, 'another request has it')
         if held.token == command.token:
@@ -523,19 +445,19 @@
             return Outcome(granted=granted, record=held)
         is_closed = held.state is ClaimState.CLOSED
         if is_closed and command.attempt > held.attempt:
-            return self._grant(name, command)
+            return self._hold(name, command, state)
         return Outcome(record=held)
 
-    def _grant(self, name, command):
+    def _hold(self, name, command, state):
         record = ClaimRecord(
-            ClaimState.RUNNING,
+            state,
             command.attempt,
             command.digest,
             command.owner,
             command.token,
         )
         self.stored.claims[name] = record
-        return Outcome(granted=True, record=record)
+        return Outcome(granted=state is ClaimState.RUNNING, record=record)
 
     def _forget_claims(self):
         """Forget keys that the age check refuses from now on."""
--- a/fuchsiacart/steering.py
+++ b/fuchsiacart/steering.py
@@ -5,9 +5,9 @@
 
 from msgspec import Struct
 
+from fuchsiacart.commands import SetWeights
 from fuchsiacart.models import RegionId
 from fuchsiacart.models import RegionWeight
-from fuchsiacart.states import SetWeights
 
 WHOLE_PERMILLE = 1000
 FULL_PART = 0.8
--- a/models/changes.py
+++ b/models/changes.py
@@ -13,15 +13,16 @@
 from msgspec import Struct
 from msgspec.structs import replace
 
+from fuchsiacart.commands import Change
+from fuchsiacart.commands import Claim
+from fuchsiacart.commands import Close
+from fuchsiacart.commands import PutContract
+from fuchsiacart.commands import Settle
 from fuchsiacart.models import Contract
 from fuchsiacart.models import CustomerId
 from fuchsiacart.models import HostId
 from fuchsiacart.models import RankName
 from fuchsiacart.models import RankTerms
-from fuchsiacart.states import Change
-from fuchsiacart.states import Claim
-from fuchsiacart.states import PutContract
-from fuchsiacart.states import Settle
 from fuchsiacart.states import State
 from fuchsiacart.views import View
 
@@ -38,6 +39,7 @@
     stale_relay_accepted: bool = False
     forgets_on_snapshot: bool = False
     closed_key_runs_again: bool = False
+    close_not_kept: bool = False
 
 
 def contract(rate_per_s):
@@ -59,6 +61,13 @@
     )
 
 
+def close(token, attempt):
+    """Return a refusal of the one key."""
+    return Close(
+        CUSTOMER, KEY, attempt, 'digest', HostId(token), token, NOW_MS
+    )
+
+
 def settle(token, ran):
     """Return a settlement of the one key."""
     return Settle(CUSTOMER, KEY, token, ran, 200, '', b'', NOW_MS)
@@ -73,6 +82,7 @@
     claim('early', 1),
     claim('resend', 1),
     claim('next', 2),
+    close('refuser', 1),
 )
 
 
@@ -96,6 +106,13 @@
             self._changes.clear()
             self.stored.claims.clear()
 
+    def _close(self, command):
+        before = dict(self.stored.claims)
+        outcome = super()._close(command)
+        if self._faults.close_not_kept:
+            self.stored.claims = before
+        return outcome
+
     def _claim(self, command):
         if self._faults.closed_key_runs_again:
             self.stored.claims.clear()
@@ -298,16 +315,23 @@
     def _actions(self, world):
         """Yield what the owners of granted claims do next."""
         for position, outcome in enumerate(self._outcomes(world.log)):
-            if outcome is None or not outcome.granted:
+            if outcome is None or outcome.record is None:
                 continue
             token = world.log[position].token
-            if token in world.acted:
+            if token in world.acted or outcome.record.token != token:
                 continue
             acted = world.acted | {token}
+            if isinstance(world.log[position], Close):
+                told = world.told + (token,)
+                following = replace(world, acted=acted, told=told)
+                yield f'{token} refuses', (_check_told(following),)
+                continue
+            if not outcome.granted:
+                continue
             yield f'{token} runs', (self._run(world, token, acted),)
             told = world.told + (token,)
             following = replace(world, acted=acted, told=told)
-            yield f'{token} does not run', (following,)
+            yield f'{token} does not run', (_check_told(following),)
 
     def _run(self, world, token, acted):
         broken = 'double' if world.ran else ''
@@ -332,5 +356,13 @@
         return outcomes
 
 
+def _check_told(world):
+    """Check that nothing has run that is now told as not run."""
+    attempt = _attempt_of(world.told[-1])
+    if any(_attempt_of(each) <= attempt for each in world.ran):
+        return replace(world, broken='not run')
+    return world
+
+
 def _attempt_of(token):
     return next(each.attempt for each in CLAIMS if each.token == token)
--- a/models/check.py
+++ b/models/check.py
@@ -131,6 +131,7 @@
     changes_case(5, 2, stale_relay_accepted=True),
     claims_case(6, closed_key_runs_again=True),
     claims_case(6, forgets_on_snapshot=True),
+    claims_case(6, close_not_kept=True),
 )
 
 
--- a/models/replication.py
+++ b/models/replication.py
@@ -10,15 +10,15 @@
 from msgspec import Struct
 from msgspec.structs import replace
 
-from fuchsiacart.consensus import AppendResponse
 from fuchsiacart.consensus import Consensus
-from fuchsiacart.consensus import Entry
-from fuchsiacart.consensus import Group
-from fuchsiacart.consensus import PreVoteResponse
-from fuchsiacart.consensus import ReplicaState
-from fuchsiacart.consensus import Role
-from fuchsiacart.consensus import Send
-from fuchsiacart.consensus import VoteResponse
+from fuchsiacart.replica_messages import AppendResponse
+from fuchsiacart.replica_messages import PreVoteResponse
+from fuchsiacart.replica_messages import Send
+from fuchsiacart.replica_messages import VoteResponse
+from fuchsiacart.replica_states import Entry
+from fuchsiacart.replica_states import Group
+from fuchsiacart.replica_states import ReplicaState
+from fuchsiacart.replica_states import Role
 
 FIRST_TERM = 1
 
--- a/standins/backend.py
+++ b/standins/backend.py
@@ -17,7 +17,8 @@
   --report=KIND     honest, idle (a lie) or full (a lie) [default: honest].
 
 Paths that contain /poison crash the process; /slow takes ten times as long;
-/freeze never answers; /cut sends half an answer.
+/freeze never answers; /cut sends half an answer; /silent runs and leaves its
+connection open without an answer.
 """
 
 from asyncio import CancelledError
@@ -154,6 +155,9 @@
         await sleep(backend.random.uniform(0.5, 1.5) * mean_s)
         if '/poison' in path:
             _exit(CRASH_CODE)
+        if '/silent' in path:
+            backend.running.pop(self._id(), None)
+            await Event().wait()
         if '/freeze' in path:
             await Event().wait()
         body = encode(
@@ -176,6 +180,18 @@
         return self.request.headers.get('Idempotency-Key', '-')
 
 
+class RunningHandler(RequestHandler):
+    """Tells whether a request runs."""
+
+    def initialize(self, backend):
+        """Take in the state."""
+        self.backend = backend
+
+    def get(self, request_id):
+        """Answer a probe."""
+        self.finish(encode({'running': request_id in self.backend.running}))
+
+
 class CancelHandler(RequestHandler):
     """Cancels a request that nobody waits for."""
 
@@ -199,6 +215,7 @@
         Application(
             [
                 ('/fuchsiacart/cancel/([^/]+)', CancelHandler, context),
+                ('/fuchsiacart/running/([^/]+)', RunningHandler, context),
                 ('/.*', WorkHandler, context),
             ],
             log_function=lambda handler: None,
--- a/standins/bench.py
+++ b/standins/bench.py
@@ -37,6 +37,7 @@
 from standins.caller import Load
 from standins.fleet import Fleet
 from standins.fleet import Shape
+from standins.fleet import stop_on_sigterm
 from standins.workloads import WORKLOADS
 
 SERVICE_MS = 100
@@ -269,6 +270,7 @@
 
 def main():
     """Run the scenarios asked for."""
+    stop_on_sigterm()
     options = docopt(__doc__)
     seconds, seed = float(options['--seconds']), int(options['--seed'])
     for user, workload in WORKLOADS.items():
--- a/standins/caller.py
+++ b/standins/caller.py
@@ -18,8 +18,9 @@
 from fuchsiacart.sessions import new_key
 
 LOOKUP_TIMEOUT_S = 1.0
-RESEND_LIMIT = 4
+RESEND_LIMIT = 8
 RESEND_PAUSE_S = 0.1
+LONGEST_PAUSE_S = 2.0
 LONGEST_MS = 120_000
 PROBLEM_TYPE = 'application/problem+json'
 
@@ -57,6 +58,8 @@
     reason: str
     elapsed_ms: float
     sends: int
+    attempt: int = 1
+    retry_after_s: float = 0.0
     said_not_run: bool = False
     whole: bool = True
     region: str = ''
@@ -104,12 +107,16 @@
             again = await self._send_once(kind, path, key, until_s, result)
             if not again:
                 break
-            await sleep(RESEND_PAUSE_S)
+            pause_s = RESEND_PAUSE_S * 2 ** (result.sends - 1)
+            pause_s = min(LONGEST_PAUSE_S, pause_s)
+            await sleep(max(result.retry_after_s, pause_s))
         result.elapsed_ms = (monotonic() - started_s) * 1000
         return result
 
     async def _send_once(self, kind, path, key, until_s, result):
         """Send once; tell whether to send again."""
+        result.said_not_run = False
+        result.retry_after_s = 0.0
         cached = await self._look_up(kind.service)
         if cached is None:
             result.reason = 'no_lookup'
@@ -126,6 +133,7 @@
             headers={
                 'Authorization': f'Bearer {kind.token}',
                 'Idempotency-Key': key,
+                'Fuchsiacart-Attempt': str(result.attempt),
                 'Fuchsiacart-Deadline-Ms': str(int(left_s * 1000)),
             },
             body=None if kind.method == 'GET' else encode({'key': key}),
@@ -134,6 +142,11 @@
         )
         try:
             response = await self._http.fetch(request, raise_error=False)
+        except ConnectionRefusedError:
+            result.ending = Ending.REFUSED
+            result.reason = 'no_connection'
+            self._cache.pop(kind.service, None)
+            return True
         except Exception as error:
             result.ending = Ending.UNKNOWN
             result.reason = type(error).__name__
@@ -148,6 +161,11 @@
             result.reason = str(response.code)
             result.whole = _is_whole(response, key)
             return False
+        headers = response.headers
+        result.retry_after_s = float(headers.get('Retry-After', 0))
+        result.attempt = int(
+            headers.get('Fuchsiacart-Attempt', result.attempt)
+        )
         problem = decode(response.body)
         result.reason = problem['kind']
         not_run = problem['run'] == 'no'
@@ -156,7 +174,9 @@
         if problem['kind'] in ('stale', 'draining', 'no_quorum'):
             self._cache.pop(kind.service, None)
             return True
-        return not kind.repeatable and problem['kind'] == 'rate_limited'
+        if not_run:
+            return result.retry_after_s > 0
+        return not kind.repeatable
 
     async def _look_up(self, service):
         cached = self._cache.get(service)
--- a/standins/commits.py
+++ b/standins/commits.py
@@ -17,16 +17,17 @@
 from uuid6 import uuid7
 
 from fuchsiacart.adapters import GrpcAdapter
+from fuchsiacart.clocks import wall_ms
+from fuchsiacart.commands import Claim
 from fuchsiacart.controllers import ControlGroup
 from fuchsiacart.models import HostId
-from fuchsiacart.replicas import wall_ms
 from fuchsiacart.reports import format_table
-from fuchsiacart.states import Claim
 from standins.bench import DISTANCES_MS
 from standins.delayed import DelayedAdapter
 from standins.delayed import Distances
 from standins.fleet import Fleet
 from standins.fleet import Shape
+from standins.fleet import stop_on_sigterm
 from tools.deploy import EXAMPLE_TOKENS
 
 PATIENCE_S = 10.0
@@ -82,6 +83,7 @@
 
 def main():
     """Measure the users asked for."""
+    stop_on_sigterm()
     options = docopt(__doc__)
     for user in DISTANCES_MS:
         if options['--user'] in ('all', user):
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -29,6 +29,7 @@
 from standins.fleet import DEPLOY
 from standins.fleet import Fleet
 from standins.fleet import Shape
+from standins.fleet import stop_on_sigterm
 from standins.workloads import WORKLOADS
 from tools.deploy import EXAMPLE_TOKENS
 
@@ -113,6 +114,7 @@
 
 def main():
     """Run the demo; exit with 1 if an invariant was broken."""
+    stop_on_sigterm()
     options = docopt(__doc__)
     workload = WORKLOADS[options['--user']]
     seed = int(options['--seed'])
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -6,6 +6,7 @@
 from shutil import rmtree
 from signal import SIGCONT
 from signal import SIGKILL
+from signal import signal
 from signal import SIGSTOP
 from signal import SIGTERM
 from socket import socket
@@ -63,6 +64,15 @@
         return probe.getsockname()[1]
 
 
+def stop_on_sigterm():
+    """Turn SIGTERM into an exit, so that a fleet stops its processes."""
+
+    def leave(number, frame):
+        raise SystemExit(1)
+
+    signal(SIGTERM, leave)
+
+
 class Process:
     """One process with its log."""
 
--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -4,25 +4,16 @@
 product's own classes; the page's sizes are those of the users' letter.
 """
 
-from asyncio import gather
-from asyncio import run
-from gc import collect
-from os import sysconf
-from pathlib import Path
 from random import Random
-from resource import getrusage
-from resource import RUSAGE_SELF
 from time import perf_counter
-from time import sleep
-from tracemalloc import get_traced_memory
-from tracemalloc import start as start_tracing
-from tracemalloc import stop as stop_tracing
 
 from msgspec.msgpack import encode
-from msgspec import Struct
-from tornado.httpclient import AsyncHTTPClient
 from uuid6 import uuid7
 
+from fuchsiacart.clocks import wall_ms
+from fuchsiacart.commands import Change
+from fuchsiacart.commands import Claim
+from fuchsiacart.commands import PutContract
 from fuchsiacart.gossip import Gossip
 from fuchsiacart.leases import LeaseTable
 from fuchsiacart.leases import RelayTree
@@ -41,14 +32,10 @@
 from fuchsiacart.models import RankTerms
 from fuchsiacart.models import RegionWeight
 from fuchsiacart.ownership import Ownership
-from fuchsiacart.replicas import wall_ms
 from fuchsiacart.reports import format_table
 from fuchsiacart.slots import ServerSlots
-from fuchsiacart.states import Change
-from fuchsiacart.states import Claim
 from fuchsiacart.states import ContractSet
 from fuchsiacart.states import Delta
-from fuchsiacart.states import PutContract
 from fuchsiacart.states import State
 from fuchsiacart.states import VersionedContract
 from fuchsiacart.states import ViewSnapshot
@@ -56,8 +43,10 @@
 from fuchsiacart.steering import RegionLoad
 from fuchsiacart.steering import Weights
 from fuchsiacart.views import View
-from standins.fleet import Fleet
-from standins.fleet import Shape
+from tools.running import measure_running
+from tools.slopes import memory_of
+from tools.slopes import seconds_of
+from tools.slopes import slope
 
 NODES = 4_400
 BLOCKS = 490_000
@@ -78,56 +67,6 @@
 NODE_MEMORY_BUDGET = 128 * 1024 * 1024
 NODE_BYTES_BUDGET = 3_000
 MEBIBYTE = 1024 * 1024
-IDLE_S = 5.0
-LOOKUPS = 4000
-LOOKUP_CLIENTS = 20
-
-
-class Point(Struct, frozen=True):
-    """What one size costs."""
-
-    size: int
-    cost: float
-
-
-class Slope(Struct, frozen=True):
-    """A least-squares line through the points of a measurement."""
-
-    name: str
-    unit: str
-    points: tuple[Point, ...]
-
-    @property
-    def per_item(self):
-        """Return the cost of one item more."""
-        count = len(self.points)
-        mean_size = sum(point.size for point in self.points) / count
-        mean_cost = sum(point.cost for point in self.points) / count
-        spread = sum((point.size - mean_size) ** 2 for point in self.points)
-        shared = sum(
-            (point.size - mean_size) * (point.cost - mean_cost)
-            for point in self.points
-        )
-        return shared / spread
-
-    @property
-    def base(self):
-        """Return the cost of no item."""
-        count = len(self.points)
-        mean_size = sum(point.size for point in self.points) / count
-        mean_cost = sum(point.cost for point in self.points) / count
-        return mean_cost - self.per_item * mean_size
-
-    def at(self, size):
-        """Return the cost of a size."""
-        return self.base + self.per_item * size
-
-    def row(self):
-        """Return a row of the table of slopes."""
-        points = '; '.join(
-            f'{point.size}: {point.cost:.4g}' for point in self.points
-        )
-        return [self.name, self.unit, points, f'{self.per_item:.4g}']
 
 
 def host(index, regions=REGIONS):
@@ -172,31 +111,6 @@
     return ViewSnapshot(1, items, (), tuple(hosts), weights)
 
 
-def memory_of(make):
-    """Return the bytes that a made object holds."""
-    collect()
-    start_tracing()
-    kept = make()
-    held, _ = get_traced_memory()
-    stop_tracing()
-    assert kept is not None
-    return held
-
-
-def seconds_of(action, count):
-    """Return the processor seconds of one call."""
-    collect()
-    started = _processor_s()
-    for number in range(count):
-        action(number)
-    return (_processor_s() - started) / count
-
-
-def _processor_s():
-    usage = getrusage(RUSAGE_SELF)
-    return usage.ru_utime + usage.ru_stime
-
-
 def make_view(hosts, contracts):
     """Return a view that has taken a snapshot over."""
     view = View()
@@ -204,18 +118,6 @@
     return view
 
 
-def slope(name, unit, sizes, measure):
-    """Measure a slope.
-
-    :param name: what is counted.
-    :param unit: unit of the cost.
-    :param sizes: sizes to measure.
-    :param measure: returns the cost of a size.
-    """
-    points = tuple(Point(size, measure(size)) for size in sizes)
-    return Slope(name, unit, points)
-
-
 def block_memory(count):
     """Return the bytes of the table of blocks."""
     blocks = contract(0, count).blocks
@@ -423,66 +325,6 @@
     }
 
 
-class Running(Struct, frozen=True):
-    """Costs of real processes of a small deployment.
-
-    Processor time is in parts of a core, memory in bytes.
-    """
-
-    entry_memory: int
-    control_memory: int
-    entry_idle: float
-    leader_idle: float
-    lookup_s: float
-    lookups: int
-
-
-def processor_s(process):
-    """Return the processor seconds that a process has used."""
-    stat = Path(f'/proc/{process.process_id}/stat').read_text()
-    fields = stat.rpartition(')')[2].split()
-    ticks = int(fields[11]) + int(fields[12])
-    return ticks / sysconf('SC_CLK_TCK')
-
-
-def resident_bytes(process):
-    """Return the memory that a process holds."""
-    statm = Path(f'/proc/{process.process_id}/statm').read_text()
-    return int(statm.split()[1]) * sysconf('SC_PAGE_SIZE')
-
-
-async def send_lookups(address, count):
-    """Send look-ups to one entry host, some at a time."""
-    client = AsyncHTTPClient(force_instance=True, max_clients=LOOKUP_CLIENTS)
-    url = f'http://{address}/v1/lookup?service=orders&client=10.20.200.'
-    replies = await gather(
-        *(client.fetch(f'{url}{number % 250}') for number in range(count))
-    )
-    assert all(reply.code == 200 for reply in replies)
-
-
-def measure_running():
-    """Measure a small deployment of real processes."""
-    with Fleet(Shape('golau-beic', entry=3)) as fleet:
-        entry = fleet.processes['entry-1']
-        leader = fleet.processes[fleet.leader()]
-        before = processor_s(entry), processor_s(leader)
-        sleep(IDLE_S)
-        after = processor_s(entry), processor_s(leader)
-        idle = [(new - old) / IDLE_S for old, new in zip(before, after)]
-        busy_s = processor_s(entry)
-        run(send_lookups(fleet.http_address('entry-1'), LOOKUPS))
-        busy_s = processor_s(entry) - busy_s
-        return Running(
-            resident_bytes(entry),
-            resident_bytes(leader),
-            idle[0],
-            idle[1],
-            busy_s / LOOKUPS,
-            LOOKUPS,
-        )
-
-
 def running_rows(running, slopes):
     """Return the rows that follow from real processes."""
     contracts = BLOCKS // BLOCKS_PER_CONTRACT
--- a/tools/check.py
+++ b/tools/check.py
@@ -53,8 +53,8 @@
     """Run all scenarios and read their results."""
     with TemporaryDirectory() as folder:
         report = Path(folder) / 'report.json'
-        command = ['behave', '--format', 'progress3', '--format', 'json']
-        command += ['--outfile', '/dev/stdout', '--outfile', str(report)]
+        command = ['behave', '--format', 'json', '--outfile', str(report)]
+        command += ['--format', 'progress3']
         run([executable, '-m', *command])
         features = decode(report.read_bytes())
     outcome = Outcome(0, [])
