--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON = $(VENV)/bin/python
 SOURCES = fuchsiacart standins models features tools
 
-.PHONY: setup test lint behave format check-model demo bench capacity protos
+.PHONY: setup test lint behave format check-model prove-red demo bench commits capacity protos
 
 setup: $(VENV)/ready
 
@@ -28,12 +28,18 @@
 check-model: setup
 	$(PYTHON) -m models.check
 
+prove-red: setup
+	$(PYTHON) -m tools.prove_red
+
 demo: setup
 	$(PYTHON) -m standins.demo
 
 bench: setup
 	$(PYTHON) -m standins.bench
 
+commits: setup
+	$(PYTHON) -m standins.commits
+
 capacity: setup
 	$(PYTHON) -m tools.capacity
 
--- a/features/steering.feature
+++ b/features/steering.feature
@@ -43,3 +43,10 @@
     Given 12 entry hosts in one region
     When one of them is drained
     Then no look-up names it
+
+  Scenario: a drained region serves until its blocks have moved
+    Given 12 entry hosts in one region
+    When its region is drained while a part of its blocks goes to it
+    Then look-ups of that part still name its hosts
+    When no block goes to it any more
+    Then no host of it is named
--- a/features/steps/steering_steps.py
+++ b/features/steps/steering_steps.py
@@ -10,6 +10,7 @@
 from fuchsiacart.models import Drain
 from fuchsiacart.models import DrainScope
 from fuchsiacart.models import Host
+from fuchsiacart.models import RegionWeight
 from fuchsiacart.states import State
 from fuchsiacart.states import ViewSnapshot
 from fuchsiacart.steering import HeadroomWeights
@@ -100,10 +101,10 @@
         self.before = self.answers(self.hosts, ())
         self.after = {}
 
-    def answers(self, hosts, drains):
+    def answers(self, hosts, drains, weights=()):
         """Return the answer to every client."""
         view = View()
-        view.restore(ViewSnapshot(1, (), drains, hosts, ()))
+        view.restore(ViewSnapshot(1, (), drains, hosts, weights))
         table = LookupTable(view, 'cymru', 1000)
         return {
             client: table.look_up('orders', client).hosts for client in CLIENTS
@@ -226,6 +227,41 @@
     lookups.after = lookups.answers(lookups.hosts, (drain,))
 
 
+@when('its region is drained while a part of its blocks goes to it')
+def when_region_drained(context):
+    """Drain the region while three tenths of its blocks are left."""
+    _drain_region(context, 300)
+
+
+@when('no block goes to it any more')
+def when_region_moved(context):
+    """Move the last blocks."""
+    _drain_region(context, 0)
+
+
+def _drain_region(context, left):
+    lookups = context.lookups
+    weights = (
+        RegionWeight('cymru', 'cymru', left),
+        RegionWeight('cymru', 'lloegr', WHOLE_PERMILLE - left),
+    )
+    drain = Drain(DrainScope.REGION, 'cymru')
+    lookups.after = lookups.answers(lookups.hosts, (drain,), weights)
+
+
+@then('look-ups of that part still name its hosts')
+def then_part(context):
+    """Count the look-ups that name a host."""
+    named = sum(bool(hosts) for hosts in context.lookups.after.values())
+    assert 0.2 < named / len(CLIENTS) < 0.4, named
+
+
+@then('no host of it is named')
+def then_no_host(context):
+    """Check that nobody is named."""
+    assert not any(context.lookups.after.values())
+
+
 @then(
     'in no window of {window:d} ms more than {cap:d} permille of a region'
     ' moved'
--- a/fuchsiacart/announcements.py
+++ b/fuchsiacart/announcements.py
@@ -85,8 +85,10 @@
     def follow_view(self):
         """Take in the hosts of a new view and drop what others own."""
         view = self._views.machine
-        self._ownership.observe(view.hosts, view.drains, steady_ms())
-        self._dispatcher.keep_owned(self._ownership.is_owner, view.drains)
+        self._ownership.observe(view.hosts, view.acting_drains, steady_ms())
+        self._dispatcher.keep_owned(
+            self._ownership.is_owner, view.acting_drains
+        )
 
     async def _register(self, request):
         server = request.server
@@ -100,7 +102,9 @@
             server, request.report, usable_from_ms, foreign
         )
         view = self._views.machine
-        self._dispatcher.keep_owned(self._ownership.is_owner, view.drains)
+        self._dispatcher.keep_owned(
+            self._ownership.is_owner, view.acting_drains
+        )
 
     async def _take_over(self, server):
         """Ask earlier owners to give a server up.
--- a/fuchsiacart/drains.py
+++ b/fuchsiacart/drains.py
@@ -21,6 +21,23 @@
     drained_ms: int = 0
 
 
+def acting_drains(drains, weights):
+    """Return the drains that take hosts and servers out now.
+
+    A region that is drained serves on until its blocks have moved: they
+    move under the shift cap, and would find nobody meanwhile.
+
+    :param drains: all drains.
+    :param weights: weights between regions.
+    """
+    in_use = {row.target for row in weights if row.permille}
+    return tuple(
+        drain
+        for drain in drains
+        if drain.scope is not DrainScope.REGION or drain.name not in in_use
+    )
+
+
 def drains_host(drains, host):
     """Tell whether a drain covers an entry host.
 
--- a/fuchsiacart/lookups.py
+++ b/fuchsiacart/lookups.py
@@ -78,10 +78,11 @@
         self._key_homes = key_homes
         self._region = region
         self._ttl_ms = ttl_ms
+        drains = view.acting_drains
         self._hosts = [
             host
             for host in view.hosts
-            if is_live(host) and not drains_host(view.drains, host)
+            if is_live(host) and not drains_host(drains, host)
         ]
         self._blocks = BlockTable(
             block for contract in view.contracts for block in contract.blocks
--- a/fuchsiacart/views.py
+++ b/fuchsiacart/views.py
@@ -2,6 +2,7 @@
 
 from msgspec.structs import replace
 
+from fuchsiacart.drains import acting_drains
 from fuchsiacart.models import token_digest
 from fuchsiacart.states import ContractSet
 from fuchsiacart.states import DELTA_LIMIT
@@ -39,6 +40,11 @@
         """Return the drains in force."""
         return self._drains
 
+    @property
+    def acting_drains(self):
+        """Return the drains that take hosts and servers out now."""
+        return acting_drains(self._drains, self._weights)
+
     @property
     def weights(self):
         """Return the weights between regions."""
--- a/tools/prove_red.py
+++ b/tools/prove_red.py
@@ -94,6 +94,13 @@
         'if not load.usable:\n            return 0.0',
         'steering',
     ),
+    Fault(
+        'a drained region is left before its blocks have moved',
+        'drains.py',
+        'if drain.scope is not DrainScope.REGION or drain.name not in in_use',
+        'if True',
+        'steering',
+    ),
     Fault(
         'a stale snapshot is taken over',
         'views.py',
