--- a/fuchsiacart/control.py
+++ b/fuchsiacart/control.py
@@ -337,8 +337,13 @@
 
     async def _mark_in_force(self):
         stored = self._replica.machine.stored
-        newest = max(
-            (entry.outcome.revision for entry in stored.audit), default=0
+        newest = next(
+            (
+                entry.outcome.revision
+                for entry in reversed(stored.audit)
+                if entry.outcome.revision
+            ),
+            0,
         )
         if newest <= stored.in_force_revision:
             return
