Hold a customer's concurrency only while an order may run

Cause: an order held its part of the contract's concurrency while its claim crossed regions (a round or two), so in an urgent flood the contract's limit was reached with slots still free. Change: the rate is used before the claim, the concurrency after it; an order refused then is surely not run, and its key is closed.

--- a/features/outcomes.feature
+++ b/features/outcomes.feature
@@ -110,3 +110,10 @@
     When it is handled
     And it is sent again as its attempt 2 and owners answer
     Then the caller gets the whole answer
+
+  Scenario: an order over its concurrency is surely not run
+    Given an order whose customer's concurrency is used up
+    When it is handled
+    Then it was attempted 0 times
+    And the caller is told that it was not run
+    And its claim is settled as not run
--- a/features/steps/outcome_steps.py
+++ b/features/steps/outcome_steps.py
@@ -93,11 +93,16 @@
 
     def __init__(self):
         self.used_up = False
+        self.full = False
 
-    def acquire(self, customer, rank, now_ms):
+    def spend(self, customer, rank, now_ms):
         """Let everything through, or nothing."""
         return 50 if self.used_up else 0
 
+    def enter(self, customer, rank, now_ms):
+        """Let everything through, or nothing."""
+        return 50 if self.full else 0
+
     def release(self, customer, rank):
         """Nothing to give back."""
 
@@ -330,6 +335,14 @@
     context.outcome.limits.used_up = True
 
 
+@given("an order whose customer's concurrency is used up")
+def given_full(context):
+    """Use the concurrency up."""
+    context.outcome = OutcomeSubject('POST')
+    context.outcome.owner.plan = [answered]
+    context.outcome.limits.full = True
+
+
 @when('the limit of its customer is used up')
 def when_used_up(context):
     """Use the limit up, after an answer that is forgotten here."""
--- a/features/steps/share_steps.py
+++ b/features/steps/share_steps.py
@@ -120,7 +120,9 @@
 def when_instant(context, count):
     """Use the share at once."""
     context.waits = [
-        context.book.acquire(CUSTOMER, Rank.URGENT, 0.0) for _ in range(count)
+        context.book.spend(CUSTOMER, Rank.URGENT, 0.0)
+        or context.book.enter(CUSTOMER, Rank.URGENT, 0.0)
+        for _ in range(count)
     ]
 
 
--- a/fuchsiacart/admissions.py
+++ b/fuchsiacart/admissions.py
@@ -102,23 +102,45 @@
             error.detail, error.kind, Run.NO, error.retry_after_ms
         )
 
-    async def acquire(self, admitted):
-        """Use the limit; wait a little for a larger share if need be."""
+    async def spend(self, admitted):
+        """Use the rate; wait a little for a larger share if need be.
+
+        :param admitted: the request.
+        :raises RequestError: when the rate is used up.
+        """
+        wait_ms = await self._patiently(self._limits.spend, admitted)
+        if wait_ms:
+            raise _used_up(_run_before_claim(admitted), wait_ms)
+
+    async def enter(self, admitted):
+        """Use the concurrency; wait a little if need be.
+
+        Work that may not be repeated has been claimed by now, so that a
+        refusal is surely not run.
+
+        :param admitted: the request; ``release`` gives its use back.
+        :raises RequestError: when the concurrency is used up.
+        """
+        wait_ms = await self._patiently(self._limits.enter, admitted)
+        if wait_ms:
+            raise _used_up(Run.NO, wait_ms)
+
+    async def _patiently(self, use, admitted):
+        """Try to use a limit until it works or patience ends.
+
+        :param use: ``spend`` or ``enter`` of the :class:`LimitBook`.
+        :param admitted: the request.
+        :return: 0, or how many milliseconds to wait.
+        """
         customer = admitted.contract.customer
-        limits = self._limits
         patience_ms = min(SHARE_PATIENCE_MS, admitted.left_ms() / 4)
         until_ms = steady_ms() + patience_ms
         while True:
-            wait_ms = limits.acquire(customer, admitted.rank, steady_ms())
+            wait_ms = use(customer, admitted.rank, steady_ms())
             if not wait_ms:
-                return
+                return 0
             if steady_ms() >= until_ms or self._impatient >= WAITING_LIMIT:
-                raise RequestError(
-                    'the limit of the contract is used up',
-                    ErrorKind.RATE_LIMITED,
-                    _run_before_claim(admitted),
-                    wait_ms,
-                )
+                return wait_ms
             self._lease.hurry()
             self._impatient += 1
             try:
@@ -127,7 +149,7 @@
                 self._impatient -= 1
 
     def release(self, admitted):
-        """Give the use of the limit back."""
+        """Give the use of the concurrency back."""
         self._limits.release(admitted.contract.customer, admitted.rank)
 
     def admit(self, request):
@@ -199,6 +221,16 @@
     )
 
 
+def _used_up(run, wait_ms):
+    """Return the error for a limit that is used up."""
+    return RequestError(
+        'the limit of the contract is used up',
+        ErrorKind.RATE_LIMITED,
+        run,
+        wait_ms,
+    )
+
+
 def _run_before_claim(admitted):
     """Return what is known of a request that is refused unclaimed.
 
--- a/fuchsiacart/coordinators.py
+++ b/fuchsiacart/coordinators.py
@@ -73,7 +73,7 @@
         """
         admitted = self._admissions.admit(request)
         if admitted.route.repeatable:
-            return await self._within_limits(admitted, self._attempts)
+            return await self._within_limits(admitted, self._run)
         task = create_task(self._within_limits(admitted, self._run_once))
         task.add_done_callback(_take_result)
         return await shield(task)
@@ -87,12 +87,17 @@
 
     async def _serve(self, admitted, serve):
         try:
-            await self._admissions.acquire(admitted)
+            await self._admissions.spend(admitted)
         except RequestError as error:
             record = await self._admissions.refuse_finally(admitted, error)
             return _replay(record)
+        return await serve(admitted)
+
+    async def _run(self, admitted):
+        """Run a request that may run now, within its concurrency."""
+        await self._admissions.enter(admitted)
         try:
-            return await serve(admitted)
+            return await self._attempts(admitted)
         finally:
             self._admissions.release(admitted)
 
@@ -106,7 +111,7 @@
         run = Run.UNKNOWN
         reply = ForwardReply()
         try:
-            reply = await self._attempts(admitted)
+            reply = await self._run(admitted)
             return reply
         except RequestError as error:
             run = error.run
--- a/fuchsiacart/limits.py
+++ b/fuchsiacart/limits.py
@@ -40,8 +40,8 @@
         """Return the shares in force."""
         return tuple(self._shares.values())
 
-    def acquire(self, customer, rank, now_ms):
-        """Use the limit for one request.
+    def spend(self, customer, rank, now_ms):
+        """Use the rate for one request.
 
         :param customer: the customer.
         :param rank: rank of the request.
@@ -51,7 +51,6 @@
         """
         usage = self._usage_of(customer, rank, now_ms)
         usage.asked += 1
-        usage.peak = max(usage.peak, usage.in_flight + 1)
         share = self._shares.get((customer, rank))
         if share is None:
             return SMALLEST_WAIT_MS
@@ -60,9 +59,23 @@
             missing = 1.0 - usage.tokens
             rate_per_ms = max(share.rate_per_s, 0.01) / 1000
             return max(SMALLEST_WAIT_MS, int(missing / rate_per_ms))
-        if usage.in_flight + 1 > share.concurrency:
-            return SMALLEST_WAIT_MS
         usage.tokens -= 1.0
+        return 0
+
+    def enter(self, customer, rank, now_ms):
+        """Use the concurrency for one request; ``release`` gives it back.
+
+        :param customer: the customer.
+        :param rank: rank of the request.
+        :param now_ms: the present.
+        :return: 0 when the request may go on, else how many milliseconds
+            to wait before the next attempt.
+        """
+        usage = self._usage_of(customer, rank, now_ms)
+        usage.peak = max(usage.peak, usage.in_flight + 1)
+        share = self._shares.get((customer, rank))
+        if share is None or usage.in_flight + 1 > share.concurrency:
+            return SMALLEST_WAIT_MS
         usage.in_flight += 1
         return 0
 
--- a/standins/bench.py
+++ b/standins/bench.py
@@ -21,6 +21,7 @@
 from asyncio import run
 from asyncio import sleep
 from asyncio import to_thread
+from collections import Counter
 from threading import Event
 from threading import Thread
 
@@ -237,6 +238,7 @@
     'unknown',
     'p50 ms',
     'p99 ms',
+    'not answered',
 )
 
 
@@ -259,9 +261,22 @@
         endings.count(Ending.UNKNOWN),
         times.get_value_at_percentile(50),
         times.get_value_at_percentile(99),
+        _reasons(results),
     ]
 
 
+def _reasons(results):
+    """Return why requests were not answered, with counts."""
+    counts = Counter(
+        f'{each.reason} {each.ending.value}'
+        for each in results
+        if each.ending is not Ending.ANSWERED
+    )
+    return ', '.join(
+        f'{count} {reason}' for reason, count in counts.most_common()
+    )
+
+
 def _has_slots(fleet, least):
     slots = fleet.usable_slots()
     known = len(slots) == len(fleet.regions)
--- a/standins/commits.py
+++ b/standins/commits.py
@@ -41,6 +41,7 @@
 PATIENCE_S = 10.0
 LONGEST_US = 60_000_000
 CHANGES = 20
+WAVE = 200
 MISSED = (200, 1000, 5000)
 MICROSECONDS = 1_000_000
 
@@ -109,15 +110,16 @@
 
 
 async def commit_many(fleet, leader, count):
-    """Commit claims all at a time from the leader's region."""
+    """Commit claims from the leader's region, ``WAVE`` at a time."""
     adapter = GrpcAdapter(EXAMPLE_TOKENS['peer'])
     control = ControlGroup(adapter, [fleet.control_address(leader)])
-    claims = []
-    for _ in range(count):
-        key = str(uuid7())
-        claim = Claim('shop', key, 1, '', HostId('bench'), key, wall_ms())
-        claims.append(control.commit(claim, PATIENCE_S))
-    await gather(*claims)
+    for _ in range(0, count, WAVE):
+        keys = [str(uuid7()) for _ in range(WAVE)]
+        claims = [
+            Claim('shop', key, 1, '', HostId('bench'), key, wall_ms())
+            for key in keys
+        ]
+        await gather(*(control.commit(claim, PATIENCE_S) for claim in claims))
     await adapter.close()
 
 
