Make the models' state machine in one place; drop a method nobody calls

Found by reading the change once more: two models chose between the state machine and its faulty kind by the same lines, and Quarantine.is_suspect had no caller.

--- a/fuchsiacart/quarantine.py
+++ b/fuchsiacart/quarantine.py
@@ -62,10 +62,6 @@
         held = self._find(digest, now_ms)
         return held is not None and len(held.broken) >= BROKEN_LIMIT
 
-    def is_suspect(self, digest, now_ms):
-        """Tell whether a request has broken a server."""
-        return self._find(digest, now_ms) is not None
-
     def broken_by(self, digest, now_ms):
         """Return the servers that a request has broken."""
         held = self._find(digest, now_ms)
--- a/models/changes.py
+++ b/models/changes.py
@@ -119,6 +119,13 @@
         return super()._claim(command)
 
 
+def make_state(faults):
+    """Return the product's state machine, with faults put in if any."""
+    if faults == Faults():
+        return State()
+    return FaultyState(faults)
+
+
 class FaultyView(View):
     """A view that takes any snapshot, however old."""
 
@@ -224,9 +231,7 @@
         return replace(world, taken=taken, broken=broken)
 
     def _replay_log(self, log):
-        state = State()
-        if self._faults != Faults():
-            state = FaultyState(self._faults)
+        state = make_state(self._faults)
         outcomes = []
         for index in log:
             if index == SNAPSHOT:
@@ -343,9 +348,7 @@
         )
 
     def _outcomes(self, log):
-        state = State()
-        if self._faults != Faults():
-            state = FaultyState(self._faults)
+        state = make_state(self._faults)
         outcomes = []
         for command in log:
             if command is None:
