--- a/fuchsiacart/commands.py
+++ b/fuchsiacart/commands.py
@@ -6,13 +6,18 @@
 from msgspec.msgpack import Decoder
 from msgspec import Struct
 
+from fuchsiacart.configurations import ConfigurationOrder
+from fuchsiacart.models import BackendServerId
 from fuchsiacart.models import ChangeId
 from fuchsiacart.models import Contract
 from fuchsiacart.models import CustomerId
 from fuchsiacart.models import Drain
+from fuchsiacart.models import FailureDomainId
 from fuchsiacart.models import Host
 from fuchsiacart.models import HostId
 from fuchsiacart.models import RegionWeight
+from fuchsiacart.servers import ServerRecord
+from fuchsiacart.shifts import DomainShare
 
 
 class Change(Struct, frozen=True):
@@ -111,6 +116,43 @@
     at_ms: int
 
 
+class ChangeConfiguration(Struct, frozen=True, tag=True):
+    """Put a new configuration in force, or change items of it."""
+
+    order: ConfigurationOrder
+    at_ms: int
+
+
+class SetEvacuation(Struct, frozen=True, tag=True):
+    """Evacuate a failure domain, or take that back."""
+
+    failure_domain: FailureDomainId
+    evacuated: bool
+    at_ms: int
+
+
+class RecordServer(Struct, frozen=True, tag=True):
+    """A backend server has registered or has changed."""
+
+    record: ServerRecord
+    at_ms: int
+
+
+class ForgetServer(Struct, frozen=True, tag=True):
+    """A backend server leaves; ``born_ms`` is 0 where it was not told."""
+
+    name: BackendServerId
+    born_ms: int
+    at_ms: int
+
+
+class SetShares(Struct, frozen=True, tag=True):
+    """New shares of requests between failure domains."""
+
+    shares: tuple[DomainShare, ...]
+    at_ms: int
+
+
 Command = (
     PutContract
     | StartDrain
@@ -122,6 +164,11 @@
     | Claim
     | Settle
     | Close
+    | ChangeConfiguration
+    | SetEvacuation
+    | RecordServer
+    | ForgetServer
+    | SetShares
 )
 
 COMMANDS = Decoder(Command)
--- a/fuchsiacart/control.py
+++ b/fuchsiacart/control.py
@@ -89,12 +89,21 @@
         self._tree = None
         self._tree_revision = 0
         self._drained_ms = {}
+        self._answers = {ClaimQuery: self._find_claim}
         self._policy = HeadroomWeights()
         self._limiter = ShiftLimiter(
             settings.control.shift_cap_permille,
             settings.control.shift_window_ms,
         )
 
+    def answer(self, kind, handler):
+        """Have the leader answer a kind of request.
+
+        :param kind: the type of the request.
+        :param handler: coroutine function from the request to the answer.
+        """
+        self._answers[kind] = handler
+
     def handlers(self):
         """Return the handlers of the calls between processes."""
         return {
@@ -143,6 +152,7 @@
             shares,
             parents,
             self._replica.leader_address,
+            self._replica.member_addresses,
         )
 
     async def on_propose(self, request):
@@ -152,8 +162,9 @@
                 raise ChangeError('no leader is known', ErrorKind.NO_QUORUM)
             request = replace(request, relayed=True)
             return await self._relay(Method.PROPOSE, request)
-        if isinstance(request, ClaimQuery):
-            return await self._find_claim(request)
+        answer = self._answers.get(type(request))
+        if answer is not None:
+            return await answer(request)
         return ProposeReply(await self._replica.propose(request.command))
 
     async def on_pull(self, request):
@@ -213,6 +224,15 @@
             len(stored.claims),
         )
 
+    def fresh_reports(self):
+        """Return the newest keep-alive of each host that is not stale."""
+        now_ms = steady_ms()
+        return tuple(
+            report.request
+            for report in self._reports.values()
+            if now_ms - report.received_ms < REPORT_STALE_MS
+        )
+
     def replica_status(self):
         """Return this control host as it sees itself."""
         state = self._replica.state
@@ -271,6 +291,8 @@
             try:
                 await self._expire_leases()
                 await self._mark_in_force()
+                if self._settings.routes is not None:
+                    continue
                 if monotonic() >= next_steer_s:
                     next_steer_s = monotonic() + steer_s
                     await self._steer()
@@ -290,11 +312,10 @@
         """Return the relay tree of the present revision."""
         stored = self._replica.machine.stored
         if self._tree is None or self._tree_revision != stored.revision:
-            addresses = [
-                host.peer_address for host in self._settings.control_hosts
-            ]
             self._tree = RelayTree(
-                stored.hosts.values(), addresses, RELAY_FAN_OUT
+                stored.hosts.values(),
+                self._replica.member_addresses,
+                RELAY_FAN_OUT,
             )
             self._tree_revision = stored.revision
         return self._tree
--- a/fuchsiacart/controllers.py
+++ b/fuchsiacart/controllers.py
@@ -26,6 +26,11 @@
         self._addresses = list(addresses)
         self._current = 0
 
+    @property
+    def addresses(self):
+        """Return the addresses of all control hosts that are known."""
+        return tuple(self._addresses)
+
     async def call(self, method, message, timeout_s=CALL_TIMEOUT_S):
         """Call the present control host once.
 
@@ -87,6 +92,11 @@
                     raise
             await sleep(PAUSE_S)
 
+    def learn(self, addresses):
+        """Take in where control hosts are, beside those known already."""
+        fresh = [each for each in addresses if each not in self._addresses]
+        self._addresses.extend(fresh)
+
     def prefer(self, leader):
         """Call the leader from now on, which saves a hop."""
         if leader in self._addresses:
--- a/fuchsiacart/daemon.py
+++ b/fuchsiacart/daemon.py
@@ -24,13 +24,12 @@
 from sys import exit as sys_exit
 from sys import stderr
 
-from absl.flags import FLAGS
-from absl import logging
 from docopt import docopt
 from msgspec.json import encode
 from msgspec import Struct
 from tornado.httpserver import HTTPServer
 from tornado.netutil import bind_sockets
+from tornado.web import Application
 
 from fuchsiacart.adapters import GrpcAdapter
 from fuchsiacart.adapters import PeerServer
@@ -38,12 +37,19 @@
 from fuchsiacart.entry import EntryHost
 from fuchsiacart.exceptions import FuchsiacartError
 from fuchsiacart.exceptions import SettingsError
+from fuchsiacart.gateway_hosts import GatewayHost
 from fuchsiacart.logs import log_error
 from fuchsiacart.logs import log_event
+from fuchsiacart.logs import start_logging
+from fuchsiacart.member_tasks import MemberTask
+from fuchsiacart.metrics import MetricsHandler
 from fuchsiacart.operators import operator_application
+from fuchsiacart.reloads import SettingsWatch
 from fuchsiacart.replicas import ReplicaTask
+from fuchsiacart.route_control import RouteControl
 from fuchsiacart.settings import check_settings
 from fuchsiacart.settings import DaemonRole
+from fuchsiacart.share_tasks import ShareTask
 from fuchsiacart.supervisors import Supervisor
 from fuchsiacart.version import __version__
 
@@ -64,11 +70,15 @@
 
     :param settings: the settings of the process.
     :param adapter: transport to other processes.
+    :param edge: the :class:`Edge` of a deployment that serves by routes.
+    :param settings_path: file to watch for changes, or None.
     """
 
-    def __init__(self, settings, adapter):
+    def __init__(self, settings, adapter, edge=None, settings_path=None):
         self._settings = settings
         self._adapter = adapter
+        self._edge = edge
+        self._settings_path = settings_path
         self._stop_asked = Event()
 
     async def run(self):
@@ -81,6 +91,8 @@
             loop.add_signal_handler(signal, self._stop_asked.set)
         if self._settings.role is DaemonRole.CONTROL:
             return await self._run_control()
+        if self._settings.role is DaemonRole.GATEWAY:
+            return await self._run_gateway()
         return await self._run_entry()
 
     async def _run_control(self):
@@ -95,10 +107,45 @@
         watch = Supervisor('control_watch')
         watch.add('watch', service.watch)
         tree.add('watch', watch.run)
+        if self._edge is not None:
+            await self._add_routes(tree, replica, service)
         code = await self._run_tree(tree)
         await self._close(http, peer)
         return code
 
+    async def _add_routes(self, tree, replica, service):
+        """Add what a control host does for routes and for its group."""
+        control = RouteControl(self._settings, replica, service)
+        members = MemberTask(self._settings, replica, service, self._adapter)
+        shares = ShareTask(self._settings, replica, service)
+        tasks = Supervisor('routes')
+        tasks.add('join', members.join)
+        tasks.add('members', members.keep)
+        tasks.add('servers', control.run)
+        tasks.add('shares', shares.run)
+        self._add_watch(tasks, members.learn_seeds)
+        tree.add('routes', tasks.run)
+        await self._edge.open_control(control)
+
+    def _add_watch(self, tree, on_seeds):
+        if self._settings_path is not None:
+            watch = SettingsWatch(self._settings_path, on_seeds)
+            tree.add('settings', watch.run)
+
+    async def _run_gateway(self):
+        gateway = GatewayHost(
+            self._settings, self._adapter, self._edge.dialect()
+        )
+        application = Application([('/metrics', MetricsHandler)])
+        http, peer, ports = await self._listen(application, gateway.handlers())
+        gateway.start(self._settings.routes.caller_address, ports.peer_address)
+        await self._edge.open_gateway(gateway)
+        tree = gateway.supervisor()
+        self._add_watch(tree, gateway.learn_seeds)
+        code = await self._run_tree(tree, lambda: gateway.stop(self._edge))
+        await self._close(http, peer)
+        return code
+
     async def _run_entry(self):
         entry = EntryHost(self._settings, self._adapter)
         http, peer, ports = await self._listen(
@@ -168,17 +215,23 @@
 
     async def _close(self, http, peer):
         http.stop()
+        if self._edge is not None:
+            await self._edge.close()
         await peer.stop(PEER_GRACE_S)
         await http.close_all_connections()
         await self._adapter.close()
         log_event('stopped', host=self._settings.host.name)
 
 
-def serve(settings, make_adapter=GrpcAdapter):
+def serve(
+    settings, make_adapter=GrpcAdapter, make_edge=None, settings_path=None
+):
     """Run the daemon.
 
     :param settings: the settings of the process.
     :param make_adapter: returns the transport, by token and certificate.
+    :param make_edge: returns the :class:`Edge`, by the settings, or None.
+    :param settings_path: file to watch for changes, or None.
     :return: the exit code.
     """
 
@@ -186,7 +239,8 @@
         adapter = make_adapter(
             settings.tokens.peer, settings.tls.certificate_file
         )
-        return await Program(settings, adapter).run()
+        edge = make_edge(settings) if make_edge is not None else None
+        return await Program(settings, adapter, edge, settings_path).run()
 
     return run(program())
 
@@ -194,9 +248,7 @@
 def main(argv=None):
     """Run the daemon from the command line."""
     options = docopt(__doc__, argv, version=__version__)
-    FLAGS.mark_as_parsed()
-    logging.set_verbosity(logging.INFO)
-    logging.use_absl_handler()
+    start_logging()
     try:
         settings = check_settings(options['SETTINGS'])
         if options['--check']:
--- a/fuchsiacart/dispatch.py
+++ b/fuchsiacart/dispatch.py
@@ -222,6 +222,10 @@
             )
         return tuple(loads)
 
+    def demands(self):
+        """Return the demand by service; owners plan by their queues."""
+        return ()
+
     def draining(self):
         """Return the work left on servers that drain."""
         return tuple(
--- /dev/null
+++ b/fuchsiacart/forwarding.py
@@ -0,0 +1,383 @@
+"""Serving one request by route: attempts at backend servers until it ends."""
+
+from time import monotonic
+
+from msgspec import Struct
+from tornado.httputil import HTTPHeaders
+
+from fuchsiacart.clocks import steady_ms
+from fuchsiacart.dialects import Dialect
+from fuchsiacart.dialects import RequestTerms
+from fuchsiacart.exceptions import ErrorKind
+from fuchsiacart.exceptions import RequestError
+from fuchsiacart.exceptions import Run
+from fuchsiacart.exchanges import exchange
+from fuchsiacart.exchanges import ExchangeLimits
+from fuchsiacart.exchanges import Loss
+from fuchsiacart.exchanges import request_line
+from fuchsiacart.logs import log_event
+from fuchsiacart.placements import ServerBoard
+from fuchsiacart.placements import Wanted
+from fuchsiacart.route_tables import RouteTable
+from fuchsiacart.route_tables import TargetSplitter
+
+# Longest wait for a new connection; a dropped opening packet is sent again
+# only after a second.
+CONNECT_TIMEOUT_S = 0.3
+# What a server's own answer at its deadline takes to arrive.
+ANSWER_MARGIN_S = 0.1
+# Unreachable servers that one request moves on from.
+UNREACHABLE_LIMIT = 4
+RETRY_AFTER_MS = 300
+SUCCESS_STATUSES = range(200, 300)
+SERVER_ERROR = 500
+HOP_HEADERS = frozenset(
+    (
+        'connection',
+        'content-length',
+        'expect',
+        'keep-alive',
+        'proxy-authenticate',
+        'proxy-authorization',
+        'proxy-connection',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+    )
+)
+
+
+class InboundRequest(Struct, frozen=True):
+    """A caller's request, whole."""
+
+    method: str
+    target: str
+    host_name: str
+    headers: HTTPHeaders
+    body: bytes
+    terms: RequestTerms
+    received_s: float
+
+    @property
+    def path(self):
+        """Return the path without its query."""
+        return self.target.partition('?')[0]
+
+
+class Attempts(Struct):
+    """What has been tried for one request.
+
+    ``may_have_run`` is set once an attempt ended without a promise.
+    """
+
+    service: str
+    deadline_s: float
+    sent: int = 0
+    unreachable: int = 0
+    may_have_run: bool = False
+    excluded: frozenset[str] = frozenset()
+    last: str = ''
+
+    @property
+    def left_s(self):
+        """Return the seconds until the request is given up."""
+        return self.deadline_s - monotonic()
+
+
+class RetryBudget:
+    """Further attempts of one service at one gateway.
+
+    The bound holds over all gateways, so each takes its part of the slack.
+
+    :param settings: the :class:`RouteSettings`.
+    """
+
+    def __init__(self, settings):
+        self._ratio = settings.retry_ratio / 2
+        self._slack = settings.retry_slack / 2
+        self._tokens = 1.0
+        self.gateway_count = 1
+
+    def note_request(self):
+        """Take note of a request."""
+        most = max(1.0, self._slack / self.gateway_count)
+        self._tokens = min(most, self._tokens + self._ratio)
+
+    def take(self):
+        """Tell whether another attempt may be made; a yes uses it up."""
+        if self._tokens < 1.0:
+            return False
+        self._tokens -= 1.0
+        return True
+
+
+class Forwarder:
+    """Serves requests by route.
+
+    :param settings: the settings of the process.
+    :param dialect: the :class:`Dialect` of callers and backend servers.
+    """
+
+    def __init__(self, settings, dialect: Dialect):
+        self._settings = settings
+        self._dialect = dialect
+        self._splitter = TargetSplitter()
+        self._budgets = {}
+        self._gateway_count = 1
+        self.table = None
+        self.board = ServerBoard(
+            settings.host.failure_domain, settings.routes.regions
+        )
+        self.demands = DemandMeter()
+
+    @property
+    def version(self):
+        """Return the version of the configuration in force, 0 for none."""
+        return self.table.version if self.table else 0
+
+    def follow(self, view, gateway_count):
+        """Take over a new view.
+
+        :param view: the :class:`RouteView`.
+        :param gateway_count: gateways that share the retry budget.
+        """
+        if self.table is None or (
+            self.table.version != view.configuration.version
+        ):
+            self.table = RouteTable(view.configuration)
+        self._gateway_count = max(1, gateway_count)
+        self.board.follow(view, self.table, steady_ms())
+
+    async def serve(self, request):
+        """Serve a request.
+
+        :param request: the :class:`InboundRequest`.
+        :return: the :class:`ServerAnswer` of a backend server.
+        :raises RequestError: when there is none.
+        """
+        route = self._find_route(request)
+        service = self._splitter.choose(route)
+        attempts = Attempts(service, self._deadline_s(request, route))
+        self._budget(service).note_request()
+        self.demands.note_request(service)
+        while True:
+            track = self._choose(request, route, attempts)
+            answer = await self._attempt(request, attempts, track)
+            if answer is not None:
+                return answer
+            self._check_may_go_on(route, attempts)
+
+    def _find_route(self, request):
+        if not self.version:
+            raise RequestError(
+                'no configuration is known yet',
+                ErrorKind.STALE,
+                retry_after_ms=RETRY_AFTER_MS,
+            )
+        route = self.table.find(request.host_name, request.path)
+        if route is None:
+            raise RequestError(request.path, ErrorKind.NOT_FOUND)
+        return route
+
+    def _deadline_s(self, request, route):
+        wait_ms = route.timeout_ms
+        if request.terms.deadline_ms is not None:
+            wait_ms = min(wait_ms, request.terms.deadline_ms)
+        return request.received_s + wait_ms / 1000
+
+    def _budget(self, service):
+        if service not in self._budgets:
+            self._budgets[service] = RetryBudget(self._settings.routes)
+        budget = self._budgets[service]
+        budget.gateway_count = self._gateway_count
+        return budget
+
+    def _choose(self, request, route, attempts):
+        wanted = Wanted(
+            attempts.service,
+            request.terms.object_key or request.terms.request_id,
+            route.home_regions,
+            attempts.excluded,
+        )
+        track = self.board.choose(wanted, steady_ms())
+        if track is not None:
+            return track
+        if attempts.may_have_run:
+            raise RequestError(
+                attempts.last, ErrorKind.OUTCOME_UNKNOWN, Run.UNKNOWN
+            )
+        raise RequestError(
+            attempts.last or f'no server of {attempts.service} has room',
+            ErrorKind.OVERLOADED,
+            retry_after_ms=RETRY_AFTER_MS,
+        )
+
+    async def _attempt(self, request, attempts, track):
+        """Send a request to a server; return its answer if it is final."""
+        record = track.record
+        attempts.excluded |= {record.name}
+        left_s = attempts.left_s
+        if left_s <= 0:
+            raise self._too_late(attempts)
+        headers = passed_headers(request.headers)
+        self._dialect.write_terms(headers, record.name, left_s * 1000)
+        if request.body or request.method not in ('GET', 'HEAD'):
+            headers['Content-Length'] = str(len(request.body))
+        track.in_flight += 1
+        started_s = monotonic()
+        try:
+            outcome = await exchange(
+                record.address,
+                request_line(request.method, request.target),
+                headers,
+                request.body or None,
+                ExchangeLimits(
+                    min(CONNECT_TIMEOUT_S, left_s), left_s + ANSWER_MARGIN_S
+                ),
+            )
+        finally:
+            track.in_flight -= 1
+        taken_s = monotonic() - started_s
+        return self._judge(request, attempts, track, outcome, taken_s)
+
+    def _judge(self, request, attempts, track, outcome, taken_s):
+        if outcome.loss is not None:
+            self._note_loss(request, attempts, track, outcome)
+            return None
+        attempts.sent += 1
+        answer = outcome.answer
+        terms = self._dialect.read_answer(answer.status, answer.headers)
+        if terms.load is not None:
+            track.note_report(terms.load, steady_ms())
+        if terms.not_run:
+            track.is_misdirected = terms.is_misdirected
+            attempts.last = f'{track.record.name} refused it'
+            self._log_attempt(request, track, f'not_run_{answer.status}')
+            return None
+        if self._is_foreign(request, answer, terms):
+            attempts.may_have_run = True
+            attempts.last = f'{track.record.name} sent no answer of its own'
+            track.note_failure(steady_ms())
+            self._log_attempt(request, track, 'foreign_answer')
+            return None
+        track.note_success()
+        self.demands.note_served(attempts.service, taken_s, terms.load)
+        self._log_attempt(request, track, answer.status)
+        return answer
+
+    def _is_foreign(self, request, answer, terms):
+        if terms.request_id and terms.request_id != request.terms.request_id:
+            return True
+        if 'Content-Encoding' in answer.headers:
+            return True
+        return answer.status in SUCCESS_STATUSES and not terms.is_own
+
+    def _note_loss(self, request, attempts, track, outcome):
+        attempts.last = f'{track.record.name}: {outcome.loss.value}'
+        self._log_attempt(request, track, outcome.loss.value, outcome.detail)
+        if outcome.loss is Loss.NOT_CONNECTED:
+            attempts.unreachable += 1
+        else:
+            attempts.sent += 1
+            attempts.may_have_run = True
+        if outcome.loss is not Loss.TIMED_OUT:
+            track.note_failure(steady_ms())
+
+    def _check_may_go_on(self, route, attempts):
+        """Raise unless another attempt may be made."""
+        if attempts.left_s <= 0:
+            raise self._too_late(attempts)
+        if attempts.may_have_run and not route.is_idempotent:
+            raise RequestError(
+                attempts.last, ErrorKind.OUTCOME_UNKNOWN, Run.UNKNOWN
+            )
+        if attempts.sent == 0:
+            if attempts.unreachable < UNREACHABLE_LIMIT:
+                return
+        elif attempts.sent < route.max_attempts:
+            if self._budget(attempts.service).take():
+                return
+        if attempts.may_have_run:
+            raise RequestError(
+                attempts.last, ErrorKind.OUTCOME_UNKNOWN, Run.UNKNOWN
+            )
+        raise RequestError(
+            attempts.last,
+            ErrorKind.OVERLOADED,
+            retry_after_ms=RETRY_AFTER_MS,
+        )
+
+    def _too_late(self, attempts):
+        if not attempts.may_have_run:
+            return RequestError(
+                attempts.last or 'its time is over', ErrorKind.OVERLOADED
+            )
+        return RequestError(attempts.last, ErrorKind.DEADLINE, Run.UNKNOWN)
+
+    def _log_attempt(self, request, track, result, detail=''):
+        log_event(
+            'attempt',
+            request=request.terms.request_id,
+            server=track.record.name,
+            load=round(track.load(steady_ms()), 1),
+            result=result,
+            detail=detail,
+        )
+
+
+class DemandMeter:
+    """Slots that the requests arriving at this gateway keep busy, pure.
+
+    By Little's law that is their rate times what a server takes for one;
+    answers of servers with a queue are left out, as they hold the wait.
+    """
+
+    def __init__(self):
+        self._arrived = {}
+        self._taken_s = {}
+
+    def note_request(self, service):
+        """Take note of a request."""
+        self._arrived[service] = self._arrived.get(service, 0) + 1
+
+    def note_served(self, service, taken_s, load):
+        """Take note of an answer.
+
+        :param service: the service.
+        :param taken_s: seconds from sending to the whole answer.
+        :param load: the :class:`ReportedLoad`, or None.
+        """
+        if load is not None and load.waiting > 0:
+            return
+        held_s = self._taken_s.get(service, taken_s)
+        self._taken_s[service] = held_s + 0.05 * (taken_s - held_s)
+
+    def read(self, span_s):
+        """Return the busy slots by service since the last reading.
+
+        :param span_s: seconds since then.
+        """
+        arrived, self._arrived = self._arrived, {}
+        return {
+            service: count / span_s * self._taken_s.get(service, 0.0)
+            for service, count in arrived.items()
+        }
+
+
+def passed_headers(headers):
+    """Return a copy of the headers that travel end to end.
+
+    :param headers: tornado's headers.
+    """
+    named = {
+        name.strip().lower()
+        for line in headers.get_list('Connection')
+        for name in line.split(',')
+    }
+    passed = HTTPHeaders()
+    for name, value in headers.get_all():
+        if name.lower() in HOP_HEADERS or name.lower() in named:
+            continue
+        passed.add(name, value)
+    return passed
--- /dev/null
+++ b/fuchsiacart/gateway_hosts.py
@@ -0,0 +1,153 @@
+"""The gateway role: a host that serves callers by route."""
+
+from asyncio import sleep
+from asyncio import wait_for
+from time import monotonic
+from time import time
+
+from fuchsiacart.adapters import Method
+from fuchsiacart.controllers import ControlGroup
+from fuchsiacart.forwarding import Forwarder
+from fuchsiacart.gateways import CallerServer
+from fuchsiacart.keepers import LeaseKeeper
+from fuchsiacart.keepers import ViewKeeper
+from fuchsiacart.limits import LimitBook
+from fuchsiacart.logs import log_event
+from fuchsiacart.messages import ServiceDemand
+from fuchsiacart.models import Host
+from fuchsiacart.models import HostId
+from fuchsiacart.ownership import rendezvous_order
+from fuchsiacart.states import is_live
+from fuchsiacart.supervisors import Supervisor
+
+STOP_POLL_S = 0.05
+# Callers have heard of the stop by then and have other gateways.
+ACCEPT_AFTER_STOP_S = 3.0
+# Time kept for closing before the process is killed.
+CLOSE_MARGIN_S = 0.3
+
+
+class GatewayHost:
+    """One gateway: its lease, its view and what it serves.
+
+    :param settings: the settings of the process.
+    :param adapter: transport to other processes.
+    :param dialect: the :class:`Dialect` of callers and backend servers.
+    """
+
+    def __init__(self, settings, adapter, dialect):
+        self._settings = settings
+        self._control = ControlGroup(adapter, settings.control_addresses)
+        self._views = ViewKeeper(adapter, settings.control_addresses)
+        self._lease = LeaseKeeper(
+            settings, self._control, self._views, LimitBook()
+        )
+        self.forwarder = Forwarder(settings, dialect)
+        self.callers = CallerServer(self.forwarder, dialect)
+        self._demands_read_s = monotonic()
+        self.is_stopping = False
+        self._limits_listener = None
+        self._views.on_change(self._follow_view)
+
+    @property
+    def is_ready(self):
+        """Tell whether this gateway can serve new callers."""
+        table = self.forwarder.table
+        return bool(table and table.version) and not self.is_stopping
+
+    def handlers(self):
+        """Return the handlers of the calls between processes."""
+        return {Method.PULL: self._views.on_pull}
+
+    def start(self, caller_address, peer_address):
+        """Set the addresses that others use for this gateway."""
+        host = Host(
+            HostId(self._settings.host.name),
+            int(time() * 1000),
+            self._settings.host.region,
+            self._settings.host.failure_domain,
+            caller_address,
+            peer_address,
+        )
+        self._lease.start(host, self, lambda: self.callers.in_flight)
+
+    def on_limits(self, listener):
+        """Call a function with the :class:`CallerLimits` in force."""
+        self._limits_listener = listener
+
+    def learn_seeds(self, addresses):
+        """Take in seeds that the settings name by now."""
+        self._control.learn(addresses)
+
+    def supervisor(self):
+        """Return the supervisor of all tasks."""
+        tree = Supervisor('gateway')
+        tree.add('lease', self._lease.run)
+        tree.add('view', self._run_view)
+        return tree
+
+    def loads(self):
+        """Return the load of owned backend servers; a gateway owns none."""
+        return ()
+
+    def draining(self):
+        """Return owned servers that drain; a gateway owns none."""
+        return ()
+
+    def demands(self):
+        """Return the demand of each service since the last call."""
+        now_s = monotonic()
+        span_s = max(0.001, now_s - self._demands_read_s)
+        self._demands_read_s = now_s
+        busy = self.forwarder.demands.read(span_s)
+        return tuple(
+            ServiceDemand(service, slots) for service, slots in busy.items()
+        )
+
+    async def stop(self, edge):
+        """Stop as planned: out of the look-ups, then finish, then leave.
+
+        :param edge: the :class:`Edge` that holds callers' connections.
+        """
+        started_s = monotonic()
+        self.is_stopping = True
+        edge.close_after_answers()
+        self._lease.leave_look_ups()
+        await self._lease.renew()
+        left_s = started_s + ACCEPT_AFTER_STOP_S - monotonic()
+        await sleep(max(0.0, left_s))
+        edge.stop_taking()
+        await self.callers.close_idle()
+        end_s = started_s + self._settings.routes.stop_s - CLOSE_MARGIN_S
+        try:
+            await wait_for(self._finish(), max(0.0, end_s - monotonic()))
+        except TimeoutError:
+            log_event('stop_timeout', in_flight=self.callers.in_flight)
+        await self._lease.leave()
+
+    async def _finish(self):
+        while self.callers.in_flight:
+            await sleep(STOP_POLL_S)
+            await self.callers.close_idle()
+
+    async def _run_view(self):
+        await self._views.run(self._lease.needed_revision)
+
+    def _follow_view(self):
+        view = self._views.machine
+        gateways = [host for host in view.hosts if is_live(host)]
+        self.forwarder.follow(view.routes, len(gateways))
+        self.forwarder.board.is_cold_keeper = self._is_cold_keeper
+        if self._limits_listener is not None:
+            self._limits_listener(self.forwarder.table.limits)
+
+    def _is_cold_keeper(self, record):
+        """Tell whether this gateway is the one that warms a server up."""
+        regions = self._settings.routes.regions
+        region = regions.get(record.failure_domain, '')
+        gateways = [
+            host for host in self._views.machine.hosts if is_live(host)
+        ]
+        near = [host for host in gateways if host.region == region]
+        ordered = rendezvous_order(record.name, near or gateways)
+        return bool(ordered) and ordered[0].name == self._settings.host.name
--- /dev/null
+++ b/fuchsiacart/gateways.py
@@ -0,0 +1,179 @@
+"""HTTP towards callers: connections, requests and their answers."""
+
+from asyncio import CancelledError
+from asyncio import create_task
+from time import monotonic
+from weakref import WeakKeyDictionary
+
+from tornado.httputil import HTTPHeaders
+from tornado.httputil import HTTPMessageDelegate
+from tornado.httputil import HTTPServerConnectionDelegate
+from tornado.httputil import ResponseStartLine
+from tornado.iostream import StreamClosedError
+
+from fuchsiacart.exceptions import ANSWERS
+from fuchsiacart.exceptions import ErrorKind
+from fuchsiacart.exceptions import FuchsiacartError
+from fuchsiacart.exceptions import RequestError
+from fuchsiacart.exceptions import Run
+from fuchsiacart.forwarding import InboundRequest
+from fuchsiacart.forwarding import passed_headers
+from fuchsiacart.logs import log_error
+from fuchsiacart.logs import log_event
+from fuchsiacart.metrics import LATENCY
+from fuchsiacart.metrics import REQUESTS
+from fuchsiacart.problems import problem_document
+from fuchsiacart.problems import PROBLEM_TYPE
+
+NO_CONTENT = 204
+NOT_MODIFIED = 304
+MILLISECONDS = 1000
+
+
+class CallerServer(HTTPServerConnectionDelegate):
+    """Takes callers' connections and hands each request to the forwarder.
+
+    :param forwarder: the :class:`Forwarder`.
+    :param dialect: the :class:`Dialect` of callers.
+    """
+
+    def __init__(self, forwarder, dialect):
+        self.forwarder = forwarder
+        self.dialect = dialect
+        self.running = set()
+        # Whether a request is under way, by connection.
+        self._connections = WeakKeyDictionary()
+
+    @property
+    def in_flight(self):
+        """Return the requests under way."""
+        return len(self.running)
+
+    def start_request(self, server_conn, request_conn):
+        """See :class:`HTTPServerConnectionDelegate`."""
+        self._connections[server_conn] = False
+        return CallerRequest(self, server_conn, request_conn)
+
+    def set_busy(self, server_conn, is_busy):
+        """Take note whether a request is under way on a connection."""
+        self._connections[server_conn] = is_busy
+
+    async def close_idle(self):
+        """Close the connections on which no request is under way."""
+        for connection, is_busy in tuple(self._connections.items()):
+            if not is_busy and not connection.stream.closed():
+                await connection.close()
+
+
+class CallerRequest(HTTPMessageDelegate):
+    """One request on a caller's connection."""
+
+    def __init__(self, server, server_conn, request_conn):
+        self._server = server
+        self._server_conn = server_conn
+        self._request_conn = request_conn
+        self._start_line = None
+        self._headers = None
+        self._chunks = []
+        self._task = None
+        self._received_s = monotonic()
+
+    def headers_received(self, start_line, headers):
+        """See :class:`HTTPMessageDelegate`."""
+        self._received_s = monotonic()
+        self._server.set_busy(self._server_conn, True)
+        self._start_line = start_line
+        self._headers = headers
+
+    def data_received(self, chunk):
+        """See :class:`HTTPMessageDelegate`."""
+        self._chunks.append(chunk)
+
+    def finish(self):
+        """Serve the request, which is whole by now."""
+        self._request_conn.set_close_callback(self._caller_left)
+        self._task = create_task(self._run())
+        self._server.running.add(self._task)
+        self._task.add_done_callback(self._server.running.discard)
+
+    def on_connection_close(self):
+        """See :class:`HTTPMessageDelegate`."""
+        self._caller_left()
+
+    def _caller_left(self):
+        if self._task is not None:
+            self._task.cancel()
+
+    async def _run(self):
+        request = InboundRequest(
+            self._start_line.method,
+            self._start_line.path,
+            self._headers.get('Host', ''),
+            self._headers,
+            b''.join(self._chunks),
+            self._server.dialect.read_request(self._headers),
+            self._received_s,
+        )
+        outcome = 'caller_left'
+        try:
+            outcome = await self._answer(request)
+        except CancelledError:
+            outcome = 'caller_left'
+        except StreamClosedError:
+            outcome = 'caller_gone'
+        finally:
+            self._server.set_busy(self._server_conn, False)
+            self._log(request, outcome)
+
+    async def _answer(self, request):
+        try:
+            answer = await self._server.forwarder.serve(request)
+        except FuchsiacartError as error:
+            self._refuse(error)
+            return f'{error.kind.value}: {error.detail}'
+        except (OSError, ValueError, KeyError, TypeError) as error:
+            log_error(
+                'request_failed',
+                request=request.terms.request_id,
+                error=repr(error),
+            )
+            self._refuse(
+                RequestError(repr(error), ErrorKind.INTERNAL, Run.UNKNOWN)
+            )
+            return 'internal'
+        headers = passed_headers(answer.headers)
+        self._send(answer.status, answer.reason, headers, answer.body)
+        return str(answer.status)
+
+    def _refuse(self, error):
+        headers = HTTPHeaders({'Content-Type': PROBLEM_TYPE})
+        if error.retry_after_ms:
+            headers['Retry-After'] = f'{error.retry_after_ms / 1000:g}'
+        row = ANSWERS[error.kind]
+        self._send(row.status, row.title, headers, problem_document(error))
+
+    def _send(self, status, reason, headers, body):
+        has_body = status not in (NO_CONTENT, NOT_MODIFIED)
+        if has_body:
+            headers['Content-Length'] = str(len(body))
+        if self._start_line.method == 'HEAD' or not has_body:
+            body = b''
+        line = ResponseStartLine('HTTP/1.1', status, reason)
+        self._request_conn.write_headers(line, headers, body)
+        self._request_conn.finish()
+
+    def _log(self, request, outcome):
+        taken_s = monotonic() - self._received_s
+        label = outcome.partition(':')[0]
+        REQUESTS.labels('all', label).inc()
+        LATENCY.labels('all').observe(taken_s)
+        log_event(
+            'request',
+            request=request.terms.request_id,
+            method=request.method,
+            host=request.host_name,
+            path=request.path,
+            outcome=outcome,
+            taken_ms=int(taken_s * MILLISECONDS),
+            version=self._server.forwarder.version,
+        )
--- a/fuchsiacart/journals.py
+++ b/fuchsiacart/journals.py
@@ -109,11 +109,14 @@
     """The files of one replica.
 
     :param folder: the data folder; created when it is missing.
+    :param first_replica: id that a replica takes in an empty folder, or
+        None to draw one that was never used.
     :raises JournalError: when a file is damaged before its end.
     """
 
-    def __init__(self, folder):
+    def __init__(self, folder, first_replica=None):
         self._folder = Path(folder)
+        self._first_replica = first_replica
         self._folder.mkdir(parents=True, exist_ok=True)
         self._log = None
         self._log_path = None
@@ -204,7 +207,8 @@
         elif any(self._folder.glob('log-*')):
             raise JournalError(f'{path} is missing beside a log')
         else:
-            identity = Identity(ReplicaId(uuid4().hex), 1)
+            replica = self._first_replica or uuid4().hex
+            identity = Identity(ReplicaId(replica), 1)
         self._write_file('identity', frame(encode(identity)))
         return identity
 
--- a/fuchsiacart/keepers.py
+++ b/fuchsiacart/keepers.py
@@ -21,8 +21,9 @@
 from fuchsiacart.views import View
 from fuchsiacart.views import with_state
 
-PULL_WAIT_MS = 1000
-PULL_TIMEOUT_S = 2.0
+PULL_WAIT_MS = 400
+# A parent that says nothing for so long is left for another.
+PULL_TIMEOUT_S = 0.9
 PULL_PAUSE_S = 0.05
 SHORTEST_PAUSE_S = 0.1
 LEAVE_TIMEOUT_S = 2.0
@@ -182,6 +183,7 @@
             self._dispatcher.loads(),
             self._in_flight(),
             self._dispatcher.draining(),
+            self._dispatcher.demands(),
         )
         timeout_s = self._settings.entry.lease_ms / 3000
         try:
@@ -198,6 +200,7 @@
         )
         self._limits.set_shares(reply.shares)
         self._views.set_parents(reply.parents)
+        self._control.learn(reply.members)
         self._control.prefer(reply.leader)
         return True
 
--- a/fuchsiacart/logs.py
+++ b/fuchsiacart/logs.py
@@ -1,9 +1,24 @@
 """Logs: one line of key=value pairs for each event."""
 
 from json import dumps
+from logging import Formatter
+from sys import stdout
 
+from absl.flags import FLAGS
 from absl import logging
 
+LINE_FORMAT = 'time=%(created).3f level=%(levelname)s %(message)s'
+
+
+def start_logging():
+    """Write the log to standard output, from level info on."""
+    FLAGS.mark_as_parsed()
+    logging.set_verbosity(logging.INFO)
+    logging.use_absl_handler()
+    handler = logging.get_absl_handler()
+    handler.python_handler.stream = stdout
+    handler.setFormatter(Formatter(LINE_FORMAT))
+
 
 def _value(value):
     text = str(value)
--- /dev/null
+++ b/fuchsiacart/member_tasks.py
@@ -0,0 +1,118 @@
+"""Tasks that keep the members of the control group, without an operator."""
+
+from asyncio import sleep
+
+from fuchsiacart.adapters import Method
+from fuchsiacart.clocks import steady_ms
+from fuchsiacart.controllers import ControlGroup
+from fuchsiacart.exceptions import ChangeError
+from fuchsiacart.exceptions import FuchsiacartError
+from fuchsiacart.logs import log_event
+from fuchsiacart.logs import log_warning
+from fuchsiacart.memberships import Candidate
+from fuchsiacart.memberships import next_group
+from fuchsiacart.messages import GroupReply
+from fuchsiacart.messages import JoinGroup
+
+JOIN_INTERVAL_S = 0.3
+JOIN_TIMEOUT_S = 1.0
+KEEP_INTERVAL_S = 0.1
+# A replica that has not asked for so long has stopped, or is a member.
+CANDIDATE_MS = 1500.0
+
+
+class MemberTask:
+    """Joins the control group, and as leader keeps its members.
+
+    :param settings: the settings of the process.
+    :param replica: the :class:`ReplicaTask`.
+    :param service: the :class:`ControlService`.
+    :param adapter: transport to other control hosts.
+    """
+
+    def __init__(self, settings, replica, service, adapter):
+        self._settings = settings
+        self._replica = replica
+        self._control = ControlGroup(
+            adapter, self._without_self(settings.seed_addresses)
+        )
+        self._asked_ms = {}
+        service.answer(JoinGroup, self._on_join)
+
+    def learn_seeds(self, addresses):
+        """Take in seeds that the settings name by now."""
+        self._control.learn(self._without_self(addresses))
+
+    async def join(self):
+        """Ask for ever to be a voter, while this replica is none."""
+        while True:
+            await sleep(JOIN_INTERVAL_S)
+            voters = self._replica.state.group.voters
+            if self._replica.replica in voters and self._replica.has_contact():
+                continue
+            self.learn_seeds(self._replica.member_addresses)
+            if self._replica.is_leader or not self._control.addresses:
+                continue
+            request = JoinGroup(self._replica.replica)
+            try:
+                reply = await self._control.call(
+                    Method.PROPOSE, request, JOIN_TIMEOUT_S
+                )
+                self.learn_seeds(reply.members)
+            except FuchsiacartError as error:
+                log_event('join_not_answered', detail=error.detail)
+
+    async def keep(self):
+        """Change the members for ever, one at a time, while leader."""
+        while True:
+            await sleep(KEEP_INTERVAL_S)
+            if not self._replica.is_leader:
+                continue
+            group = self._next_group()
+            if group is None:
+                continue
+            log_event(
+                'members_change', voters=group.voters, learners=group.learners
+            )
+            try:
+                await self._replica.change_group(group)
+            except ChangeError as error:
+                log_warning('members_not_changed', detail=error.detail)
+
+    async def _on_join(self, request):
+        self._asked_ms[request.replica] = steady_ms()
+        return GroupReply(self._replica.member_addresses)
+
+    def _next_group(self):
+        now_ms = steady_ms()
+        self._asked_ms = {
+            replica: asked_ms
+            for replica, asked_ms in self._asked_ms.items()
+            if now_ms - asked_ms < CANDIDATE_MS
+        }
+        candidates = [
+            Candidate(replica, self._is_caught_up(replica))
+            for replica in self._asked_ms
+        ]
+        limit_ms = self._settings.control.replace_after_ms
+        group = self._replica.state.group
+        silent = {
+            voter
+            for voter in group.voters
+            if voter != self._replica.replica
+            and self._replica.silent_ms(voter) > limit_ms
+        }
+        return next_group(
+            group, candidates, silent, self._settings.control.voters
+        )
+
+    def _is_caught_up(self, replica):
+        state = self._replica.state
+        progress = state.progress_of(replica)
+        if progress is None:
+            return False
+        return progress.match_index >= state.commit_index
+
+    def _without_self(self, addresses):
+        own = self._settings.replica_host
+        return [address for address in addresses if address != own]
--- a/fuchsiacart/messages.py
+++ b/fuchsiacart/messages.py
@@ -3,6 +3,7 @@
 from msgspec import Struct
 
 from fuchsiacart.commands import Command
+from fuchsiacart.configurations import Configuration
 from fuchsiacart.exceptions import ErrorKind
 from fuchsiacart.exceptions import Run
 from fuchsiacart.models import Address
@@ -14,6 +15,7 @@
 from fuchsiacart.models import HostId
 from fuchsiacart.models import LoadReport
 from fuchsiacart.models import Rank
+from fuchsiacart.models import ReplicaId
 from fuchsiacart.models import ServiceId
 from fuchsiacart.replica_messages import Message
 from fuchsiacart.states import Delta
@@ -76,6 +78,13 @@
     in_flight: int
 
 
+class ServiceDemand(Struct, frozen=True):
+    """Slots that the requests arriving at one host keep busy."""
+
+    service: ServiceId
+    slots: float
+
+
 class KeepAliveRequest(Struct, frozen=True, tag=True):
     """Renew the lease of an entry host."""
 
@@ -86,13 +95,14 @@
     loads: tuple[ServiceLoad, ...] = ()
     in_flight: int = 0
     draining: tuple[DrainingServer, ...] = ()
+    demands_slots: tuple[ServiceDemand, ...] = ()
 
 
 class KeepAliveReply(Struct, frozen=True, tag=True):
     """The lease runs from when the request was sent.
 
     It holds only once the host has reached ``revision``.  ``leader`` is the
-    control host to call from now on.
+    control host to call from now on, ``members`` are all control hosts.
     """
 
     lease_ms: int
@@ -100,6 +110,7 @@
     shares: tuple[Share, ...] = ()
     parents: tuple[Address, ...] = ()
     leader: Address = ''
+    members: tuple[Address, ...] = ()
 
 
 class LeaveRequest(Struct, frozen=True, tag=True):
@@ -130,6 +141,38 @@
     relayed: bool = False
 
 
+class JoinGroup(Struct, frozen=True, tag=True):
+    """A control host asks to be a member of the group."""
+
+    replica: ReplicaId
+    relayed: bool = False
+
+
+class GroupReply(Struct, frozen=True, tag=True):
+    """The members of the control group."""
+
+    members: tuple[Address, ...]
+
+
+class ConfigurationQuery(Struct, frozen=True, tag=True):
+    """Ask for the newest configuration."""
+
+    relayed: bool = False
+
+
+class ConfigurationReply(Struct, frozen=True, tag=True):
+    """The newest configuration, confirmed by a quorum."""
+
+    configuration: Configuration
+
+
+class ServersHeard(Struct, frozen=True, tag=True):
+    """Backend servers whose heartbeats reached a control host."""
+
+    names: tuple[BackendServerId, ...]
+    relayed: bool = False
+
+
 class PullRequest(Struct, frozen=True, tag=True):
     """Ask for what came after a revision; wait for it if need be."""
 
@@ -257,6 +300,11 @@
     | ProposeRequest
     | ProposeReply
     | ClaimQuery
+    | JoinGroup
+    | GroupReply
+    | ConfigurationQuery
+    | ConfigurationReply
+    | ServersHeard
     | PullRequest
     | PullReply
     | GossipRequest
--- /dev/null
+++ b/fuchsiacart/placements.py
@@ -0,0 +1,279 @@
+"""Which backend server a gateway sends a request to.
+
+Requests for one object go to the same server as long as its load allows,
+in a failure domain that the shares name; then to the next in the object's
+own order of preference, so that a second server learns the object too.
+"""
+
+from collections import defaultdict
+
+from msgspec import Struct
+from xxhash import xxh64_intdigest
+
+from fuchsiacart.ownership import rendezvous_order
+from fuchsiacart.servers import ServerRecord
+from fuchsiacart.servers import ServerState
+
+HASH_SPAN = 2**64
+# Load for each slot up to which a server keeps its objects.
+STICKY_LOAD = 1.75
+# Load for each slot up to which a server gets work at all.
+FULL_LOAD = 3.5
+# Time after which a reported load counts for nothing any more.
+REPORT_MS = 1000.0
+FIRST_SUSPENSION_MS = 300.0
+LONGEST_SUSPENSION_MS = 5000.0
+# Part of the cold rate that is used, which leaves room for a second gateway
+# that takes itself for the one in charge.
+COLD_RATE_PART = 0.85
+
+
+class ServerTrack(Struct, eq=False):
+    """What this gateway knows of one backend server."""
+
+    record: ServerRecord
+    region: str
+    in_flight: int = 0
+    foreign: float = 0.0
+    reported_ms: float = 0.0
+    cold_until_ms: float = 0.0
+    cold_tokens: float = 1.0
+    cold_filled_ms: float = 0.0
+    failures: int = 0
+    suspended_until_ms: float = 0.0
+    is_misdirected: bool = False
+
+    @property
+    def name(self):
+        """Return the name of the server."""
+        return self.record.name
+
+    def load(self, now_ms):
+        """Return the requests that the server holds, as far as is known."""
+        age_ms = now_ms - self.reported_ms
+        if age_ms >= REPORT_MS:
+            return self.in_flight
+        return self.in_flight + self.foreign * (1 - age_ms / REPORT_MS)
+
+    def is_cold(self, now_ms):
+        """Tell whether the server has to be spared."""
+        return now_ms < self.cold_until_ms
+
+    def note_report(self, load, now_ms):
+        """Take in a reported load.
+
+        :param load: the :class:`ReportedLoad` that came with an answer.
+        :param now_ms: the present.
+        """
+        held = load.running + load.waiting
+        self.foreign = max(0.0, held - self.in_flight)
+        self.reported_ms = now_ms
+
+    def note_success(self):
+        """Take note of an answer."""
+        self.failures = 0
+
+    def note_failure(self, now_ms):
+        """Take note that the server could not be reached or broke off."""
+        pause_ms = FIRST_SUSPENSION_MS * 2**self.failures
+        self.failures = min(self.failures + 1, 6)
+        self.suspended_until_ms = now_ms + min(pause_ms, LONGEST_SUSPENSION_MS)
+
+
+class Wanted(Struct, frozen=True):
+    """What a server is wanted for.
+
+    ``home_regions`` is empty where any region may serve.
+    """
+
+    service: str
+    object_key: str
+    home_regions: tuple[str, ...] = ()
+    excluded: frozenset[str] = frozenset()
+
+
+class ServerBoard:
+    """All backend servers as one gateway sees them, pure.
+
+    :param domain: the gateway's failure domain.
+    :param regions: region of each failure domain.
+    """
+
+    def __init__(self, domain, regions):
+        self._domain = domain
+        self._regions = dict(regions)
+        self._region = self._regions.get(domain, '')
+        self._tracks = {}
+        self._by_service = defaultdict(lambda: defaultdict(list))
+        self._rows = {}
+        self._evacuated = frozenset()
+        self._cold_rates = {}
+        self.is_cold_keeper = lambda name: True
+
+    def follow(self, view, table, now_ms):
+        """Take over a new view.
+
+        :param view: the :class:`RouteView`.
+        :param table: the :class:`RouteTable` of its configuration.
+        :param now_ms: the present.
+        """
+        freed = self._evacuated - set(view.evacuated)
+        self._evacuated = frozenset(view.evacuated)
+        kept = {}
+        for record in view.servers.values():
+            kept[record.name] = self._track(record, now_ms)
+        self._tracks = kept
+        self._by_service = defaultdict(lambda: defaultdict(list))
+        for track in kept.values():
+            terms = table.terms(track.record.service)
+            self._cold_rates[track.record.service] = (
+                terms.cold_rate_per_s if terms else 0.0
+            )
+            if terms and track.record.failure_domain in freed:
+                track.cold_until_ms = now_ms + terms.cold_start_ms
+            domains = self._by_service[track.record.service]
+            domains[track.record.failure_domain].append(track)
+        self._rows = defaultdict(list)
+        for share in view.shares:
+            if share.home == self._domain:
+                self._rows[share.service].append(share)
+
+    def track(self, name):
+        """Return what is known of a server, or None."""
+        return self._tracks.get(name)
+
+    def choose(self, wanted, now_ms):
+        """Return the track of the server to send a request to, or None.
+
+        :param wanted: what for.
+        :param now_ms: the present.
+        """
+        domains = self._by_service.get(wanted.service)
+        if not domains:
+            return None
+        point = xxh64_intdigest(wanted.object_key.encode()) / HASH_SPAN
+        for group in self._groups(wanted, domains, point):
+            ranked = self._ranked(group, wanted, now_ms)
+            found = self._pick(ranked, now_ms)
+            if found is not None:
+                return found
+        return None
+
+    def _track(self, record, now_ms):
+        track = self._tracks.get(record.name)
+        region = self._regions.get(record.failure_domain, '')
+        if track is None or track.record.born_ms != record.born_ms:
+            track = ServerTrack(record, region)
+            if record.cold_ms:
+                track.cold_until_ms = now_ms + record.cold_ms
+            return track
+        if record != track.record:
+            track.is_misdirected = False
+            track.cold_until_ms = 0.0
+            if record.cold_ms:
+                track.cold_until_ms = now_ms + record.cold_ms
+        track.record = record
+        return track
+
+    def _groups(self, wanted, domains, point):
+        """Yield lists of domains, in the order in which they are tried."""
+        first = self._first_domain(wanted, domains, point)
+        region = self._regions.get(first, '')
+        yield [first]
+        yield [
+            each
+            for each in domains
+            if each != first and self._regions.get(each, '') == region
+        ]
+        near = [
+            each
+            for each in domains
+            if self._regions.get(each, '') != region
+            and self._regions.get(each, '') == self._region
+        ]
+        yield near
+        yield [
+            each
+            for each in domains
+            if self._regions.get(each, '') not in (region, self._region)
+        ]
+
+    def _first_domain(self, wanted, domains, point):
+        rows = self._rows.get(wanted.service, ())
+        row = [
+            (share.target, share.permille)
+            for share in rows
+            if self._may_serve(share.target, wanted)
+        ]
+        # The own domain comes first, so that a change of the shares moves
+        # as few objects as possible.
+        row.sort(key=lambda each: (each[0] != self._domain, each[0]))
+        total = sum(permille for _, permille in row)
+        if not total:
+            return self._domain
+        left = point * total
+        for target, permille in row:
+            left -= permille
+            if left < 0:
+                return target
+        return row[-1][0]
+
+    def _may_serve(self, domain, wanted):
+        if domain in self._evacuated:
+            return False
+        if not wanted.home_regions:
+            return True
+        return self._regions.get(domain, '') in wanted.home_regions
+
+    def _ranked(self, group, wanted, now_ms):
+        usable = [
+            track
+            for domain in group
+            if self._may_serve(domain, wanted)
+            for track in self._by_service[wanted.service].get(domain, ())
+            if self._is_usable(track, wanted, now_ms)
+        ]
+        return rendezvous_order(wanted.object_key, usable)
+
+    def _is_usable(self, track, wanted, now_ms):
+        record = track.record
+        if record.state is ServerState.DRAINING or track.is_misdirected:
+            return False
+        if record.name in wanted.excluded:
+            return False
+        if now_ms < track.suspended_until_ms:
+            return False
+        if track.is_cold(now_ms):
+            return self._has_cold_token(track, now_ms)
+        return True
+
+    def _has_cold_token(self, track, now_ms):
+        if not self.is_cold_keeper(track.record):
+            return False
+        rate = self._cold_rates.get(track.record.service, 0.0)
+        if not track.cold_filled_ms:
+            track.cold_filled_ms = now_ms
+        passed_s = (now_ms - track.cold_filled_ms) / 1000
+        track.cold_filled_ms = now_ms
+        filled = track.cold_tokens + passed_s * rate * COLD_RATE_PART
+        track.cold_tokens = min(1.0, filled)
+        return track.cold_tokens >= 1.0
+
+    def _pick(self, ranked, now_ms):
+        """Return the first that keeps its objects, else the least loaded."""
+        best = None
+        best_load = FULL_LOAD
+        for track in ranked:
+            load = track.load(now_ms) / max(1, track.record.slots)
+            if load < STICKY_LOAD:
+                return self._taken(track, now_ms)
+            if load < best_load:
+                best, best_load = track, load
+        if best is None:
+            return None
+        return self._taken(best, now_ms)
+
+    def _taken(self, track, now_ms):
+        if track.is_cold(now_ms):
+            track.cold_tokens -= 1.0
+        return track
--- /dev/null
+++ b/fuchsiacart/platform/__main__.py
@@ -0,0 +1,31 @@
+"""Runs the daemon on the platform; the settings come from its template."""
+
+from os import environ
+from sys import exit as sys_exit
+from sys import stderr
+
+from fuchsiacart.daemon import serve
+from fuchsiacart.exceptions import FuchsiacartError
+from fuchsiacart.logs import log_error
+from fuchsiacart.logs import start_logging
+from fuchsiacart.platform.edge import PlatformEdge
+from fuchsiacart.settings import check_settings
+
+SETTINGS_VARIABLE = 'FUCHSIACART_SETTINGS'
+
+
+def main():
+    """Run the role that the settings name."""
+    start_logging()
+    path = environ.get(SETTINGS_VARIABLE, '')
+    try:
+        settings = check_settings(path)
+        sys_exit(serve(settings, make_edge=PlatformEdge, settings_path=path))
+    except (FuchsiacartError, OSError) as error:
+        log_error('cannot_run', error=str(error))
+        print(error, file=stderr)
+        sys_exit(1)
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/fuchsiacart/platform/documents.py
@@ -0,0 +1,241 @@
+"""Configurations as operators send and read them on the platform."""
+
+from hashlib import sha256
+from typing import Annotated
+from typing import Literal
+
+from msgspec import convert
+from msgspec import field
+from msgspec.json import decode
+from msgspec.json import encode
+from msgspec import Meta
+from msgspec import MsgspecError
+from msgspec import Raw
+from msgspec import Struct
+
+from fuchsiacart.clocks import MILLISECONDS
+from fuchsiacart.configurations import CallerLimits
+from fuchsiacart.configurations import ConfigurationOrder
+from fuchsiacart.configurations import Item
+from fuchsiacart.configurations import ItemId
+from fuchsiacart.configurations import PathRoute
+from fuchsiacart.configurations import RequestKind
+from fuchsiacart.configurations import RouteTarget
+from fuchsiacart.configurations import ServiceTerms
+from fuchsiacart.exceptions import ChangeError
+from fuchsiacart.exceptions import ErrorKind
+
+VERSION_TAG = 'r'
+Seconds = Annotated[float, Meta(ge=0)]
+Count = Annotated[int, Meta(ge=0)]
+
+
+class Metadata(Struct):
+    """The name of an item; limits have none."""
+
+    name: str = ''
+
+
+class Resource(Struct):
+    """One item of a configuration; ``type`` says what ``spec`` holds."""
+
+    type: str
+    spec: Raw
+    metadata: Metadata = field(default_factory=Metadata)
+
+
+class Split(Struct):
+    """One service of a split route."""
+
+    service: str
+    weight: Annotated[float, Meta(ge=0)]
+
+
+class RouteSpec(Struct):
+    """A route; ``slo_s`` is the objective for the latency of an answer."""
+
+    host: str
+    path_prefix: str
+    kind: Literal['idempotent', 'non_idempotent']
+    timeout_s: Seconds
+    slo_s: Seconds
+    max_attempts: Count
+    priority: int = 0
+    service: str = ''
+    split: list[Split] = field(default_factory=list)
+    sticky: bool = False
+    home_regions: list[str] = field(default_factory=list)
+
+
+class ServiceSpec(Struct):
+    """A service; ``cold_per_s`` is requests a second for a cold instance."""
+
+    health_path: str = '/'
+    max_conns: Count = 0
+    cold_start_s: Seconds = 0.0
+    cold_per_s: Seconds = 0.0
+
+
+class LimitsSpec(Struct):
+    """What clients may send."""
+
+    max_header_bytes: Count
+    max_body_bytes: Count
+    header_timeout_s: Seconds
+    idle_timeout_s: Seconds
+
+
+class Upsert(Struct):
+    """Items to add or to replace."""
+
+    resources: list[Raw] = field(default_factory=list)
+
+
+class PutBody(Struct):
+    """A whole configuration."""
+
+    version: str
+    base_version: str | int
+    resources: list[Raw]
+
+
+class PatchBody(Struct):
+    """A change of named items; ``delete`` holds names by type."""
+
+    version: str
+    base_version: str | int
+    upsert: Upsert = field(default_factory=Upsert)
+    delete: dict[str, list[str]] = field(default_factory=dict)
+
+
+class ReadBody(Struct):
+    """A configuration as it is read back."""
+
+    version: str
+    resources: list[Raw]
+
+
+def read_put(body):
+    """Decode a whole configuration.
+
+    :param body: bytes of the call.
+    :return: the :class:`ConfigurationOrder`.
+    :raises ChangeError: when it cannot be read in full.
+    """
+    document = _decode(body, PutBody)
+    return ConfigurationOrder(
+        _read_version(document.version),
+        _read_version(document.base_version),
+        _digest(b'put', body),
+        True,
+        tuple(_read_item(raw) for raw in document.resources),
+    )
+
+
+def read_patch(body):
+    """Decode a change of named items; see :func:`read_put`."""
+    document = _decode(body, PatchBody)
+    removed = tuple(
+        ItemId(kind, name)
+        for kind, names in document.delete.items()
+        for name in names
+    )
+    return ConfigurationOrder(
+        _read_version(document.version),
+        _read_version(document.base_version),
+        _digest(b'patch', body),
+        False,
+        tuple(_read_item(raw) for raw in document.upsert.resources),
+        removed,
+    )
+
+
+def write_configuration(configuration):
+    """Return a configuration as it was put.
+
+    :param configuration: the :class:`Configuration`.
+    """
+    resources = [Raw(item.text) for item in configuration.items]
+    version = f'{VERSION_TAG}{configuration.version}'
+    return encode(ReadBody(version, resources))
+
+
+def _decode(body, kind):
+    try:
+        return decode(body, type=kind)
+    except (MsgspecError, UnicodeDecodeError) as error:
+        raise ChangeError(str(error), ErrorKind.BAD_REQUEST) from error
+
+
+def _digest(call, body):
+    return sha256(call + b'\n' + body).hexdigest()
+
+
+def _read_version(text):
+    digits = str(text).removeprefix(VERSION_TAG)
+    if not (digits.isascii() and digits.isdigit()):
+        raise ChangeError(f'version {text!r}', ErrorKind.BAD_REQUEST)
+    return int(digits)
+
+
+def _read_item(raw):
+    resource = _decode(raw, Resource)
+    try:
+        value = _read_value(resource)
+    except MsgspecError as error:
+        raise ChangeError(
+            f'{resource.type} {resource.metadata.name}: {error}',
+            ErrorKind.BAD_REQUEST,
+        ) from error
+    item_id = ItemId(resource.type, resource.metadata.name)
+    return Item(item_id, value, bytes(raw))
+
+
+def _read_value(resource):
+    name = resource.metadata.name
+    spec = decode(resource.spec)
+    if resource.type == 'routes':
+        return _read_route(name, convert(spec, RouteSpec))
+    if resource.type == 'services':
+        return _read_service(name, convert(spec, ServiceSpec))
+    if resource.type == 'limits':
+        return _read_limits(convert(spec, LimitsSpec))
+    return None
+
+
+def _read_route(name, spec):
+    targets = [RouteTarget(each.service, each.weight) for each in spec.split]
+    if not targets and spec.service:
+        targets = [RouteTarget(spec.service)]
+    return PathRoute(
+        name,
+        spec.host,
+        spec.path_prefix,
+        RequestKind(spec.kind),
+        spec.timeout_s * MILLISECONDS,
+        spec.slo_s * MILLISECONDS,
+        spec.priority,
+        tuple(targets),
+        spec.max_attempts,
+        spec.sticky,
+        tuple(spec.home_regions),
+    )
+
+
+def _read_service(name, spec):
+    return ServiceTerms(
+        name,
+        spec.health_path,
+        spec.max_conns,
+        spec.cold_start_s * MILLISECONDS,
+        spec.cold_per_s,
+    )
+
+
+def _read_limits(spec):
+    return CallerLimits(
+        spec.max_header_bytes,
+        spec.max_body_bytes,
+        spec.header_timeout_s * MILLISECONDS,
+        spec.idle_timeout_s * MILLISECONDS,
+    )
--- /dev/null
+++ b/fuchsiacart/platform/edge.py
@@ -0,0 +1,86 @@
+"""Listeners of the platform's protocol on each role."""
+
+from tornado.httpserver import HTTPServer
+
+from fuchsiacart.clocks import MILLISECONDS
+from fuchsiacart.edges import Edge
+from fuchsiacart.logs import log_event
+from fuchsiacart.platform.calls import control_application
+from fuchsiacart.platform.calls import directory_application
+from fuchsiacart.platform.calls import ready_application
+from fuchsiacart.platform.headers import PlatformDialect
+
+BODY_LIMIT_BYTES = 64 * 1024 * 1024
+LISTEN_BACKLOG = 1024
+# Added to the time that clients may leave a connection idle, so that the
+# client closes it first.
+IDLE_MARGIN_S = 5.0
+
+
+class PlatformEdge(Edge):
+    """Listens where the settings say.
+
+    :param settings: the settings of the process.
+    """
+
+    def __init__(self, settings):
+        self._routes = settings.routes
+        self._dialect = PlatformDialect()
+        self._servers = []
+        self._callers = None
+
+    def dialect(self):
+        """See :meth:`Edge.dialect`."""
+        return self._dialect
+
+    async def open_control(self, control):
+        """See :meth:`Edge.open_control`."""
+        self._listen(
+            control_application(control), self._routes.control_address
+        )
+        self._listen(
+            directory_application(control), self._routes.directory_address
+        )
+
+    async def open_gateway(self, gateway):
+        """See :meth:`Edge.open_gateway`."""
+        self._callers = self._listen(
+            gateway.callers, self._routes.caller_address
+        )
+        self._listen(ready_application(gateway), self._routes.ready_address)
+        gateway.on_limits(self._follow_limits)
+
+    def close_after_answers(self):
+        """See :meth:`Edge.close_after_answers`."""
+        self._callers.conn_params.no_keep_alive = True
+
+    def stop_taking(self):
+        """See :meth:`Edge.stop_taking`."""
+        self._callers.stop()
+
+    async def close(self):
+        """See :meth:`Edge.close`."""
+        for server in self._servers:
+            server.stop()
+        for server in self._servers:
+            await server.close_all_connections()
+
+    def _follow_limits(self, limits):
+        """Hold new connections to what callers may send."""
+        parameters = self._callers.conn_params
+        parameters.max_header_size = limits.header_bytes
+        parameters.max_body_size = limits.body_bytes
+        idle_s = limits.idle_timeout_ms / MILLISECONDS
+        parameters.header_timeout = idle_s + IDLE_MARGIN_S
+
+    def _listen(self, application, address):
+        server = HTTPServer(
+            application,
+            max_body_size=BODY_LIMIT_BYTES,
+            max_buffer_size=BODY_LIMIT_BYTES,
+        )
+        host, _, port = address.rpartition(':')
+        server.listen(int(port), host, backlog=LISTEN_BACKLOG)
+        self._servers.append(server)
+        log_event('edge_listening', address=address)
+        return server
--- /dev/null
+++ b/fuchsiacart/platform/headers.py
@@ -0,0 +1,66 @@
+"""Headers of callers and backend servers on the platform."""
+
+from tornado.httputil import HTTPHeaders
+from tornado.httputil import parse_cookie
+
+from fuchsiacart.dialects import AnswerTerms
+from fuchsiacart.dialects import Dialect
+from fuchsiacart.dialects import ReportedLoad
+from fuchsiacart.dialects import RequestTerms
+
+# Names one client attempt: a client's own retry has another.
+ATTEMPT_ID = 'X-Attempt-Id'
+DEADLINE_MS = 'X-Deadline-Ms'
+AFFINITY_COOKIE = 'X-Affinity-Key'
+EXPECTED_INSTANCE = 'X-Expect-Instance'
+SERVER_STAMP = 'X-Server-Stamp'
+SERVER_LOAD = 'X-Server-Load'
+NOT_RUN = 'X-Not-Run'
+MISDIRECTED = 421
+
+
+class PlatformDialect(Dialect):
+    """Reads and writes the platform's headers."""
+
+    def read_request(self, headers):
+        """See :meth:`Dialect.read_request`."""
+        cookies = parse_cookie(headers.get('Cookie', ''))
+        return RequestTerms(
+            headers.get(ATTEMPT_ID, ''),
+            _read_number(headers.get(DEADLINE_MS)),
+            cookies.get(AFFINITY_COOKIE, ''),
+        )
+
+    def write_terms(self, headers: HTTPHeaders, server_name, left_ms):
+        """See :meth:`Dialect.write_terms`."""
+        headers[DEADLINE_MS] = str(max(1, int(left_ms)))
+        headers[EXPECTED_INSTANCE] = server_name
+
+    def read_answer(self, status, headers):
+        """See :meth:`Dialect.read_answer`."""
+        is_misdirected = status == MISDIRECTED
+        return AnswerTerms(
+            is_misdirected or NOT_RUN in headers,
+            is_misdirected,
+            SERVER_STAMP in headers,
+            headers.get(ATTEMPT_ID, ''),
+            _read_load(headers.get(SERVER_LOAD)),
+        )
+
+
+def _read_number(text):
+    """Return a number that is not negative, or None for any other text."""
+    try:
+        number = float(text)
+    except (TypeError, ValueError):
+        return None
+    return number if 0 <= number < float('inf') else None
+
+
+def _read_load(text):
+    """Read running, waiting and slots, or None where they are not told."""
+    try:
+        running, waiting, slots = (int(part) for part in text.split(','))
+    except (AttributeError, ValueError):
+        return None
+    return ReportedLoad(running, waiting, slots)
--- a/fuchsiacart/replicas.py
+++ b/fuchsiacart/replicas.py
@@ -14,6 +14,11 @@
 from msgspec.structs import replace
 
 from fuchsiacart.adapters import Method
+from fuchsiacart.addresses import FOUNDER
+from fuchsiacart.addresses import founding_voters
+from fuchsiacart.addresses import host_of
+from fuchsiacart.addresses import make_address_book
+from fuchsiacart.clocks import MILLISECONDS
 from fuchsiacart.clocks import steady_ms
 from fuchsiacart.commands import Command
 from fuchsiacart.commands import COMMANDS
@@ -28,7 +33,6 @@
 from fuchsiacart.logs import log_event
 from fuchsiacart.logs import log_warning
 from fuchsiacart.messages import Deliver
-from fuchsiacart.models import HostId
 from fuchsiacart.models import ReplicaId
 from fuchsiacart.randoms import make_random
 from fuchsiacart.replica_messages import AppendRequest
@@ -92,11 +96,6 @@
     done: Future
 
 
-def host_of(replica):
-    """Return the control host that a replica lives on."""
-    return HostId(replica.partition('/')[0])
-
-
 class ReplicaTask:
     """Owns the journal and the replicated state of one control host.
 
@@ -108,12 +107,15 @@
         self._settings = settings
         self._adapter = adapter
         self._consensus = Consensus()
-        self._addresses = {
-            HostId(host.name): host.peer_address
-            for host in settings.control_hosts
-        }
+        self._addresses = make_address_book(settings)
         self._inbox = Queue()
-        self._journal = Journal(settings.control.data_folder)
+        founders = founding_voters(settings)
+        self._is_founder = bool(founders)
+        self._journal = Journal(
+            settings.control.data_folder,
+            FOUNDER if self._is_founder else None,
+        )
+        self._heard_ms = {}
         self._random = make_random(settings.seed, settings.host.name)
         self._sending = {}
         self._tasks = set()
@@ -126,6 +128,7 @@
         self.moved = RevisionSignal(lambda: self.machine.stored.revision)
         self._last_heartbeat_ms = 0.0
         self.led_since_s = 0.0
+        self._opened_ms = steady_ms()
         self.machine = State()
         self._state = ReplicaState(self.replica)
         self._timer = None
@@ -135,7 +138,7 @@
     def replica(self):
         """Return this replica's id, which lives with its data folder."""
         identity = self._journal.identity
-        return ReplicaId(f'{self._settings.host.name}/{identity.replica}')
+        return ReplicaId(f'{self._settings.replica_host}/{identity.replica}')
 
     @property
     def state(self):
@@ -164,6 +167,27 @@
             return ''
         return self._addresses.get(host_of(self._state.leader), '')
 
+    @property
+    def member_addresses(self):
+        """Return the addresses of all members that are known."""
+        members = self._state.group.everyone
+        addresses = [self._addresses.get(host_of(each)) for each in members]
+        return tuple(address for address in addresses if address)
+
+    def has_contact(self):
+        """Tell whether a leader, or as leader a quorum, was heard lately."""
+        now_ms = steady_ms()
+        if self.is_leader:
+            return self._timer.has_fresh_quorum(now_ms)
+        return self._timer.has_fresh_leader(now_ms)
+
+    def silent_ms(self, replica):
+        """Return how long another replica has not been heard."""
+        heard_ms = self._heard_ms.get(replica, self._opened_ms)
+        if self.is_leader:
+            heard_ms = max(heard_ms, self.led_since_s * MILLISECONDS)
+        return steady_ms() - heard_ms
+
     def deliver(self, message):
         """Take in a message from another replica."""
         self._inbox.put_nowait(Inbound(message))
@@ -214,6 +238,8 @@
     def _open(self):
         stored = self._journal.load()
         self._state = replace(stored.state, replica=self.replica)
+        if self._is_founder and self.is_blank:
+            self._found_group()
         if stored.snapshot is not None:
             self._snapshot = stored.snapshot
             self.machine.restore(stored.snapshot)
@@ -231,6 +257,14 @@
             last_index=self._state.last_index,
         )
 
+    def _found_group(self):
+        """Start as one of the first voters, each of which does the same."""
+        group = Group(founding_voters(self._settings))
+        founded = _with_first_group(self._state, group)
+        self._journal.save(self._state, founded)
+        self._state = founded
+        log_event('group_founded', voters=group.voters)
+
     async def _ask(self, event, done, timeout_s):
         self._inbox.put_nowait(event)
         try:
@@ -288,6 +322,7 @@
 
     def _take_message(self, state, message):
         now_ms = steady_ms()
+        self._heard_ms[message.sender] = now_ms
         fresh = self._timer.has_fresh_leader(now_ms)
         if state.role is Role.LEADER:
             fresh = self._timer.has_fresh_quorum(now_ms)
@@ -342,12 +377,8 @@
         if state.group.everyone:
             _refuse(event.done, 'this control host has members already')
             return Step(state)
-        first = Entry(1, group=event.group)
-        state = replace(
-            state, term=1, log=(first,), group=event.group, commit_index=1
-        )
         self._waiters[1] = Waiter(1, event.done)
-        return Step(state)
+        return Step(_with_first_group(state, event.group))
 
     def _take_tick(self, state):
         now_ms = steady_ms()
@@ -411,7 +442,7 @@
 
     def _send(self, send):
         address = self._addresses.get(host_of(send.to))
-        if address is None:
+        if not address:
             return
         is_snapshot = isinstance(send.message, SnapshotRequest)
         if is_snapshot:
@@ -491,6 +522,12 @@
         log_event('snapshot_saved', index=after.base_index, bytes=len(body))
 
 
+def _with_first_group(state, group):
+    """Return a blank state with the first members as its only entry."""
+    first = Entry(1, group=group)
+    return replace(state, term=1, log=(first,), group=group, commit_index=1)
+
+
 def _merge_proposals(events):
     """Yield the events with neighbouring proposals as one list."""
     proposals = []
--- /dev/null
+++ b/fuchsiacart/route_control.py
@@ -0,0 +1,238 @@
+"""What a control host does for routes: orders, registrations, look-ups."""
+
+from asyncio import sleep
+from time import monotonic
+
+from msgspec.structs import replace
+
+from fuchsiacart.clocks import steady_ms
+from fuchsiacart.clocks import wall_ms
+from fuchsiacart.commands import ChangeConfiguration
+from fuchsiacart.commands import ForgetServer
+from fuchsiacart.commands import RecordServer
+from fuchsiacart.commands import SetEvacuation
+from fuchsiacart.exceptions import ChangeError
+from fuchsiacart.exceptions import ErrorKind
+from fuchsiacart.exceptions import FuchsiacartError
+from fuchsiacart.exceptions import Run
+from fuchsiacart.logs import log_event
+from fuchsiacart.messages import ConfigurationQuery
+from fuchsiacart.messages import ConfigurationReply
+from fuchsiacart.messages import Done
+from fuchsiacart.messages import ProposeRequest
+from fuchsiacart.messages import ServersHeard
+from fuchsiacart.servers import says_the_same
+from fuchsiacart.states import is_live
+
+# Callers of the control interface wait a second for an answer.
+ANSWER_TIMEOUT_S = 0.9
+RETRY_PAUSE_S = 0.05
+HEARD_INTERVAL_S = 1.0
+# Heartbeats that may be missing before a server is taken for gone.
+MISSED_HEARTBEATS = 5
+# A caller that is given fewer has no choice when one of them fails.
+FEWEST_GATEWAYS = 2
+GATEWAY_LIMIT = 64
+
+
+class RouteControl:
+    """Serves operators, backend servers and look-ups on a control host.
+
+    :param settings: the settings of the process.
+    :param replica: the :class:`ReplicaTask`.
+    :param service: the :class:`ControlService`, which reaches the leader.
+    """
+
+    def __init__(self, settings, replica, service):
+        self._settings = settings
+        self._replica = replica
+        self._service = service
+        self._heard_ms = {}
+        self._fresh_names = set()
+        self._leading_since_ms = None
+        service.answer(ConfigurationQuery, self._on_query)
+        service.answer(ServersHeard, self._on_heard)
+
+    @property
+    def lookup_ttl_s(self):
+        """Return how long callers may keep the named gateways."""
+        return self._settings.routes.lookup_ttl_s
+
+    @property
+    def routes(self):
+        """Return the routes as far as this host has applied them."""
+        return self._replica.machine.stored.routes
+
+    async def change_configuration(self, order):
+        """Put an order in force.
+
+        :param order: the :class:`ConfigurationOrder`.
+        :raises ChangeError: when it is refused, or its fate is unknown.
+        """
+        outcome = await self._commit(ChangeConfiguration(order, wall_ms()))
+        log_event(
+            'configuration_order',
+            version=order.version,
+            base_version=order.base_version,
+            accepted=outcome.error is None,
+            detail=outcome.detail,
+            revision=outcome.revision,
+        )
+        if outcome.error is not None:
+            raise ChangeError(outcome.detail, outcome.error)
+
+    async def read_configuration(self):
+        """Return the newest configuration.
+
+        :raises ChangeError: when no quorum confirms which one that is.
+        """
+        reply = await self._ask(ConfigurationQuery())
+        return reply.configuration
+
+    async def set_evacuation(self, domain, evacuated):
+        """Evacuate a failure domain, or take that back.
+
+        :raises ChangeError: when the fate of the order is unknown.
+        """
+        outcome = await self._commit(
+            SetEvacuation(domain, evacuated, wall_ms())
+        )
+        log_event(
+            'evacuation_order',
+            failure_domain=domain,
+            evacuated=evacuated,
+            revision=outcome.revision,
+        )
+
+    async def register(self, record):
+        """Take a heartbeat of a backend server.
+
+        :param record: the :class:`ServerRecord`.
+        :raises ChangeError: when this host may be cut off, or a change of
+            the server could not be committed.
+        """
+        if not self._replica.has_contact():
+            raise ChangeError('no leader is heard', ErrorKind.NO_QUORUM)
+        self._heard_ms[record.name] = steady_ms()
+        self._fresh_names.add(record.name)
+        if says_the_same(self.routes.servers.get(record.name), record):
+            return
+        outcome = await self._commit(RecordServer(record, wall_ms()))
+        log_event(
+            'server_recorded',
+            server=record.name,
+            service=record.service,
+            address=record.address,
+            state=record.state.value,
+            born_ms=record.born_ms,
+            sequence=record.sequence,
+            cold_ms=record.cold_ms,
+            revision=outcome.revision,
+        )
+
+    async def forget(self, name, born_ms):
+        """Take a backend server out that leaves.
+
+        :raises ChangeError: when the change could not be committed.
+        """
+        outcome = await self._commit(ForgetServer(name, born_ms, wall_ms()))
+        log_event('server_left', server=name, revision=outcome.revision)
+
+    def find_gateways(self, region, domain):
+        """Return the addresses of the gateways to name to a caller.
+
+        :param region: region of the caller.
+        :param domain: failure domain of the caller.
+        """
+        hosts = [
+            host
+            for host in self._replica.machine.stored.hosts.values()
+            if is_live(host)
+        ]
+        return nearest_gateways(hosts, region, domain)
+
+    async def run(self):
+        """Report heartbeats to the leader, and as leader expire servers."""
+        while True:
+            await sleep(HEARD_INTERVAL_S)
+            names, self._fresh_names = self._fresh_names, set()
+            if not self._replica.is_leader:
+                self._leading_since_ms = None
+                await self._report(names)
+                continue
+            if self._leading_since_ms is None:
+                self._leading_since_ms = steady_ms()
+            await self._expire()
+
+    async def _report(self, names):
+        if not names:
+            return
+        try:
+            await self._service.on_propose(ServersHeard(tuple(names)))
+        except FuchsiacartError as error:
+            log_event('heartbeats_not_reported', detail=error.detail)
+
+    async def _expire(self):
+        limit_ms = self._settings.routes.heartbeat_s * 1000
+        limit_ms *= MISSED_HEARTBEATS
+        now_ms = steady_ms()
+        for record in tuple(self.routes.servers.values()):
+            heard_ms = self._heard_ms.get(record.name, 0.0)
+            silent_ms = now_ms - max(heard_ms, self._leading_since_ms)
+            if silent_ms < limit_ms:
+                continue
+            log_event(
+                'server_expired', server=record.name, silent_ms=int(silent_ms)
+            )
+            try:
+                await self.forget(record.name, record.born_ms)
+            except ChangeError as error:
+                log_event('server_not_expired', detail=error.detail)
+                return
+
+    async def _on_heard(self, request):
+        now_ms = steady_ms()
+        for name in request.names:
+            self._heard_ms[name] = now_ms
+        return Done()
+
+    async def _on_query(self, request):
+        await self._replica.confirm_leadership(ANSWER_TIMEOUT_S)
+        return ConfigurationReply(self.routes.configuration)
+
+    async def _commit(self, command):
+        reply = await self._ask(ProposeRequest(command))
+        return reply.outcome
+
+    async def _ask(self, request):
+        """Ask the leader, again while there is none, within the time."""
+        deadline_s = monotonic() + ANSWER_TIMEOUT_S
+        while True:
+            try:
+                return await self._service.on_propose(replace(request))
+            except FuchsiacartError as error:
+                if error.kind not in (
+                    ErrorKind.NO_QUORUM,
+                    ErrorKind.UNREACHABLE,
+                ):
+                    raise
+                if monotonic() + RETRY_PAUSE_S >= deadline_s:
+                    raise ChangeError(
+                        error.detail, ErrorKind.NO_QUORUM, Run.UNKNOWN
+                    ) from error
+            await sleep(RETRY_PAUSE_S)
+
+
+def nearest_gateways(hosts, region, domain):
+    """Return the addresses of the gateways that are nearest to a caller.
+
+    :param hosts: gateways that take new callers.
+    :param region: region of the caller.
+    :param domain: failure domain of the caller.
+    """
+    near = [host for host in hosts if host.failure_domain == domain]
+    if len(near) < FEWEST_GATEWAYS:
+        near = [host for host in hosts if host.region == region]
+    if not near:
+        near = list(hosts)
+    return tuple(host.http_address for host in near[:GATEWAY_LIMIT])
--- a/fuchsiacart/settings.py
+++ b/fuchsiacart/settings.py
@@ -29,6 +29,7 @@
 
     ENTRY = 'entry'
     CONTROL = 'control'
+    GATEWAY = 'gateway'
 
 
 @unique
@@ -131,6 +132,20 @@
     shift_window_ms: Milliseconds = Field(
         2000, description='window of the shift cap; not under lookup_ttl_ms'
     )
+    bootstrap: bool = Field(
+        False, description='true at the first start of the whole system only'
+    )
+    tolerated_losses: Annotated[int, Field(ge=0)] = Field(
+        1, description='control hosts that may be lost at once, with `seeds`'
+    )
+    replace_after_ms: Milliseconds = Field(
+        6000, description='silence after which a voter may be replaced'
+    )
+
+    @property
+    def voters(self):
+        """Return how many voters bear the tolerated losses."""
+        return 2 * self.tolerated_losses + 1
 
 
 class EntrySettings(Section):
@@ -177,6 +192,47 @@
     )
 
 
+class RouteSettings(Section):
+    """Serving by routes: where a process listens and what bounds hold."""
+
+    caller_address: HostPort | None = Field(
+        None, description='where a gateway takes requests'
+    )
+    ready_address: HostPort | None = Field(
+        None, description='where a gateway answers readiness checks'
+    )
+    control_address: HostPort | None = Field(
+        None, description='where a control host takes orders and heartbeats'
+    )
+    directory_address: HostPort | None = Field(
+        None, description='where a control host names gateways'
+    )
+    regions: dict[str, str] = Field(
+        {}, description='region of each failure domain'
+    )
+    lookup_ttl_s: Annotated[float, Field(gt=0)] = Field(
+        2.0, description='how long callers may keep the named gateways'
+    )
+    heartbeat_s: Annotated[float, Field(gt=0)] = Field(
+        1.5, description='time between two heartbeats of a backend server'
+    )
+    stop_s: Annotated[float, Field(gt=0)] = Field(
+        6.0, description='time from SIGTERM until the process is killed'
+    )
+    retry_ratio: Annotated[float, Field(ge=0)] = Field(
+        0.2, description='further attempts for each request at most'
+    )
+    retry_window_s: Annotated[float, Field(gt=0)] = Field(
+        10.0, description='window over which further attempts are counted'
+    )
+    retry_slack: Annotated[float, Field(ge=0)] = Field(
+        50.0, description='further attempts in a window beyond the ratio'
+    )
+    shift_cap: Annotated[float, Field(gt=0, le=1)] = Field(
+        0.15, description='part of a region that may move in 2 s at most'
+    )
+
+
 class Settings(Section):
     """The whole settings file."""
 
@@ -186,11 +242,51 @@
     listen: ListenSettings = ListenSettings()
     tls: TlsSettings = TlsSettings()
     tokens: TokenSettings
-    control_hosts: Annotated[tuple[ControlHost, ...], Field(min_length=1)] = (
-        Field(description='all control hosts, in every settings file')
+    control_hosts: tuple[ControlHost, ...] = Field(
+        (), description='all control hosts, in every settings file'
+    )
+    seeds: tuple[HostPort, ...] = Field(
+        (),
+        description='some control hosts, where the others are found from'
+        ' there; the peer port is that of this process',
     )
     control: ControlSettings = ControlSettings()
     entry: EntrySettings = EntrySettings()
+    routes: RouteSettings | None = Field(
+        None, description='serving by routes; absent where it is not used'
+    )
+
+    @property
+    def seed_addresses(self):
+        """Return the peer addresses of the seeds."""
+        hosts = [seed.rpartition(':')[0] for seed in self.seeds]
+        return tuple(f'{host}:{self.listen.peer_port}' for host in hosts)
+
+    @property
+    def control_addresses(self):
+        """Return the peer addresses of the control hosts that are named."""
+        named = tuple(host.peer_address for host in self.control_hosts)
+        return named or self.seed_addresses
+
+    @property
+    def replica_host(self):
+        """Return what this control host's replica is named after.
+
+        Without a list of control hosts it is the address to call.
+        """
+        if self.control_hosts:
+            return self.host.name
+        return f'{self.listen.address}:{self.listen.peer_port}'
+
+    @model_validator(mode='after')
+    def _control_hosts_can_be_found(self):
+        if not self.control_hosts and not self.seeds:
+            raise ValueError('control_hosts: name them, or some `seeds`')
+        if self.seeds and not self.listen.peer_port:
+            raise ValueError('listen.peer_port: `seeds` need a fixed one')
+        if self.role is DaemonRole.GATEWAY and self.routes is None:
+            raise ValueError('routes: a gateway needs them')
+        return self
 
     @model_validator(mode='after')
     def _window_covers_cached_answers(self):
@@ -210,7 +306,8 @@
             return self
         if not self.control.data_folder:
             raise ValueError('control.data_folder: a control host needs one')
-        if self.host.name not in {host.name for host in self.control_hosts}:
+        names = {host.name for host in self.control_hosts}
+        if names and self.host.name not in names:
             raise ValueError('control_hosts: this host is missing')
         return self
 
--- a/fuchsiacart/states.py
+++ b/fuchsiacart/states.py
@@ -15,12 +15,17 @@
 from msgspec.structs import replace
 
 from fuchsiacart.commands import CancelDrain
+from fuchsiacart.commands import ChangeConfiguration
 from fuchsiacart.commands import Claim
 from fuchsiacart.commands import Close
+from fuchsiacart.commands import ForgetServer
 from fuchsiacart.commands import JoinHost
 from fuchsiacart.commands import LeaveHost
 from fuchsiacart.commands import MarkInForce
 from fuchsiacart.commands import PutContract
+from fuchsiacart.commands import RecordServer
+from fuchsiacart.commands import SetEvacuation
+from fuchsiacart.commands import SetShares
 from fuchsiacart.commands import Settle
 from fuchsiacart.commands import SetWeights
 from fuchsiacart.commands import StartDrain
@@ -33,6 +38,10 @@
 from fuchsiacart.models import HostState
 from fuchsiacart.models import Rank
 from fuchsiacart.models import RegionWeight
+from fuchsiacart.route_states import RouteDelta
+from fuchsiacart.route_states import RouteSnapshot
+from fuchsiacart.route_states import RouteState
+from fuchsiacart.route_states import SharesSet
 
 AUDIT_LIMIT = 50_000
 DELTA_LIMIT = 2_000
@@ -131,7 +140,9 @@
     weights: tuple[RegionWeight, ...]
 
 
-DeltaBody = ContractSet | DrainsSet | HostSet | HostGone | WeightsSet
+DeltaBody = (
+    ContractSet | DrainsSet | HostSet | HostGone | WeightsSet | RouteDelta
+)
 
 
 class Delta(Struct, frozen=True):
@@ -149,6 +160,7 @@
     drains: tuple[Drain, ...]
     hosts: tuple[Host, ...]
     weights: tuple[RegionWeight, ...]
+    routes: RouteSnapshot = RouteSnapshot()
 
 
 class StoredState(Struct):
@@ -165,6 +177,7 @@
     deltas: list[Delta] = field(default_factory=list)
     claims: dict[str, ClaimRecord] = field(default_factory=dict)
     in_force_revision: int = 0
+    routes: RouteState = field(default_factory=RouteState)
 
 
 WEIGHTS_HISTORY_MS = 120_000
@@ -203,6 +216,11 @@
             Claim: self._claim,
             Settle: self._settle,
             Close: self._close,
+            ChangeConfiguration: self._change_configuration,
+            SetEvacuation: self._set_evacuation,
+            RecordServer: self._record_server,
+            ForgetServer: self._forget_server,
+            SetShares: self._set_shares,
         }
 
     def apply(self, command):
@@ -237,6 +255,7 @@
             tuple(self.stored.drains),
             tuple(self.stored.hosts.values()),
             self.stored.weights,
+            self.stored.routes.snapshot(),
         )
 
     def deltas_after(self, revision):
@@ -416,6 +435,45 @@
         )
         return Outcome(revision=self.stored.revision)
 
+    def _change_configuration(self, command):
+        order = command.order
+        routes = self.stored.routes
+        if routes.holds_order(order):
+            return Outcome(version=order.version)
+        current = routes.configuration.version
+        if routes.is_stale(order):
+            detail = f'version {current} is in force'
+            return Outcome(ErrorKind.CONFLICT, detail, current)
+        fault = routes.fault_of(order)
+        if fault:
+            return Outcome(ErrorKind.BAD_REQUEST, fault, current)
+        revision = self._advance(routes.change_configuration(order))
+        return Outcome(version=order.version, revision=revision)
+
+    def _set_evacuation(self, command):
+        delta = self.stored.routes.set_evacuation(
+            command.failure_domain, command.evacuated
+        )
+        return self._advance_all((delta,) if delta else ())
+
+    def _record_server(self, command):
+        return self._advance_all(
+            self.stored.routes.record_server(command.record)
+        )
+
+    def _forget_server(self, command):
+        delta = self.stored.routes.forget_server(command.name, command.born_ms)
+        return self._advance_all((delta,) if delta else ())
+
+    def _set_shares(self, command):
+        self.stored.routes.shares = command.shares
+        return self._advance_all((SharesSet(command.shares),))
+
+    def _advance_all(self, deltas):
+        for delta in deltas:
+            self._advance(delta)
+        return Outcome(revision=self.stored.revision)
+
     def _claim(self, command):
         return self._take_key(command, ClaimState.RUNNING)
 
--- a/fuchsiacart/views.py
+++ b/fuchsiacart/views.py
@@ -4,6 +4,7 @@
 
 from fuchsiacart.drains import acting_drains
 from fuchsiacart.models import token_digest
+from fuchsiacart.route_states import RouteView
 from fuchsiacart.states import ContractSet
 from fuchsiacart.states import DELTA_LIMIT
 from fuchsiacart.states import DrainsSet
@@ -24,6 +25,7 @@
         self._weights = ()
         self._deltas = []
         self._by_token = {}
+        self.routes = RouteView()
 
     @property
     def revision(self):
@@ -82,6 +84,7 @@
         self._hosts = {host.name: host for host in snapshot.hosts}
         self._drains = snapshot.drains
         self._weights = snapshot.weights
+        self.routes.restore(snapshot.routes)
         self._deltas = []
         self._index_tokens()
         return True
@@ -119,6 +122,7 @@
             self._drains,
             self.hosts,
             self._weights,
+            self.routes.snapshot(),
         )
 
     def _take(self, body):
@@ -133,6 +137,8 @@
             self._hosts.pop(body.name, None)
         elif isinstance(body, WeightsSet):
             self._weights = body.weights
+        else:
+            self.routes.take(body)
 
     def _index_tokens(self):
         self._by_token = {
