Keep connections to backend servers; let departures be final

Cause: (1) each request to another region paid a round trip of 110 ms for its connection, so half of iwerddon's answers were late. (3) A leader that had been frozen expired servers by its old knowledge, as a follower by then, through the new leader.

Change: connections are kept, an answer counts only if it names its request; a start of a server that has left stays over whatever arrives late; only a leader in contact with a quorum expires, and watches anew after a pause.

--- a/fuchsiacart/commands.py
+++ b/fuchsiacart/commands.py
@@ -139,10 +139,14 @@
 
 
 class ForgetServer(Struct, frozen=True, tag=True):
-    """A backend server leaves; ``born_ms`` is 0 where it was not told."""
+    """A backend server has left, or has fallen silent.
+
+    ``born_ms`` is 0 where it was not told.
+    """
 
     name: BackendServerId
     born_ms: int
+    has_left: bool
     at_ms: int
 
 
--- a/fuchsiacart/dialects.py
+++ b/fuchsiacart/dialects.py
@@ -34,14 +34,12 @@
 
     ``not_run`` promises that the request has not run; ``is_misdirected``
     that another server has the address by now.  ``is_own`` is False where
-    the answer carries no proof that the server gave it, ``request_id`` is
-    the request that it answers.
+    the answer carries no proof that the server gave it.
     """
 
     not_run: bool
     is_misdirected: bool
     is_own: bool
-    request_id: str
     load: ReportedLoad | None
 
 
@@ -64,6 +62,13 @@
         :param left_ms: milliseconds after which the answer is of no use.
         """
 
+    @abstractmethod
+    def read_request_id(self, headers):
+        """Return the id of the request that an answer names, or ''.
+
+        :param headers: tornado's headers of the answer.
+        """
+
     @abstractmethod
     def read_answer(self, status, headers):
         """Return the :class:`AnswerTerms` of a backend server's answer.
--- a/fuchsiacart/exchanges.py
+++ b/fuchsiacart/exchanges.py
@@ -1,14 +1,26 @@
-"""One request and its answer on a connection to a backend server."""
+"""Requests and answers on connections to backend servers.
+
+Connections are kept for further requests, one request at a time.  An answer
+counts only if it names the request that it answers, since a server may send
+bytes that belong to none.
+"""
 
 from asyncio import create_task
 from asyncio import wait_for
+from collections import defaultdict
 from enum import Enum
 from enum import unique
+from errno import EAGAIN
+from re import compile as compile_pattern
 from socket import AF_INET
 from socket import IPPROTO_TCP
+from socket import MSG_DONTWAIT
+from socket import MSG_PEEK
 from socket import SOCK_STREAM
 from socket import socket
 from socket import TCP_NODELAY
+from socket import TCP_USER_TIMEOUT
+from time import monotonic
 
 from msgspec import Struct
 from tornado.http1connection import HTTP1Connection
@@ -22,8 +34,17 @@
 
 HEADER_LIMIT_BYTES = 65_536
 BODY_LIMIT_BYTES = 64 * 1024 * 1024
+# Data that a server does not acknowledge for so long is lost; the longest
+# round trip and two sends of a lost packet fit in.
+USER_TIMEOUT_MS = 1_000
+# Idle time of a kept connection where the server states none, and at most.
+IDLE_LIMIT_S = 4.0
+# Taken off the idle time that a server states, for the way there.
+IDLE_MARGIN_S = 1.0
+# Answers to earlier requests that are skipped on one connection.
+FOREIGN_LIMIT = 3
+KEEP_ALIVE_TIMEOUT = compile_pattern(r'timeout=(\d+)')
 PARAMETERS = HTTP1ConnectionParameters(
-    no_keep_alive=True,
     max_header_size=HEADER_LIMIT_BYTES,
     max_body_size=BODY_LIMIT_BYTES,
     decompress=False,
@@ -56,6 +77,42 @@
     detail: str = ''
 
 
+class Message(Struct, frozen=True):
+    """A request on its way to a backend server.
+
+    ``answers`` tells from the headers of an answer whether it belongs to
+    this request.
+    """
+
+    start_line: RequestStartLine
+    headers: HTTPHeaders
+    body: bytes | None
+    answers: object
+
+
+class ExchangeLimits(Struct, frozen=True):
+    """How long the parts of an exchange may take, in seconds."""
+
+    connect_s: float
+    answer_s: float
+
+
+class _PeekStream(IOStream):
+    """A stream that tells whether bytes wait that nobody has asked for."""
+
+    def is_quiet(self):
+        """Tell whether the other end has neither sent more nor closed."""
+        if self.closed() or self._read_buffer_size:
+            return False
+        try:
+            self.socket.recv(1, MSG_PEEK | MSG_DONTWAIT)
+        except BlockingIOError:
+            return True
+        except OSError as error:
+            return error.errno == EAGAIN
+        return False
+
+
 class _AnswerReader(HTTPMessageDelegate):
     """Collects an answer; it is whole once ``finished`` is set."""
 
@@ -75,84 +132,195 @@
     def finish(self):
         self.finished = True
 
+    def is_delimited(self):
+        """Tell whether the answer's own headers say where it ends."""
+        return (
+            'Content-Length' in self.headers
+            or 'Transfer-Encoding' in self.headers
+        )
 
-async def exchange(address, start_line, headers, body, limits):
-    """Send a request over a new connection and read the whole answer.
+    def answer(self):
+        """Return the :class:`ServerAnswer`."""
+        return ServerAnswer(
+            self.start_line.code,
+            self.start_line.reason,
+            self.headers,
+            b''.join(self.chunks),
+        )
 
-    The connection is closed in the end, also when this is cancelled, so
-    that the server can stop its work.
 
-    :param address: IP:port of the server.
-    :param start_line: tornado's :class:`RequestStartLine`.
-    :param headers: tornado's headers.
-    :param body: the request's body.
-    :param limits: :class:`ExchangeLimits`.
-    :return: the :class:`Outcome`.
-    """
-    stream = IOStream(socket(AF_INET, SOCK_STREAM))
-    try:
+class ServerConnection:
+    """One connection to a backend server."""
+
+    def __init__(self):
+        self._stream = _PeekStream(socket(AF_INET, SOCK_STREAM))
+        self._idle_until_s = 0.0
+        self._is_whole = False
+
+    @property
+    def may_serve_again(self):
+        """Tell whether another request may be sent on the connection."""
+        return (
+            self._is_whole
+            and monotonic() < self._idle_until_s
+            and self._stream.is_quiet()
+        )
+
+    async def connect(self, address, timeout_s):
+        """Connect to a server.
+
+        :param address: IP:port of the server.
+        :param timeout_s: seconds to wait.
+        :raises OSError: when it cannot be reached.
+        """
         host, _, port = address.rpartition(':')
         try:
-            await wait_for(stream.connect((host, int(port))), limits.connect_s)
-            stream.socket.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
+            await wait_for(self._stream.connect((host, int(port))), timeout_s)
+        except StreamClosedError as error:
+            raise OSError(repr(error.real_error)) from error
+        own = self._stream.socket
+        own.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
+        own.setsockopt(IPPROTO_TCP, TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+
+    async def converse(self, message):
+        """Send a request and read its answer.
+
+        :param message: the :class:`Message`.
+        :return: the :class:`Outcome`.
+        """
+        self._is_whole = False
+        connection = HTTP1Connection(self._stream, True, PARAMETERS)
+        sending = create_task(_send(connection, message))
+        try:
+            reader = await self._read(connection, message)
+        except (StreamClosedError, HTTPInputError, ValueError) as error:
+            return Outcome(loss=Loss.BROKEN, detail=repr(error))
+        finally:
+            is_sent = sending.done()
+            sending.cancel()
+        if reader is None:
+            detail = repr(self._stream.error)
+            return Outcome(loss=Loss.BROKEN, detail=detail)
+        self._is_whole = is_sent and reader.is_delimited()
+        self._idle_until_s = monotonic() + _idle_s(reader.headers)
+        return Outcome(reader.answer())
+
+    def close(self):
+        """Close the connection."""
+        self._stream.close()
+
+    async def _read(self, connection, message):
+        """Return the reader of the request's own answer, or None."""
+        for _ in range(FOREIGN_LIMIT):
+            reader = _AnswerReader()
+            await connection.read_response(reader)
+            if not reader.finished:
+                return None
+            if not reader.is_delimited() and self._stream.error is not None:
+                return None
+            if message.answers(reader.headers):
+                return reader
+        return None
+
+
+class ConnectionPool:
+    """Kept connections to all backend servers.
+
+    They are held by server name, so that none outlives its server.
+    """
+
+    def __init__(self):
+        self._idle = defaultdict(list)
+
+    async def exchange(self, record, message, limits):
+        """Send a request to a server and read its whole answer.
+
+        When this is cancelled the connection is closed, so that the server
+        can stop its work.
+
+        :param record: the :class:`ServerRecord`.
+        :param message: the :class:`Message`.
+        :param limits: the :class:`ExchangeLimits`.
+        :return: the :class:`Outcome`.
+        """
+        connection = self._take(record.name)
+        is_kept = connection is not None
+        if not is_kept:
+            connection = ServerConnection()
+        try:
+            if not is_kept:
+                await connection.connect(record.address, limits.connect_s)
         except (OSError, TimeoutError, ValueError) as error:
+            connection.close()
             return Outcome(loss=Loss.NOT_CONNECTED, detail=repr(error))
+        except BaseException:
+            connection.close()
+            raise
         try:
-            return await wait_for(
-                _converse(stream, start_line, headers, body), limits.answer_s
+            outcome = await wait_for(
+                connection.converse(message), limits.answer_s
             )
         except TimeoutError:
-            return Outcome(loss=Loss.TIMED_OUT)
-    finally:
-        stream.close()
-
-
-class ExchangeLimits(Struct, frozen=True):
-    """How long the parts of an exchange may take, in seconds."""
-
-    connect_s: float
-    answer_s: float
-
-
-async def _converse(stream, start_line, headers, body):
-    connection = HTTP1Connection(stream, True, PARAMETERS)
-    reader = _AnswerReader()
-    sending = create_task(_send(connection, start_line, headers, body))
-    try:
-        await connection.read_response(reader)
-    except (StreamClosedError, HTTPInputError, ValueError) as error:
-        return Outcome(loss=Loss.BROKEN, detail=repr(error))
-    finally:
-        sending.cancel()
-    if not reader.finished:
-        return Outcome(loss=Loss.BROKEN, detail=repr(stream.error))
-    if not _is_delimited(reader) and stream.error is not None:
-        return Outcome(loss=Loss.BROKEN, detail=repr(stream.error))
-    return Outcome(
-        ServerAnswer(
-            reader.start_line.code,
-            reader.start_line.reason,
-            reader.headers,
-            b''.join(reader.chunks),
-        )
-    )
-
-
-async def _send(connection, start_line, headers, body):
+            outcome = Outcome(loss=Loss.TIMED_OUT)
+        except BaseException:
+            connection.close()
+            raise
+        self._give_back(record.name, connection, outcome)
+        return outcome
+
+    def retain(self, names):
+        """Close the connections to servers that are gone.
+
+        :param names: the servers that are left.
+        """
+        for name in set(self._idle) - set(names):
+            self._drop(name)
+
+    def _take(self, name):
+        idle = self._idle[name]
+        while idle:
+            connection = idle.pop()
+            if connection.may_serve_again:
+                return connection
+            connection.close()
+        return None
+
+    def _give_back(self, name, connection, outcome):
+        if outcome.loss is not None:
+            connection.close()
+            # What cut or silenced one connection may have hit the others.
+            self._drop(name)
+            return
+        if connection.may_serve_again:
+            self._idle[name].append(connection)
+            return
+        connection.close()
+
+    def _drop(self, name):
+        for connection in self._idle.pop(name, ()):
+            connection.close()
+
+
+async def _send(connection, message):
     """Write the request; an answer may come before all of it is sent."""
     try:
-        await connection.write_headers(start_line, headers, body)
+        written = connection.write_headers(
+            message.start_line, message.headers, message.body
+        )
         connection.finish()
+        await written
     except StreamClosedError:
         return
 
 
-def _is_delimited(reader):
-    """Tell whether the answer's own headers say where it ends."""
-    return (
-        'Content-Length' in reader.headers
-        or 'Transfer-Encoding' in reader.headers
-    )
+def _idle_s(headers):
+    """Return how long a connection may be kept after an answer."""
+    if 'close' in headers.get('Connection', '').lower():
+        return 0.0
+    stated = KEEP_ALIVE_TIMEOUT.search(headers.get('Keep-Alive', ''))
+    if stated is None:
+        return IDLE_LIMIT_S
+    return min(IDLE_LIMIT_S, int(stated.group(1)) - IDLE_MARGIN_S)
 
 
 def request_line(method, target):
--- a/fuchsiacart/forwarding.py
+++ b/fuchsiacart/forwarding.py
@@ -11,9 +11,10 @@
 from fuchsiacart.exceptions import ErrorKind
 from fuchsiacart.exceptions import RequestError
 from fuchsiacart.exceptions import Run
-from fuchsiacart.exchanges import exchange
+from fuchsiacart.exchanges import ConnectionPool
 from fuchsiacart.exchanges import ExchangeLimits
 from fuchsiacart.exchanges import Loss
+from fuchsiacart.exchanges import Message
 from fuchsiacart.exchanges import request_line
 from fuchsiacart.logs import log_event
 from fuchsiacart.placements import ServerBoard
@@ -123,6 +124,7 @@
         self._settings = settings
         self._dialect = dialect
         self._splitter = TargetSplitter()
+        self._pool = ConnectionPool()
         self._budgets = {}
         self._gateway_count = 1
         self.table = None
@@ -148,6 +150,7 @@
             self.table = RouteTable(view.configuration)
         self._gateway_count = max(1, gateway_count)
         self.board.follow(view, self.table, steady_ms())
+        self._pool.retain(view.servers)
 
     async def serve(self, request):
         """Serve a request.
@@ -227,11 +230,14 @@
         track.in_flight += 1
         started_s = monotonic()
         try:
-            outcome = await exchange(
-                record.address,
-                request_line(request.method, request.target),
-                headers,
-                request.body or None,
+            outcome = await self._pool.exchange(
+                record,
+                Message(
+                    request_line(request.method, request.target),
+                    headers,
+                    request.body or None,
+                    lambda answered: self._answers(request, answered),
+                ),
                 ExchangeLimits(
                     min(CONNECT_TIMEOUT_S, left_s), left_s + ANSWER_MARGIN_S
                 ),
@@ -255,7 +261,7 @@
             attempts.last = f'{track.record.name} refused it'
             self._log_attempt(request, track, f'not_run_{answer.status}')
             return None
-        if self._is_foreign(request, answer, terms):
+        if _is_foreign(answer, terms):
             attempts.may_have_run = True
             attempts.last = f'{track.record.name} sent no answer of its own'
             track.note_failure(steady_ms())
@@ -266,12 +272,10 @@
         self._log_attempt(request, track, answer.status)
         return answer
 
-    def _is_foreign(self, request, answer, terms):
-        if terms.request_id and terms.request_id != request.terms.request_id:
-            return True
-        if 'Content-Encoding' in answer.headers:
-            return True
-        return answer.status in SUCCESS_STATUSES and not terms.is_own
+    def _answers(self, request, headers):
+        """Tell whether an answer with these headers is the request's."""
+        answered = self._dialect.read_request_id(headers)
+        return not answered or answered == request.terms.request_id
 
     def _note_loss(self, request, attempts, track, outcome):
         attempts.last = f'{track.record.name}: {outcome.loss.value}'
@@ -365,6 +369,13 @@
         }
 
 
+def _is_foreign(answer, terms):
+    """Tell whether an answer cannot be the server's own."""
+    if 'Content-Encoding' in answer.headers:
+        return True
+    return answer.status in SUCCESS_STATUSES and not terms.is_own
+
+
 def passed_headers(headers):
     """Return a copy of the headers that travel end to end.
 
--- a/fuchsiacart/placements.py
+++ b/fuchsiacart/placements.py
@@ -16,7 +16,7 @@
 
 HASH_SPAN = 2**64
 # Load for each slot up to which a server keeps its objects.
-STICKY_LOAD = 1.75
+STICKY_LOAD = 2.5
 # Load for each slot up to which a server gets work at all.
 FULL_LOAD = 3.5
 # Time after which a reported load counts for nothing any more.
--- a/fuchsiacart/platform/headers.py
+++ b/fuchsiacart/platform/headers.py
@@ -36,6 +36,10 @@
         headers[DEADLINE_MS] = str(max(1, int(left_ms)))
         headers[EXPECTED_INSTANCE] = server_name
 
+    def read_request_id(self, headers):
+        """See :meth:`Dialect.read_request_id`."""
+        return headers.get(ATTEMPT_ID, '')
+
     def read_answer(self, status, headers):
         """See :meth:`Dialect.read_answer`."""
         is_misdirected = status == MISDIRECTED
@@ -43,7 +47,6 @@
             is_misdirected or NOT_RUN in headers,
             is_misdirected,
             SERVER_STAMP in headers,
-            headers.get(ATTEMPT_ID, ''),
             _read_load(headers.get(SERVER_LOAD)),
         )
 
--- a/fuchsiacart/route_control.py
+++ b/fuchsiacart/route_control.py
@@ -30,6 +30,8 @@
 HEARD_INTERVAL_S = 1.0
 # Heartbeats that may be missing before a server is taken for gone.
 MISSED_HEARTBEATS = 5
+# A leader that was paused for longer has missed what others reported.
+LONGEST_PAUSE_MS = 2000.0
 # A caller that is given fewer has no choice when one of them fails.
 FEWEST_GATEWAYS = 2
 GATEWAY_LIMIT = 64
@@ -49,7 +51,7 @@
         self._service = service
         self._heard_ms = {}
         self._fresh_names = set()
-        self._leading_since_ms = None
+        self._watching_since_ms = None
         service.answer(ConfigurationQuery, self._on_query)
         service.answer(ServersHeard, self._on_heard)
 
@@ -135,7 +137,9 @@
 
         :raises ChangeError: when the change could not be committed.
         """
-        outcome = await self._commit(ForgetServer(name, born_ms, wall_ms()))
+        outcome = await self._commit(
+            ForgetServer(name, born_ms, True, wall_ms())
+        )
         log_event('server_left', server=name, revision=outcome.revision)
 
     def find_gateways(self, region, domain):
@@ -154,14 +158,16 @@
     async def run(self):
         """Report heartbeats to the leader, and as leader expire servers."""
         while True:
+            started_ms = steady_ms()
             await sleep(HEARD_INTERVAL_S)
             names, self._fresh_names = self._fresh_names, set()
             if not self._replica.is_leader:
-                self._leading_since_ms = None
+                self._watching_since_ms = None
                 await self._report(names)
                 continue
-            if self._leading_since_ms is None:
-                self._leading_since_ms = steady_ms()
+            paused = steady_ms() - started_ms > LONGEST_PAUSE_MS
+            if paused or self._watching_since_ms is None:
+                self._watching_since_ms = steady_ms()
             await self._expire()
 
     async def _report(self, names):
@@ -173,22 +179,28 @@
             log_event('heartbeats_not_reported', detail=error.detail)
 
     async def _expire(self):
+        """Take out the servers that no control host has heard for long."""
         limit_ms = self._settings.routes.heartbeat_s * 1000
         limit_ms *= MISSED_HEARTBEATS
         now_ms = steady_ms()
         for record in tuple(self.routes.servers.values()):
             heard_ms = self._heard_ms.get(record.name, 0.0)
-            silent_ms = now_ms - max(heard_ms, self._leading_since_ms)
+            silent_ms = now_ms - max(heard_ms, self._watching_since_ms)
             if silent_ms < limit_ms:
                 continue
-            log_event(
-                'server_expired', server=record.name, silent_ms=int(silent_ms)
+            if not self._replica.has_contact():
+                return
+            command = ForgetServer(
+                record.name, record.born_ms, False, wall_ms()
             )
             try:
-                await self.forget(record.name, record.born_ms)
+                await self._replica.propose(command)
             except ChangeError as error:
                 log_event('server_not_expired', detail=error.detail)
                 return
+            log_event(
+                'server_expired', server=record.name, silent_ms=int(silent_ms)
+            )
 
     async def _on_heard(self, request):
         now_ms = steady_ms()
--- a/fuchsiacart/route_states.py
+++ b/fuchsiacart/route_states.py
@@ -13,6 +13,7 @@
 from fuchsiacart.configurations import find_fault
 from fuchsiacart.models import FailureDomainId
 from fuchsiacart.servers import ServerRecord
+from fuchsiacart.servers import ServerState
 from fuchsiacart.servers import Tombstone
 from fuchsiacart.servers import TOMBSTONE_LIMIT
 from fuchsiacart.shifts import DomainShare
@@ -137,36 +138,42 @@
         ]
         if any(other.born_ms > record.born_ms for other in gone):
             return ()
-        deltas = tuple(self._drop(other) for other in gone)
+        deltas = tuple(self._drop(other, True) for other in gone)
         self.servers[record.name] = record
         self.tombstones.pop(record.name, None)
         return deltas + (ServerSet(record),)
 
-    def forget_server(self, name, born_ms):
+    def forget_server(self, name, born_ms, has_left):
         """Take a server out.
 
         :param name: the server.
         :param born_ms: its start; 0 stands for whichever is held.
+        :param has_left: whether it said so, or has only fallen silent.
         :return: the delta, or None where it is not held.
         """
         held = self.servers.get(name)
         if held is None or (born_ms and born_ms < held.born_ms):
             return None
-        return self._drop(held)
+        return self._drop(held, has_left)
 
     def _is_outdated(self, record):
         held = self.servers.get(record.name)
         if held is not None:
-            return record.order <= held.order
-        left = self.tombstones.get(record.name)
-        if left is None:
+            return record.order <= held.order or (
+                held.state is ServerState.DRAINING
+                and record.born_ms == held.born_ms
+            )
+        ended = self.tombstones.get(record.name)
+        if ended is None:
             return False
-        return record.order <= (left.born_ms, left.sequence)
+        if ended.has_left:
+            return record.born_ms <= ended.born_ms
+        return record.order <= (ended.born_ms, ended.sequence)
 
-    def _drop(self, record):
+    def _drop(self, record, has_left):
         del self.servers[record.name]
         self.tombstones[record.name] = Tombstone(
-            record.born_ms, record.sequence
+            record.born_ms, record.sequence, has_left
         )
         while len(self.tombstones) > TOMBSTONE_LIMIT:
             del self.tombstones[next(iter(self.tombstones))]
--- a/fuchsiacart/servers.py
+++ b/fuchsiacart/servers.py
@@ -53,10 +53,15 @@
 
 
 class Tombstone(Struct, frozen=True):
-    """The last call of a server that has left."""
+    """A start of a server that is over.
+
+    One that has left does not come back in the same start, however late
+    its earlier calls arrive; one that only fell silent may.
+    """
 
     born_ms: int
     sequence: int
+    has_left: bool
 
 
 def says_the_same(held, record):
@@ -69,6 +74,8 @@
         return False
     if record.sequence < held.sequence:
         return True
+    if held.state is ServerState.DRAINING:
+        return True
     same = (
         held.service == record.service
         and held.address == record.address
--- a/fuchsiacart/states.py
+++ b/fuchsiacart/states.py
@@ -462,7 +462,9 @@
         )
 
     def _forget_server(self, command):
-        delta = self.stored.routes.forget_server(command.name, command.born_ms)
+        delta = self.stored.routes.forget_server(
+            command.name, command.born_ms, command.has_left
+        )
         return self._advance_all((delta,) if delta else ())
 
     def _set_shares(self, command):
