Hash objects over a whole region and share between regions

Change: an object's servers are drawn from its whole region; shares are set between regions. The log of an attempt says what it took.

--- a/features/placements.feature
+++ b/features/placements.feature
@@ -3,7 +3,7 @@
   Scenario: requests for one object meet one server while it has room
     Given a gateway in cymru-a with 4 servers in each of 4 domains
     When 200 requests come for 20 objects
-    Then each object was served by one server of cymru-a
+    Then each object was served by one server of cymru
 
   Scenario: an object moves to its second server and no further
     Given a gateway in cymru-a with 4 servers in each of 4 domains
@@ -18,18 +18,18 @@
     When both servers of an object are full
     Then its next request goes to an idle server of the region
 
-  Scenario: shares send a part of the objects to another domain
+  Scenario: shares send a part of the objects to another region
     Given a gateway in cymru-a with 4 servers in each of 4 domains
-    And shares of 600 to cymru-a and 400 to lloegr-a
+    And shares of 600 to cymru and 400 to lloegr
     When 2000 requests come for 1000 objects
-    Then 35 to 45 percent of them went to lloegr-a
+    Then 35 to 45 percent of them went to lloegr
     And each object was served by one server
 
   Scenario: a small change of the shares moves few objects
     Given a gateway in cymru-a with 4 servers in each of 4 domains
-    And shares of 600 to cymru-a and 400 to lloegr-a
+    And shares of 600 to cymru and 400 to lloegr
     When 2000 requests come for 1000 objects
-    And the shares become 650 to cymru-a and 350 to lloegr-a
+    And the shares become 650 to cymru and 350 to lloegr
     Then at most 7 percent of the objects have another server
 
   Scenario Outline: a server that must not be used gets nothing
@@ -46,7 +46,7 @@
 
   Scenario: a route with home regions is served there only
     Given a gateway in cymru-a with 4 servers in each of 4 domains
-    And shares of 600 to cymru-a and 400 to lloegr-a
+    And shares of 600 to cymru and 400 to lloegr
     When 300 requests come for routes at home in cymru
     Then all of them went to cymru
 
--- a/fuchsiacart/commands.py
+++ b/fuchsiacart/commands.py
@@ -17,7 +17,7 @@
 from fuchsiacart.models import HostId
 from fuchsiacart.models import RegionWeight
 from fuchsiacart.servers import ServerRecord
-from fuchsiacart.shifts import DomainShare
+from fuchsiacart.shifts import RegionShare
 
 
 class Change(Struct, frozen=True):
@@ -151,9 +151,9 @@
 
 
 class SetShares(Struct, frozen=True, tag=True):
-    """New shares of requests between failure domains."""
+    """New shares of requests between regions."""
 
-    shares: tuple[DomainShare, ...]
+    shares: tuple[RegionShare, ...]
     at_ms: int
 
 
--- a/fuchsiacart/forwarding.py
+++ b/fuchsiacart/forwarding.py
@@ -34,11 +34,9 @@
 LONGEST_RETRY_AFTER_MS = 1000
 # Requests for each slot that a server may hold, whatever they take.
 FEWEST_FOR_SLOT = 1.5
-MOST_FOR_SLOT = 2.5
-# Weights of the newest answer in the means of the time that one takes.
+MOST_FOR_SLOT = 3.0
+# Weight of the newest answer in the mean of the time that one takes.
 MEAN_WEIGHT = 0.05
-WARM_DOWN_WEIGHT = 0.05
-WARM_UP_WEIGHT = 0.01
 SUCCESS_STATUSES = range(200, 300)
 HOP_HEADERS = frozenset(
     (
@@ -136,9 +134,7 @@
         self._budgets = {}
         self._gateway_count = 1
         self.table = None
-        self.board = ServerBoard(
-            settings.host.failure_domain, settings.routes.regions
-        )
+        self.board = ServerBoard(settings.host.region, settings.routes.regions)
         self.demands = DemandMeter()
 
     @property
@@ -277,7 +273,7 @@
             return None
         track.note_success()
         self.demands.note_served(attempts.service, taken_s, terms.load)
-        self._log_attempt(request, track, answer.status)
+        self._log_attempt(request, track, answer.status, taken_s=taken_s)
         return answer
 
     def _headers(self, request, record, left_ms):
@@ -335,13 +331,14 @@
             )
         return RequestError(attempts.last, ErrorKind.DEADLINE, Run.UNKNOWN)
 
-    def _log_attempt(self, request, track, result, detail=''):
+    def _log_attempt(self, request, track, result, detail='', taken_s=0.0):
         log_event(
             'attempt',
             request=request.terms.request_id,
             server=track.record.name,
             load=round(track.load(steady_ms()), 1),
             result=result,
+            taken_ms=int(taken_s * 1000),
             detail=detail,
         )
 
@@ -356,7 +353,6 @@
     def __init__(self):
         self._arrived = {}
         self._mean_s = {}
-        self._warm_s = {}
 
     def note_request(self, service):
         """Take note of a request."""
@@ -373,9 +369,6 @@
             return
         mean_s = self._mean_s.get(service, taken_s)
         self._mean_s[service] = mean_s + MEAN_WEIGHT * (taken_s - mean_s)
-        warm_s = self._warm_s.get(service, taken_s)
-        weight = WARM_DOWN_WEIGHT if taken_s < warm_s else WARM_UP_WEIGHT
-        self._warm_s[service] = warm_s + weight * (taken_s - warm_s)
 
     def slots_factor(self, service, left_s):
         """Return how many requests for each slot a server may hold.
@@ -386,20 +379,17 @@
         mean_s = self._mean_s.get(service)
         if not mean_s:
             return FEWEST_FOR_SLOT
-        factor = left_s / mean_s - 1
+        factor = left_s / mean_s
         return min(MOST_FOR_SLOT, max(FEWEST_FOR_SLOT, factor))
 
     def read(self, span_s):
         """Return the busy slots by service since the last reading.
 
-        The time of a server that knows the object already is taken, so
-        that the shares do not follow the time in which all is new.
-
         :param span_s: seconds since then.
         """
         arrived, self._arrived = self._arrived, {}
         return {
-            service: count / span_s * self._warm_s.get(service, 0.0)
+            service: count / span_s * self._mean_s.get(service, 0.0)
             for service, count in arrived.items()
         }
 
--- a/fuchsiacart/placements.py
+++ b/fuchsiacart/placements.py
@@ -1,8 +1,8 @@
 """Which backend server a gateway sends a request to.
 
 Requests for one object go to the same server as long as its load allows,
-in a failure domain that the shares name; then to the next in the object's
-own order of preference, so that a second server learns the object too.
+in a region that the shares name; then to the next in the object's own order
+of preference, so that a second server learns the object too.
 """
 
 from collections import defaultdict
@@ -101,14 +101,13 @@
 class ServerBoard:
     """All backend servers as one gateway sees them, pure.
 
-    :param domain: the gateway's failure domain.
+    :param region: the gateway's region.
     :param regions: region of each failure domain.
     """
 
-    def __init__(self, domain, regions):
-        self._domain = domain
+    def __init__(self, region, regions):
         self._regions = dict(regions)
-        self._region = self._regions.get(domain, '')
+        self._region = region
         self._tracks = {}
         self._by_service = defaultdict(lambda: defaultdict(list))
         self._rows = {}
@@ -141,7 +140,7 @@
             domains[track.record.failure_domain].append(track)
         self._rows = defaultdict(list)
         for share in view.shares:
-            if share.home == self._domain:
+            if share.home == self._region:
                 self._rows[share.service].append(share)
 
     def track(self, name):
@@ -158,12 +157,10 @@
         if not domains:
             return None
         point = xxh64_intdigest(wanted.object_key.encode()) / HASH_SPAN
-        groups = self._groups(wanted, domains, point)
-        for group in groups:
-            ranked = self._ranked(group, wanted, now_ms)
+        for region in self._ordered_regions(wanted, domains, point):
+            ranked = self._ranked(domains, region, wanted, now_ms)
             if ranked:
-                found = self._pick(ranked, wanted, now_ms)
-                return found or self._spare(groups, wanted, now_ms)
+                return self._pick(ranked, wanted, now_ms)
         return None
 
     def _track(self, record, now_ms):
@@ -182,41 +179,34 @@
         track.record = record
         return track
 
-    def _groups(self, wanted, domains, point):
-        """Return lists of domains, in the order in which they are tried."""
-        first = self._first_domain(wanted, domains, point)
-        region = self._regions.get(first, '')
-        groups = [[first], [], [], []]
-        for each in domains:
-            if each == first:
-                continue
-            if self._regions.get(each, '') == region:
-                groups[1].append(each)
-            elif self._regions.get(each, '') == self._region:
-                groups[2].append(each)
-            else:
-                groups[3].append(each)
-        return groups
-
-    def _first_domain(self, wanted, domains, point):
-        rows = self._rows.get(wanted.service, ())
+    def _ordered_regions(self, wanted, domains, point):
+        """Return the regions, in the order in which they are tried."""
+        first = self._first_region(wanted, point)
+        regions = {self._regions.get(domain, '') for domain in domains}
+        return sorted(
+            regions,
+            key=lambda region: (
+                region != first,
+                region != self._region,
+                region,
+            ),
+        )
+
+    def _first_region(self, wanted, point):
         row = [
             (share.target, share.permille)
-            for share in rows
-            if self._may_serve(share.target, wanted)
+            for share in self._rows.get(wanted.service, ())
+            if not wanted.home_regions or share.target in wanted.home_regions
         ]
-        # The own domain comes first, so that a change of the shares moves
+        # The own region comes first, so that a change of the shares moves
         # as few objects as possible.
-        row.sort(key=lambda each: (each[0] != self._domain, each[0]))
-        total = sum(permille for _, permille in row)
-        if not total:
-            return self._domain
-        left = point * total
-        for target, permille in row:
+        row.sort(key=lambda each: (each[0] != self._region, each[0]))
+        left = point * sum(permille for _, permille in row)
+        for region, permille in row:
             left -= permille
             if left < 0:
-                return target
-        return row[-1][0]
+                return region
+        return self._region
 
     def _may_serve(self, domain, wanted):
         if domain in self._evacuated:
@@ -225,12 +215,13 @@
             return True
         return self._regions.get(domain, '') in wanted.home_regions
 
-    def _ranked(self, group, wanted, now_ms):
+    def _ranked(self, domains, region, wanted, now_ms):
         usable = [
             track
-            for domain in group
-            if self._may_serve(domain, wanted)
-            for track in self._by_service[wanted.service].get(domain, ())
+            for domain, tracks in domains.items()
+            if self._regions.get(domain, '') == region
+            and self._may_serve(domain, wanted)
+            for track in tracks
             if self._is_usable(track, wanted, now_ms)
         ]
         return rendezvous_order(wanted.object_key, usable)
@@ -260,17 +251,10 @@
         return track.cold_tokens >= 1.0
 
     def _pick(self, ranked, wanted, now_ms):
-        """Return one of the object's own servers that has room, or None."""
+        """Return one of the object's own servers or an idle one, or None."""
         for track in ranked[:OBJECT_SERVERS]:
             if track.slot_load(now_ms) < wanted.slots_factor:
                 return self._taken(track, now_ms)
-        return None
-
-    def _spare(self, groups, wanted, now_ms):
-        """Return a server of the region that is nearly idle, or None."""
-        ranked = self._ranked(groups[0] + groups[1], wanted, now_ms)
-        if not ranked:
-            return None
         best = min(ranked, key=lambda track: track.slot_load(now_ms))
         if best.slot_load(now_ms) >= SPARE_LOAD:
             return None
--- a/fuchsiacart/route_states.py
+++ b/fuchsiacart/route_states.py
@@ -16,7 +16,7 @@
 from fuchsiacart.servers import ServerState
 from fuchsiacart.servers import Tombstone
 from fuchsiacart.servers import TOMBSTONE_LIMIT
-from fuchsiacart.shifts import DomainShare
+from fuchsiacart.shifts import RegionShare
 
 # Accepted orders that a resend is compared with.
 ACCEPTED_LIMIT = 4096
@@ -47,9 +47,9 @@
 
 
 class SharesSet(Struct, frozen=True, tag=True):
-    """Delta: the shares between failure domains."""
+    """Delta: the shares between regions."""
 
-    shares: tuple[DomainShare, ...]
+    shares: tuple[RegionShare, ...]
 
 
 RouteDelta = (
@@ -63,7 +63,7 @@
     configuration: Configuration = Configuration()
     evacuated: tuple[FailureDomainId, ...] = ()
     servers: tuple[ServerRecord, ...] = ()
-    shares: tuple[DomainShare, ...] = ()
+    shares: tuple[RegionShare, ...] = ()
 
 
 class RouteState(Struct):
@@ -74,7 +74,7 @@
     evacuated: tuple[FailureDomainId, ...] = ()
     servers: dict[str, ServerRecord] = field(default_factory=dict)
     tombstones: dict[str, Tombstone] = field(default_factory=dict)
-    shares: tuple[DomainShare, ...] = ()
+    shares: tuple[RegionShare, ...] = ()
 
     def snapshot(self):
         """Return what entry hosts need."""
--- a/fuchsiacart/share_tasks.py
+++ b/fuchsiacart/share_tasks.py
@@ -1,4 +1,4 @@
-"""The task by which the leader sets the shares between failure domains."""
+"""The task by which the leader sets the shares between regions."""
 
 from asyncio import sleep
 from collections import defaultdict
@@ -9,13 +9,13 @@
 from fuchsiacart.logs import log_event
 from fuchsiacart.servers import ServerState
 from fuchsiacart.shifts import differs
-from fuchsiacart.shifts import DomainLoad
+from fuchsiacart.shifts import ServiceRegionLoad
 from fuchsiacart.shifts import ShareBalancer
 
 STEP_S = 1.0
 # Two steps fall into the window of the shift cap; the rest is for chance.
 STEP_PART = 0.3
-# Weight of the newest reading in the mean of a domain's demand.
+# Weight of the newest reading in the mean of a region's demand.
 READING_WEIGHT = 0.3
 # Part of all slots that is taken for the demand before any is measured.
 FIRST_USE = 0.6
@@ -52,9 +52,9 @@
     def _measure(self):
         readings = defaultdict(float)
         for report in self._service.fresh_reports():
-            domain = report.host.failure_domain
+            region = report.host.region
             for demand in report.demands_slots:
-                readings[demand.service, domain] += demand.slots
+                readings[demand.service, region] += demand.slots
         for key in set(self._demand) | set(readings):
             held = self._demand.get(key)
             reading = readings.get(key, 0.0)
@@ -97,7 +97,7 @@
 
     def _loads(self, service, routes):
         regions = self._settings.routes.regions
-        capacity = dict.fromkeys(regions, 0.0)
+        capacity = dict.fromkeys(regions.values(), 0.0)
         for record in routes.servers.values():
             if record.service != service:
                 continue
@@ -105,18 +105,17 @@
                 continue
             if record.failure_domain in routes.evacuated:
                 continue
-            capacity[record.failure_domain] = (
-                capacity.get(record.failure_domain, 0.0) + record.slots
-            )
+            region = regions.get(record.failure_domain)
+            if region is not None:
+                capacity[region] += record.slots
         first = 0.0
         if not self._is_measured(service):
-            first = sum(capacity.values()) * FIRST_USE / len(regions)
+            first = sum(capacity.values()) * FIRST_USE / len(capacity)
         return [
-            DomainLoad(
-                domain,
-                regions.get(domain, ''),
-                self._demand.get((service, domain), 0.0) + first,
+            ServiceRegionLoad(
+                region,
+                self._demand.get((service, region), 0.0) + first,
                 slots,
             )
-            for domain, slots in sorted(capacity.items())
+            for region, slots in sorted(capacity.items())
         ]
--- a/fuchsiacart/shifts.py
+++ b/fuchsiacart/shifts.py
@@ -1,15 +1,14 @@
-"""Shares of a service's requests between failure domains.
+"""Shares of a service's requests between regions.
 
-Requests stay in the failure domain in which they arrive as far as its
-backend servers bear them; the rest goes to the same region, then to others.
-The part that changes its region from one step to the next is capped.
+Requests stay in the region in which they arrive as far as its backend
+servers bear them; the rest is spread over the room that others have.  The
+part that changes its region from one step to the next is capped.
 """
 
 from collections import defaultdict
 
 from msgspec import Struct
 
-from fuchsiacart.models import FailureDomainId
 from fuchsiacart.models import RegionId
 from fuchsiacart.models import ServiceId
 
@@ -20,22 +19,21 @@
 STEP_PERMILLE = 20
 
 
-class DomainShare(Struct, frozen=True):
-    """Part of a home domain's requests that a target domain serves."""
+class RegionShare(Struct, frozen=True):
+    """Part of a home region's requests that a target region serves."""
 
     service: ServiceId
-    home: FailureDomainId
-    target: FailureDomainId
+    home: RegionId
+    target: RegionId
     permille: int
 
 
-class DomainLoad(Struct, frozen=True):
-    """Demand and capacity of one service in one failure domain, in slots.
+class ServiceRegionLoad(Struct, frozen=True):
+    """Demand and capacity of one service in one region, in slots.
 
     ``demand_slots`` is what requests arriving there would keep busy.
     """
 
-    domain: FailureDomainId
     region: RegionId
     demand_slots: float
     capacity_slots: float
@@ -44,43 +42,28 @@
 def plan_shares(loads):
     """Return how many slots of each target serve each home's demand.
 
-    :param loads: a :class:`DomainLoad` for each failure domain.
-    :return: a dict from (home, target) to slots.
+    :param loads: a :class:`ServiceRegionLoad` for each region.
+    :return: a dict from home and target to slots.
     """
     demand = sum(load.demand_slots for load in loads)
     capacity = sum(load.capacity_slots for load in loads)
     if capacity <= 0:
         return {}
     use = max(PLANNED_USE, demand / capacity)
-    room = {load.domain: load.capacity_slots * use for load in loads}
-    open_demand = {load.domain: load.demand_slots for load in loads}
-    plan = defaultdict(float)
-    _fill(plan, room, open_demand, loads, lambda a, b: a.domain == b.domain)
-    _fill(plan, room, open_demand, loads, lambda a, b: a.region == b.region)
-    _fill(plan, room, open_demand, loads, lambda a, b: True)
-    return dict(plan)
-
-
-def _fill(plan, room, open_demand, loads, may_serve):
-    """Serve open demand from the room of the targets that may serve it."""
-    wanted = defaultdict(float)
-    parts = []
+    plan = {}
+    room = {}
+    for load in loads:
+        local = min(load.demand_slots, load.capacity_slots * use)
+        plan[load.region, load.region] = local
+        room[load.region] = load.capacity_slots * use - local
+    free = sum(room.values())
     for home in loads:
-        targets = [each for each in loads if may_serve(home, each)]
-        free = sum(room[each.domain] for each in targets)
-        if free <= 0 or open_demand[home.domain] <= 0:
-            continue
-        for target in targets:
-            part = open_demand[home.domain] * room[target.domain] / free
-            parts.append((home.domain, target.domain, part))
-            wanted[target.domain] += part
-    before = dict(room)
-    for home, target, part in parts:
-        if wanted[target] > before[target]:
-            part *= before[target] / wanted[target]
-        plan[home, target] += part
-        room[target] -= part
-        open_demand[home] -= part
+        left = home.demand_slots - plan[home.region, home.region]
+        for target in loads:
+            if left > 0 and free > 0 and target.region != home.region:
+                part = left * room[target.region] / free
+                plan[home.region, target.region] = part
+    return plan
 
 
 class ShareBalancer:
@@ -97,9 +80,9 @@
         """Return the shares of one service after one step.
 
         :param service: the service.
-        :param loads: a :class:`DomainLoad` for each failure domain.
+        :param loads: a :class:`ServiceRegionLoad` for each region.
         :param current: the shares in force, of this service.
-        :return: a tuple of :class:`DomainShare`.
+        :return: a tuple of :class:`RegionShare`.
         """
         plan = plan_shares(loads)
         if not plan:
@@ -110,37 +93,26 @@
         rows = []
         for home in loads:
             wanted = _normalized(plan, home, loads)
-            row = self._limited(wanted, held.get(home.domain), loads)
-            rows.extend(_rows(service, home.domain, row))
+            row = self._limited(wanted, held.get(home.region))
+            rows.extend(_rows(service, home.region, row))
         return tuple(rows)
 
-    def _limited(self, wanted, held, loads):
+    def _limited(self, wanted, held):
         if not held:
             return wanted
-        region_of = {load.domain: load.region for load in loads}
-        new = _by_region(wanted, region_of)
-        old = _by_region(held, region_of)
-        names = set(new) | set(old)
+        names = set(wanted) | set(held)
         moved = sum(
-            abs(new.get(name, 0.0) - old.get(name, 0.0)) for name in names
+            abs(wanted.get(name, 0.0) - held.get(name, 0.0)) for name in names
         )
         moved /= 2
         if moved <= self._step_cap:
             return wanted
         part = self._step_cap / moved
-        limited = {}
-        for name in names:
-            share = old.get(name, 0.0)
-            share += part * (new.get(name, 0.0) - share)
-            inside = {
-                domain: (wanted if new.get(name) else held).get(domain, 0.0)
-                for domain in region_of
-                if region_of[domain] == name
-            }
-            total = sum(inside.values())
-            for domain, weight in inside.items():
-                limited[domain] = share * weight / total if total else 0.0
-        return limited
+        return {
+            name: held.get(name, 0.0)
+            + part * (wanted.get(name, 0.0) - held.get(name, 0.0))
+            for name in names
+        }
 
 
 def differs(before, after):
@@ -157,28 +129,20 @@
 
 def _normalized(plan, home, loads):
     row = {
-        load.domain: plan.get((home.domain, load.domain), 0.0)
+        load.region: plan.get((home.region, load.region), 0.0)
         for load in loads
     }
     total = sum(row.values())
     if total > 0:
-        return {domain: part / total for domain, part in row.items()}
+        return {region: part / total for region, part in row.items()}
+    if home.capacity_slots > 0:
+        return {home.region: 1.0}
     capacity = sum(load.capacity_slots for load in loads)
-    own = next(load for load in loads if load.domain == home.domain)
-    if own.capacity_slots > 0:
-        return {home.domain: 1.0}
-    return {load.domain: load.capacity_slots / capacity for load in loads}
-
-
-def _by_region(row, region_of):
-    sums = defaultdict(float)
-    for domain, share in row.items():
-        sums[region_of.get(domain, '')] += share
-    return dict(sums)
+    return {load.region: load.capacity_slots / capacity for load in loads}
 
 
 def _rows(service, home, row):
     for target, share in sorted(row.items()):
         permille = round(share * WHOLE_PERMILLE)
         if permille > 0:
-            yield DomainShare(service, home, target, permille)
+            yield RegionShare(service, home, target, permille)
