--- a/tools/prove_red.py
+++ b/tools/prove_red.py
@@ -259,6 +259,62 @@
         'if False:',
         'outcomes',
     ),
+    Fault(
+        'a late heartbeat brings a departed server back',
+        'route_states.py',
+        'if ended.has_left:',
+        'if False:',
+        'routes',
+    ),
+    Fault(
+        'an accepted order is refused when it is sent again',
+        'states.py',
+        'if routes.holds_order(order):',
+        'if False:',
+        'routes',
+    ),
+    Fault(
+        'two orders on the same version are accepted',
+        'states.py',
+        'if routes.is_stale(order):',
+        'if False:',
+        'routes',
+    ),
+    Fault(
+        'every gateway warms a cold server up',
+        'placements.py',
+        'if not self.is_cold_keeper(track.record):',
+        'if False:',
+        'placements',
+    ),
+    Fault(
+        'servers of an evacuated domain are used',
+        'placements.py',
+        'if domain in self._evacuated:',
+        'if False:',
+        'placements',
+    ),
+    Fault(
+        'an answer to another request is taken',
+        'exchanges.py',
+        'if message.answers(reader.headers):',
+        'if True:',
+        'exchanges',
+    ),
+    Fault(
+        'two lost voters are removed before one is replaced',
+        'memberships.py',
+        'if added and len(group.voters) < voter_count:',
+        'if added and len(group.voters) < voter_count - 1:',
+        'members',
+    ),
+    Fault(
+        'a batch of the journal is several records',
+        'journals.py',
+        'data = frame(encode(Batch(tuple(records))))',
+        "data = b''.join(frame(encode(each)) for each in records)",
+        'records',
+    ),
 )
 
 
@@ -277,7 +333,9 @@
     """Put a fault into a copy and tell whether its feature turns red."""
     with TemporaryDirectory() as folder:
         copy = Path(folder) / 'copy'
-        ignored = ignore_patterns('.venv', '.git', '__pycache__')
+        ignored = ignore_patterns(
+            '.venv', '.git', '__pycache__', 'target', 'journal'
+        )
         copytree(ROOT, copy, ignore=ignored)
         for edit in fault.edits:
             put_in(copy / 'fuchsiacart' / edit.file, edit)
