Keep one copy of header rules and of the ways an attempt is lost

The gateways had brought a second list of hop-by-hop headers and a second enumeration of losses. `hops` and `losses` hold the one copy of each. `proxy-connection` is dropped on the callers' interface too, as it concerns one connection.

--- a/features/exchanges.feature
+++ b/features/exchanges.feature
@@ -40,7 +40,7 @@
   Scenario: a server that says nothing costs no more than the deadline
     Given a server that never answers
     When a request is sent
-    Then its loss is timed_out
+    Then its loss is too_late
 
   Scenario: a server that is not there has not been sent anything
     Given no server at the address
--- a/features/steps/exchange_steps.py
+++ b/features/steps/exchange_steps.py
@@ -23,9 +23,9 @@
 
 from fuchsiacart.exchanges import ConnectionPool
 from fuchsiacart.exchanges import ExchangeLimits
-from fuchsiacart.exchanges import Loss
 from fuchsiacart.exchanges import Message
 from fuchsiacart.exchanges import request_line
+from fuchsiacart.losses import Loss
 from fuchsiacart.servers import ServerRecord
 
 ID = 'Request-Id'
--- a/fuchsiacart/backends.py
+++ b/fuchsiacart/backends.py
@@ -13,6 +13,8 @@
 
 from fuchsiacart.exceptions import ErrorKind
 from fuchsiacart.exceptions import Run
+from fuchsiacart.hops import HOP_HEADERS
+from fuchsiacart.losses import Loss
 from fuchsiacart.messages import ForwardReply
 from fuchsiacart.messages import Header
 from fuchsiacart.messages import Refusal
@@ -27,35 +29,11 @@
 CLIENT_LIMIT = 100_000
 BODY_LIMIT_BYTES = 64 * 1024 * 1024
 STATUS_UNAVAILABLE = 503
-HOP_HEADERS = frozenset(
-    (
-        'connection',
-        'keep-alive',
-        'proxy-authenticate',
-        'proxy-authorization',
-        'te',
-        'trailer',
-        'transfer-encoding',
-        'upgrade',
-        'content-length',
-        'host',
-        'expect',
-        'authorization',
-    )
-)
+# Headers of the callers' interface that no backend server is told.
+OWN_HEADERS = frozenset(('host', 'authorization'))
 BODY_METHODS = frozenset(('POST', 'PUT', 'PATCH'))
 
 
-@unique
-class Loss(Enum):
-    """How an attempt without an answer ended."""
-
-    NOT_CONNECTED = 'not_connected'
-    TOO_LATE = 'too_late'
-    BROKEN = 'broken'
-    SILENT = 'silent'
-
-
 @unique
 class Probed(Enum):
     """What a backend server says of a request."""
@@ -86,7 +64,7 @@
     return tuple(
         Header(name, value)
         for name, value in headers.get_all()
-        if name.lower() not in HOP_HEADERS
+        if name.lower() not in HOP_HEADERS | OWN_HEADERS
     )
 
 
--- a/fuchsiacart/dispatch.py
+++ b/fuchsiacart/dispatch.py
@@ -6,7 +6,6 @@
 from asyncio import sleep
 from asyncio import wait
 
-from fuchsiacart.backends import Loss
 from fuchsiacart.backends import Probed
 from fuchsiacart.backends import silent_attempt
 from fuchsiacart.clocks import steady_ms
@@ -15,6 +14,7 @@
 from fuchsiacart.exceptions import Run
 from fuchsiacart.logs import log_event
 from fuchsiacart.logs import log_warning
+from fuchsiacart.losses import Loss
 from fuchsiacart.messages import DrainingServer
 from fuchsiacart.messages import ForwardReply
 from fuchsiacart.messages import Refusal
--- a/fuchsiacart/exchanges.py
+++ b/fuchsiacart/exchanges.py
@@ -8,8 +8,6 @@
 from asyncio import create_task
 from asyncio import wait_for
 from collections import defaultdict
-from enum import Enum
-from enum import unique
 from errno import EAGAIN
 from re import compile as compile_pattern
 from socket import AF_INET
@@ -32,6 +30,8 @@
 from tornado.iostream import IOStream
 from tornado.iostream import StreamClosedError
 
+from fuchsiacart.losses import Loss
+
 HEADER_LIMIT_BYTES = 65_536
 BODY_LIMIT_BYTES = 64 * 1024 * 1024
 # Data that a server does not acknowledge for so long is lost; the longest
@@ -53,15 +53,6 @@
 )
 
 
-@unique
-class Loss(Enum):
-    """How an exchange without an answer ended."""
-
-    NOT_CONNECTED = 'not_connected'
-    TIMED_OUT = 'timed_out'
-    BROKEN = 'broken'
-
-
 class ServerAnswer(Struct, frozen=True):
     """A whole answer of a backend server."""
 
@@ -71,7 +62,7 @@
     body: bytes
 
 
-class Outcome(Struct, frozen=True):
+class ExchangeResult(Struct, frozen=True):
     """The answer, or how it was lost."""
 
     answer: ServerAnswer | None = None
@@ -199,7 +190,7 @@
 
         :param message: the :class:`Message`.
         :param deadline_s: when the answer is of no use any more.
-        :return: the :class:`Outcome`.
+        :return: the :class:`ExchangeResult`.
         """
         self._is_whole = False
         connection = HTTP1Connection(self._stream, True, PARAMETERS)
@@ -209,16 +200,16 @@
         try:
             reader = await self._read(connection, message)
         except (StreamClosedError, HTTPInputError, ValueError) as error:
-            return Outcome(loss=Loss.BROKEN, detail=repr(error))
+            return ExchangeResult(loss=Loss.BROKEN, detail=repr(error))
         finally:
             is_sent = sending.done()
             sending.cancel()
         if reader is None:
             detail = repr(self._stream.error)
-            return Outcome(loss=Loss.BROKEN, detail=detail)
+            return ExchangeResult(loss=Loss.BROKEN, detail=detail)
         self._is_whole = is_sent and reader.is_delimited()
         self._idle_until_s = monotonic() + _idle_s(reader.headers)
-        return Outcome(reader.answer())
+        return ExchangeResult(reader.answer())
 
     def close(self):
         """Close the connection."""
@@ -256,7 +247,7 @@
         :param record: the :class:`ServerRecord`.
         :param message: the :class:`Message`.
         :param limits: the :class:`ExchangeLimits`.
-        :return: the :class:`Outcome`.
+        :return: the :class:`ExchangeResult`.
         """
         connection = self._take(record.name)
         is_kept = connection is not None
@@ -267,7 +258,7 @@
                 await connection.connect(record.address, limits.connect_s)
         except (OSError, TimeoutError, ValueError) as error:
             connection.close()
-            return Outcome(loss=Loss.NOT_CONNECTED, detail=repr(error))
+            return ExchangeResult(loss=Loss.NOT_CONNECTED, detail=repr(error))
         except BaseException:
             connection.close()
             raise
@@ -278,7 +269,7 @@
                 max(0.0, deadline_s + ANSWER_MARGIN_S - monotonic()),
             )
         except TimeoutError:
-            outcome = Outcome(loss=Loss.TIMED_OUT)
+            outcome = ExchangeResult(loss=Loss.TOO_LATE)
         except BaseException:
             connection.close()
             raise
--- a/fuchsiacart/forwarding.py
+++ b/fuchsiacart/forwarding.py
@@ -14,10 +14,11 @@
 from fuchsiacart.exceptions import Run
 from fuchsiacart.exchanges import ConnectionPool
 from fuchsiacart.exchanges import ExchangeLimits
-from fuchsiacart.exchanges import Loss
 from fuchsiacart.exchanges import Message
 from fuchsiacart.exchanges import request_line
+from fuchsiacart.hops import passed_headers
 from fuchsiacart.logs import log_event
+from fuchsiacart.losses import Loss
 from fuchsiacart.metrics import GATEWAY_ATTEMPTS
 from fuchsiacart.placements import ServerBoard
 from fuchsiacart.placements import Wanted
@@ -36,21 +37,6 @@
 RETRY_AFTER_PART = 0.33
 LONGEST_RETRY_AFTER_MS = 1000
 SUCCESS_STATUSES = range(200, 300)
-HOP_HEADERS = frozenset(
-    (
-        'connection',
-        'content-length',
-        'expect',
-        'keep-alive',
-        'proxy-authenticate',
-        'proxy-authorization',
-        'proxy-connection',
-        'te',
-        'trailer',
-        'transfer-encoding',
-        'upgrade',
-    )
-)
 
 
 class InboundRequest(Struct, frozen=True):
@@ -268,7 +254,7 @@
         else:
             attempts.sent += 1
             attempts.may_have_run = True
-        if outcome.loss is not Loss.TIMED_OUT:
+        if outcome.loss is not Loss.TOO_LATE:
             track.note_failure(steady_ms())
 
     def _check_may_go_on(self, request, route, attempts):
@@ -328,21 +314,3 @@
     if 'Content-Encoding' in answer.headers:
         return True
     return answer.status in SUCCESS_STATUSES and not terms.is_own
-
-
-def passed_headers(headers):
-    """Return a copy of the headers that travel end to end.
-
-    :param headers: tornado's headers.
-    """
-    named = {
-        name.strip().lower()
-        for line in headers.get_list('Connection')
-        for name in line.split(',')
-    }
-    passed = HTTPHeaders()
-    for name, value in headers.get_all():
-        if name.lower() in HOP_HEADERS or name.lower() in named:
-            continue
-        passed.add(name, value)
-    return passed
--- a/fuchsiacart/gateways.py
+++ b/fuchsiacart/gateways.py
@@ -11,13 +11,14 @@
 from tornado.httputil import ResponseStartLine
 from tornado.iostream import StreamClosedError
 
+from fuchsiacart.clocks import MILLISECONDS
 from fuchsiacart.exceptions import ANSWERS
 from fuchsiacart.exceptions import ErrorKind
 from fuchsiacart.exceptions import FuchsiacartError
 from fuchsiacart.exceptions import RequestError
 from fuchsiacart.exceptions import Run
 from fuchsiacart.forwarding import InboundRequest
-from fuchsiacart.forwarding import passed_headers
+from fuchsiacart.hops import passed_headers
 from fuchsiacart.logs import log_error
 from fuchsiacart.logs import log_event
 from fuchsiacart.metrics import GATEWAY_LATENCY
@@ -27,7 +28,6 @@
 
 NO_CONTENT = 204
 NOT_MODIFIED = 304
-MILLISECONDS = 1000
 
 
 class CallerServer(HTTPServerConnectionDelegate):
