--- a/fuchsiacart/configurations.py
+++ b/fuchsiacart/configurations.py
@@ -106,7 +106,7 @@
     """An operator's order; ``digest`` tells a resend from another order."""
 
     version: int
-    base_version: int
+    parent_version: int
     digest: str
     replaces_all: bool
     items: tuple[Item, ...]
--- a/fuchsiacart/route_control.py
+++ b/fuchsiacart/route_control.py
@@ -75,7 +75,7 @@
         log_event(
             'configuration_order',
             version=order.version,
-            base_version=order.base_version,
+            parent_version=order.parent_version,
             accepted=outcome.error is None,
             detail=outcome.detail,
             revision=outcome.revision,
--- a/fuchsiacart/route_states.py
+++ b/fuchsiacart/route_states.py
@@ -91,7 +91,7 @@
 
     def is_stale(self, order):
         """Tell whether an order builds on another version."""
-        return order.base_version != self.configuration.version
+        return order.parent_version != self.configuration.version
 
     def fault_of(self, order):
         """Return what makes an order invalid, or None."""
