--- a/features/steps/simulated_group_steps.py
+++ b/features/steps/simulated_group_steps.py
@@ -215,7 +215,8 @@
 
 
 @then(
-    'each new leader lists the lost follower within {limit_ms:d} ms of its loss'
+    'each new leader lists the lost follower within {limit_ms:d} ms of its'
+    ' loss'
 )
 def then_lost_listed(context, limit_ms):
     for group, lost in zip(context.groups, context.lost):
