Read a load header with a fourth figure

Cause: the adapter took exactly three figures and dropped the whole header where servers send a fourth, so gateways placed requests without any load.

Change: the fourth figure goes into a field of its own; a malformed one and further figures do not make the counts void, negative counts do.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -56,6 +56,12 @@
       | 503    | X-Server-Stamp: s      | run               |
       | 200    | X-Server-Load: 3,2,4   | 3 running of 4    |
       | 200    | X-Server-Load: 3,x     | no load           |
+      | 200    | X-Server-Load: 3,2     | no load           |
+      | 200    | X-Server-Load: 3,-2,4  | no load           |
+      | 200    | X-Server-Load: 3,2,4,150     | 3 running of 4, half as long again |
+      | 200    | X-Server-Load: 3,2,4,150,9,x | 3 running of 4, half as long again |
+      | 200    | X-Server-Load: 3,2,4,x       | 3 running of 4    |
+      | 200    | X-Server-Load: 3,2,4,0       | 3 running of 4    |
 
   Scenario: a request's headers are read and written
     When a request arrives with a deadline of 2000 ms and the affinity 17
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -218,7 +218,13 @@
     and metadata.is_misdirected,
     'run': lambda metadata: not metadata.not_run,
     '3 running of 4': lambda metadata: metadata.load.running == 3
-    and metadata.load.slots == 4,
+    and metadata.load.slots == 4
+    and metadata.load.slowdown == 1.0,
+    '3 running of 4, half as long again': lambda metadata: (
+        metadata.load.running == 3
+        and metadata.load.slots == 4
+        and metadata.load.slowdown == 1.5
+    ),
     'no load': lambda metadata: metadata.load is None,
 }
 
--- a/fuchsiacart/gateway/dialects.py
+++ b/fuchsiacart/gateway/dialects.py
@@ -23,11 +23,16 @@
 
 
 class ReportedLoad(Struct, frozen=True):
-    """Load that a backend server reports with a response."""
+    """Load that a backend server reports with a response.
+
+    ``slowdown`` is how long work takes on the server's machine just now,
+    relative to its usual time.  It changes within fractions of a second.
+    """
 
     running: int
     waiting: int
     slots: int
+    slowdown: float = 1.0
 
 
 class ResponseMetadata(Struct, frozen=True):
--- a/fuchsiacart/platform/headers.py
+++ b/fuchsiacart/platform/headers.py
@@ -17,6 +17,10 @@
 SERVER_LOAD = 'X-Server-Load'
 NOT_RUN = 'X-Not-Run'
 HTTP_MISDIRECTED = 421
+# Counts at the start of the load header.
+LOAD_COUNTS = 3
+# Fourth figure of the load header when work takes its usual time.
+USUAL_PERCENT = 100
 
 
 class PlatformDialect(Dialect):
@@ -63,10 +67,19 @@
 def _read_load(text):
     """Parse a load header: the running, waiting and slots counts.
 
+    A fourth figure, in percent, says how long work takes just now; a
+    malformed one and any further figures are ignored.
+
     :return: the :class:`ReportedLoad`, or None if absent or malformed.
     """
+    figures = (text or '').split(',')
+    counts = figures[:LOAD_COUNTS]
     try:
-        running, waiting, slots = (int(count) for count in text.split(','))
-    except (AttributeError, ValueError):
+        running, waiting, slots = (int(count) for count in counts)
+    except ValueError:
+        return None
+    if min(running, waiting, slots) < 0:
         return None
-    return ReportedLoad(running, waiting, slots)
+    percent = _read_number(''.join(figures[LOAD_COUNTS : LOAD_COUNTS + 1]))
+    slowdown = percent / USUAL_PERCENT if percent else 1.0
+    return ReportedLoad(running, waiting, slots, slowdown)
