Read pipelined requests ahead and serve them at the same time

Change: tornado's parser reads one request after the other from a connection, up to 16 requests or 1 MiB of bodies at a time; responses go out in order. A connection is closed only after the last request that was started, and nothing behind it is started. The parser's own answer to a malformed request waits for its turn. A connection that we end is read until the caller closes it, for a second at most, so that unread bytes do not reset the last response.

Tests: features/pipelining.feature, 13 scenarios, all paths of closing.

--- /dev/null
+++ b/features/pipelining.feature
@@ -0,0 +1,80 @@
+Feature: pipelined requests of callers
+
+  Scenario: requests behind a slow one are served at the same time
+    Given a gateway that answers each request after its own time
+    When a caller pipelines requests that take 400, 20, 20, 20 and 20 ms
+    Then all of them are started within 200 ms
+    And the answers arrive whole and in order
+
+  Scenario: a slow answer holds back only those behind it
+    Given a gateway that answers each request after its own time
+    When a caller pipelines requests that take 20, 600 and 20 ms
+    Then the first answer arrives within 300 ms
+    And the answers arrive whole and in order
+
+  Scenario: a request that may not be repeated is served behind others
+    Given a gateway that answers each request after its own time
+    When a caller pipelines requests that take 200 and 20 ms, the last with a body
+    Then all of them are started within 100 ms
+    And the answers arrive whole and in order
+
+  Scenario: a connection has a limited number of requests in flight
+    Given a gateway that answers each request after its own time
+    When a caller pipelines 60 requests that take 20 ms
+    Then the answers arrive whole and in order
+    And 16 requests were served at the same time
+
+  Scenario: the bodies of a connection are limited
+    Given a gateway that answers each request after its own time
+    When a caller pipelines 8 requests with bodies of 600000 bytes
+    Then the answers arrive whole and in order
+    And 2 requests were served at the same time
+
+  Scenario: nothing behind a request that closes the connection is started
+    Given a gateway that answers each request after its own time
+    When a caller pipelines 2 requests, one that closes the connection and 3 more
+    Then 3 answers arrive whole and in order, the last closes the connection
+    And 3 requests were started
+
+  Scenario: a malformed request behind good ones is answered last
+    Given a gateway that answers each request after its own time
+    When a caller pipelines 3 requests, a malformed one and 2 more
+    Then 3 answers arrive whole and in order, then a 400 and the end
+    And 3 requests were started
+
+  Scenario: a planned stop answers what was started and starts nothing behind it
+    Given a gateway that answers each request after its own time
+    When a caller pipelines requests that take 300, 20 and 20 ms
+    And the gateway begins to stop and the caller pipelines 3 more
+    Then 3 answers arrive whole and in order, the last closes the connection
+    And 3 requests were started
+
+  Scenario: a caller that sends again during a stop gets its answer and the close
+    Given a gateway that answers each request after its own time
+    When the gateway begins to stop and the caller pipelines 1 more
+    Then 1 answers arrive whole and in order, the last closes the connection
+
+  Scenario: a new configuration closes nothing
+    Given a gateway that answers each request after its own time
+    When a caller pipelines requests that take 300, 20 and 20 ms
+    And the limits for callers change
+    Then the answers arrive whole and in order
+    And a further request on the connection is answered
+
+  Scenario: an idle connection is closed, a busy one is not
+    Given a gateway that answers each request after its own time
+    And connections are closed after 200 ms without a request
+    When a caller pipelines requests that take 700 ms
+    Then the answers arrive whole and in order
+    And the connection ends within 500 ms
+
+  Scenario: a caller that leaves ends all of its requests
+    Given a gateway that answers each request after its own time
+    When a caller pipelines requests that take 900, 900 and 900 ms
+    And the caller leaves
+    Then no request is in flight within 200 ms
+
+  Scenario: an interim response waits for the answers before it
+    Given a gateway that answers each request after its own time
+    When a caller pipelines a request of 200 ms and one that expects to continue
+    Then the interim response follows the first answer
--- a/features/steps/caller_steps.py
+++ b/features/steps/caller_steps.py
@@ -15,7 +15,6 @@
 from behave import given
 from behave import then
 from behave import when
-from tornado.httpserver import HTTPServer
 from tornado.httputil import HTTPHeaders
 from tornado.netutil import bind_sockets
 
@@ -27,6 +26,7 @@
 POLL_S = 0.01
 SERVICE_TIME_S = 0.05
 SMALL_BUFFER_BYTES = 4096
+LIMIT_BYTES = 65_536
 REQUEST = b'GET / HTTP/1.1\r\nHost: shop.example\r\n\r\n'
 
 
@@ -73,7 +73,6 @@
         self.loop = new_event_loop()
         self.forwarder = FixedForwarder(size)
         self.callers = None
-        self.server = None
         self.reader = None
         self.writer = None
         self.body = b''
@@ -89,10 +88,9 @@
 
     async def _listen(self):
         self.callers = CallerServer(self.forwarder, PlainDialect())
-        self.server = HTTPServer(self.callers)
-        self.server.conn_params.header_timeout = WAIT_TIMEOUT_S
+        self.callers.set_limits(LIMIT_BYTES, LIMIT_BYTES, WAIT_TIMEOUT_S)
         sockets = bind_sockets(0, '127.0.0.1')
-        self.server.add_sockets(sockets)
+        self.callers.add_sockets(sockets)
         self.address = sockets[0].getsockname()
 
     async def send(self):
@@ -162,8 +160,8 @@
             writer.close()
         if self.writer is not None:
             self.writer.close()
-        self.server.stop()
-        self.run(self.server.close_all_connections())
+        self.callers.stop()
+        self.run(self.callers.close_all())
         self.loop.close()
 
 
--- /dev/null
+++ b/fuchsiacart/gateway/caller_connections.py
@@ -0,0 +1,415 @@
+"""Connections of callers, on which requests may be pipelined.
+
+Requests are read ahead and served at the same time; responses are sent in the
+order of the requests.  A request that was read behind a response that closes
+the connection would be sent again by its caller, so a connection is closed
+only after the last request that was started, and none is started after that.
+"""
+
+from asyncio import Event
+from asyncio import get_running_loop
+from asyncio import shield
+from asyncio import sleep
+from collections import deque
+from socket import MSG_DONTWAIT
+from socket import MSG_PEEK
+from socket import SHUT_WR
+from time import monotonic
+
+from tornado.concurrent import Future
+from tornado.http1connection import HTTP1Connection
+from tornado.httputil import HTTPMessageDelegate
+from tornado.httputil import ResponseStartLine
+from tornado.ioloop import IOLoop
+from tornado.iostream import StreamClosedError
+
+from fuchsiacart.logs import log_event
+
+# Requests of one connection that are served at the same time, and the bytes of
+# their bodies beyond which no further request is read.
+MAX_PIPELINED_REQUESTS = 16
+MAX_PIPELINED_BYTES = 1024 * 1024
+# Time in which a caller reads the last response.  Closing earlier, with
+# unread bytes of the caller, would reset the connection.
+LINGER_S = 1.0
+DISCARD_BYTES = 65_536
+NO_CONTENT = 204
+NOT_MODIFIED = 304
+BODILESS_STATUSES = (NO_CONTENT, NOT_MODIFIED)
+
+
+class _MessageStream:
+    """What the parser of one request sees of the connection.
+
+    The parser writes an answer of its own to a malformed request and closes
+    the stream.  While earlier requests are unanswered, such bytes are held
+    and the connection stays open.
+    """
+
+    def __init__(self, stream):
+        self._stream = stream
+        self.io_loop = stream.io_loop
+        self.max_buffer_size = stream.max_buffer_size
+        self.is_held = True
+        self.held = b''
+
+    def read_until_regex(self, regex, max_bytes=None):
+        """See :class:`BaseIOStream`."""
+        return self._stream.read_until_regex(regex, max_bytes)
+
+    def read_until(self, delimiter, max_bytes=None):
+        """See :class:`BaseIOStream`."""
+        return self._stream.read_until(delimiter, max_bytes)
+
+    def read_bytes(self, num_bytes, partial=False):
+        """See :class:`BaseIOStream`."""
+        return self._stream.read_bytes(num_bytes, partial)
+
+    def write(self, data):
+        """Write to the caller, or hold the data until it is its turn."""
+        if not self.is_held:
+            return self._stream.write(data)
+        self.held += data
+        written = Future()
+        written.set_result(None)
+        return written
+
+    def closed(self):
+        """See :class:`BaseIOStream`."""
+        return self._stream.closed()
+
+    def set_nodelay(self, value):
+        """See :class:`BaseIOStream`."""
+        self._stream.set_nodelay(value)
+
+    def set_close_callback(self, callback):
+        """Ignore the parser's callback, as the connection has its own."""
+
+    def close(self):
+        """Ignore the parser's close; the connection decides."""
+
+
+class Exchange(HTTPMessageDelegate):
+    """One request of a connection and the place of its response.
+
+    :param connection: the :class:`CallerConnection`.
+    :param parameters: the :class:`HTTP1ConnectionParameters`.
+    """
+
+    def __init__(self, connection, stream, parameters):
+        self.connection = connection
+        self.message = _MessageStream(stream)
+        self._parser = HTTP1Connection(self.message, False, parameters)
+        self.start_line = None
+        self.headers = None
+        self.body = b''
+        self._chunks = []
+        self.received_s = monotonic()
+        self.turn = Event()
+        self.task = None
+        # Requests of the connection that were unanswered at its arrival, and
+        # the time at which its own answer was there.
+        self.ahead = 0
+        self.answered_s = self.received_s
+
+    @property
+    def is_last(self):
+        """True if the caller sends nothing after this request."""
+        if self.start_line.version != 'HTTP/1.1':
+            return True
+        return 'close' in self.headers.get('Connection', '').lower()
+
+    def headers_received(self, start_line, headers):
+        """See :class:`HTTPMessageDelegate`."""
+        self.received_s = monotonic()
+        self.start_line = start_line
+        self.headers = headers
+        self.connection.on_head()
+        if 'Expect' in headers:
+            return self._wait_until_first()
+        return None
+
+    def data_received(self, chunk):
+        """See :class:`HTTPMessageDelegate`."""
+        self._chunks.append(chunk)
+
+    def finish(self):
+        """Release the parser and start to serve the request."""
+        self.body = b''.join(self._chunks)
+        self._chunks = []
+        self._parser.finish()
+        self.connection.start(self)
+
+    async def read(self):
+        """Read the request.
+
+        :return: False if it is malformed.
+        :raises StreamClosedError: if the caller has closed the connection.
+        """
+        return await self._parser.read_response(self)
+
+    async def send(self, status, reason, headers, body):
+        """Send the response in its turn.
+
+        Returns once the socket has accepted it, and a connection that it
+        closes has been read to its end.
+
+        :param status: HTTP status.
+        :param reason: its text.
+        :param headers: headers, to which those of the connection are added.
+        :param body: bytes of the body.
+        """
+        await self.turn.wait()
+        self.message.is_held = False
+        has_body = status not in BODILESS_STATUSES
+        if has_body:
+            headers['Content-Length'] = str(len(body))
+        if self.start_line.method == 'HEAD' or not has_body:
+            body = b''
+        is_closing = self.connection.must_close_after(self)
+        if is_closing:
+            headers['Connection'] = 'close'
+        line = ResponseStartLine('HTTP/1.1', status, reason)
+        written = self._parser.write_headers(line, headers, body)
+        # Cancellation by a caller that disconnects must not stop the write.
+        await shield(written)
+        if is_closing:
+            await shield(self.connection.linger())
+
+    async def _wait_until_first(self):
+        """Wait until an interim response can belong to no other request."""
+        await self.connection.wait_until_idle()
+        self.message.is_held = False
+
+
+class CallerConnection:
+    """One connection of a caller.
+
+    :param server: the :class:`CallerServer`.
+    :param stream: tornado's stream.
+    :param remote_ip: IP address of the caller.
+    """
+
+    def __init__(self, server, stream, remote_ip):
+        self._server = server
+        self._stream = stream
+        self.remote_ip = remote_ip
+        # Requests that are not answered yet, in the order of their arrival.
+        self._exchanges = deque()
+        self._is_receiving = False
+        # True once no further request is started.
+        self._is_closing = False
+        self._is_ended = False
+        self._answered = Event()
+        self._closed = Event()
+        self._idle_timer = None
+        stream.set_close_callback(self._on_close)
+
+    @property
+    def is_busy(self):
+        """True while a request is received or unanswered."""
+        return self._is_receiving or bool(self._exchanges)
+
+    @property
+    def is_closed(self):
+        """True once the connection is closed."""
+        return self._stream.closed()
+
+    async def serve(self):
+        """Read requests until the connection ends."""
+        self._restart_idle_timer()
+        try:
+            while await self._receive():
+                await self._wait_for_room()
+            await self._discard()
+        except StreamClosedError:
+            # The caller has closed; the outcome of each request is logged.
+            self._on_close()
+
+    def on_head(self):
+        """Note that the head of a request has arrived."""
+        self._is_receiving = True
+        self._stop_idle_timer()
+
+    def start(self, exchange):
+        """Start to serve a request that was received completely.
+
+        A request behind one that closes the connection counts as not read.
+
+        :param exchange: the :class:`Exchange`.
+        """
+        self._is_receiving = False
+        if self._is_closing or (self._server.is_stopping and self._exchanges):
+            self._is_closing = True
+            return
+        self._is_closing = exchange.is_last
+        exchange.ahead = len(self._exchanges)
+        self._append(exchange)
+        exchange.task = self._server.start(exchange)
+
+    def complete(self, exchange):
+        """Remove a request that was answered or given up."""
+        self._exchanges.remove(exchange)
+        if self._exchanges:
+            self._exchanges[0].turn.set()
+        elif self._is_closing:
+            self._end()
+        else:
+            self._restart_idle_timer()
+        self._answered.set()
+
+    def must_close_after(self, exchange):
+        """Return True if the connection ends with a response.
+
+        :param exchange: the :class:`Exchange`, which is the next to answer.
+        """
+        if self._server.is_stopping and len(self._exchanges) == 1:
+            self._is_closing = True
+        return self._is_closing and self._exchanges[-1] is exchange
+
+    async def linger(self):
+        """Close the connection after the caller has read the response."""
+        self._end()
+        await self._closed.wait()
+
+    async def wait_until_idle(self):
+        """Wait until all requests are answered."""
+        while self._exchanges:
+            await self._next_answer()
+
+    def pause(self):
+        """Stop reading for a moment, see :meth:`CallerServer.close_idle`."""
+        self._set_polled_events(IOLoop.ERROR)
+
+    def close_if_idle(self):
+        """Close the connection, or read on if a request has arrived."""
+        if self._stream.closed():
+            return
+        if self.is_busy or self._has_unread_bytes():
+            writing = IOLoop.WRITE if self._stream.writing() else IOLoop.NONE
+            self._set_polled_events(IOLoop.READ | IOLoop.ERROR | writing)
+            return
+        self.close()
+
+    def close(self):
+        """Close the connection at once."""
+        self._stream.close()
+
+    async def _receive(self):
+        """Read one request.
+
+        :return: True if further requests may follow it.
+        """
+        exchange = Exchange(self, self._stream, self._server.parameters())
+        if await exchange.read():
+            return not self._is_closing
+        self._is_receiving = False
+        if not self._is_closing:
+            self._is_closing = True
+            self._append(exchange)
+            await exchange.turn.wait()
+            await self._stream.write(exchange.message.held)
+            await self.linger()
+        return False
+
+    async def _wait_for_room(self):
+        while self._is_full():
+            await self._next_answer()
+
+    def _is_full(self):
+        if len(self._exchanges) >= MAX_PIPELINED_REQUESTS:
+            return True
+        held_bytes = sum(len(each.body) for each in self._exchanges)
+        return held_bytes > MAX_PIPELINED_BYTES
+
+    async def _next_answer(self):
+        self._answered.clear()
+        await self._answered.wait()
+
+    async def _discard(self):
+        """Read what follows the last request, to notice the caller's close."""
+        while True:
+            await self._stream.read_bytes(DISCARD_BYTES, partial=True)
+
+    def _end(self):
+        """Send no more, and close once the caller has or after a time."""
+        if self._is_ended or self._stream.closed():
+            return
+        self._is_ended = True
+        get_running_loop().call_later(LINGER_S, self.close)
+        try:
+            self._stream.socket.shutdown(SHUT_WR)
+        except OSError as error:
+            log_event('caller_connection_lost', detail=repr(error))
+            self.close()
+
+    def _append(self, exchange):
+        self._exchanges.append(exchange)
+        if self._exchanges[0] is exchange:
+            exchange.turn.set()
+
+    def _on_close(self):
+        self._closed.set()
+        self._answered.set()
+        self._stop_idle_timer()
+        for exchange in self._exchanges:
+            if exchange.task is not None:
+                exchange.task.cancel()
+
+    def _restart_idle_timer(self):
+        self._stop_idle_timer()
+        if self._server.idle_timeout_s is None or self._stream.closed():
+            return
+        self._idle_timer = get_running_loop().call_later(
+            self._server.idle_timeout_s, self._on_idle
+        )
+
+    def _stop_idle_timer(self):
+        if self._idle_timer is not None:
+            self._idle_timer.cancel()
+            self._idle_timer = None
+
+    def _on_idle(self):
+        if not self.is_busy:
+            self.close()
+
+    def _set_polled_events(self, events):
+        """Replace the events that the event loop polls the stream for."""
+        if self._stream.closed():
+            return
+        self._stream.io_loop.update_handler(self._stream.fileno(), events)
+
+    def _has_unread_bytes(self):
+        """Return True if the socket has received bytes not read yet."""
+        try:
+            return bool(self._stream.socket.recv(1, MSG_PEEK | MSG_DONTWAIT))
+        except BlockingIOError:
+            return False
+        except OSError as error:
+            log_event('caller_connection_lost', detail=repr(error))
+            return False
+
+
+async def close_idle_connections(connections, iterations):
+    """Close the connections on which no request is received or unanswered.
+
+    The event loop may have read a request that is not started yet.  To lose
+    none, reading is paused first, and requests already read get time to be
+    started.  The connections that are idle even then are closed in one step,
+    without a return to the event loop.
+
+    :param connections: each a :class:`CallerConnection`.
+    :param iterations: iterations of the event loop in which a request that
+        has been read is started.
+    """
+    idle = [
+        connection
+        for connection in connections
+        if not connection.is_busy and not connection.is_closed
+    ]
+    for connection in idle:
+        connection.pause()
+    for _ in range(iterations):
+        await sleep(0)
+    for connection in idle:
+        connection.close_if_idle()
--- a/fuchsiacart/platform/edge.py
+++ b/fuchsiacart/platform/edge.py
@@ -44,9 +44,8 @@
 
     async def open_gateway(self, gateway):
         """See :meth:`Edge.open_gateway`."""
-        self._caller_server = self._listen(
-            gateway.caller_server, self._routes.caller_address
-        )
+        self._caller_server = gateway.caller_server
+        _open(self._caller_server, self._routes.caller_address)
         self._listen(
             make_ready_application(gateway), self._routes.ready_address
         )
@@ -54,7 +53,7 @@
 
     def close_after_responses(self):
         """See :meth:`Edge.close_after_responses`."""
-        self._caller_server.conn_params.no_keep_alive = True
+        self._caller_server.is_stopping = True
 
     def stop_accepting(self):
         """See :meth:`Edge.stop_accepting`."""
@@ -66,14 +65,16 @@
             server.stop()
         for server in self._servers:
             await server.close_all_connections()
+        if self._caller_server is not None:
+            self._caller_server.stop()
+            await self._caller_server.close_all()
 
     def _apply_limits(self, limits):
-        """Apply limits to new connections of callers."""
-        parameters = self._caller_server.conn_params
-        parameters.max_header_size = limits.header_bytes
-        parameters.max_body_size = limits.body_bytes
+        """Apply limits to further requests of callers."""
         idle_s = limits.idle_timeout_ms / MILLISECONDS
-        parameters.header_timeout = idle_s + IDLE_MARGIN_S
+        self._caller_server.set_limits(
+            limits.header_bytes, limits.body_bytes, idle_s + IDLE_MARGIN_S
+        )
 
     def _listen(self, application, address):
         server = HTTPServer(
@@ -81,8 +82,12 @@
             max_body_size=BODY_LIMIT_BYTES,
             max_buffer_size=BODY_LIMIT_BYTES,
         )
-        host, _, port = address.rpartition(':')
-        server.listen(int(port), host, backlog=LISTEN_BACKLOG)
+        _open(server, address)
         self._servers.append(server)
-        log_event('edge_listening', address=address)
-        return server
+
+
+def _open(server, address):
+    """Let a server listen at an address."""
+    host, _, port = address.rpartition(':')
+    server.listen(int(port), host, backlog=LISTEN_BACKLOG)
+    log_event('edge_listening', address=address)
