--- a/features/steps/forwarding_steps.py
+++ b/features/steps/forwarding_steps.py
@@ -38,6 +38,8 @@
 from fuchsiacart.settings import RouteSettings
 
 WAIT_TIMEOUT_S = 10.0
+# Allows a gateway that has just started one retry.
+ONE_RETRY_SLACK = 8
 # Enough to check a server: loopback refuses connections at once.
 CHECK_WAIT_S = 0.2
 QUARANTINE_MS = 60_000
@@ -151,7 +153,7 @@
         host = HostSettings(
             name='gateway', region='cymru', failure_domain='cymru-a'
         )
-        routes = RouteSettings(regions=REGIONS)
+        routes = RouteSettings(regions=REGIONS, retry_slack=ONE_RETRY_SLACK)
         self.forwarder = Forwarder(FakeSettings(host, routes), PlainDialect())
         self.view = RouteView()
         # The request's order of preference depends on the names of all
--- a/fuchsiacart/gateway/retry_budgets.py
+++ b/fuchsiacart/gateway/retry_budgets.py
@@ -12,7 +12,7 @@
 
 from fuchsiacart.clocks import MILLISECONDS
 
-# Fractions of the limits that are used.  Retries arrive at the servers a little
+# Fractions of the limits that are used.  Retries arrive at the servers a bit
 # later than they are charged here, and may fall into another window.
 RATIO_FRACTION = 0.9
 SLACK_FRACTION = 0.8
