End a stopped process within half a second, and say where it hangs

Change: once everything is closed, faulthandler prints all stacks and ends the process if the interpreter has not ended by itself after 0.5 s.

Shown by features/processes.feature, red without the call (the hanging process was still there after 10 s).

--- /dev/null
+++ b/features/processes.feature
@@ -0,0 +1,12 @@
+Feature: the process of the daemon
+
+  Scenario: a process ends by itself once it is stopped
+    Given a control host that runs as a process
+    When it is told to stop
+    Then it ends within 2 seconds with exit code 0
+
+  Scenario: a process whose end hangs says where, and ends
+    Given a control host that runs as a process, beside a thread that never ends
+    When it is told to stop
+    Then it ends within 2 seconds with exit code 1
+    And its last words name the thread's function
--- a/fuchsiacart/daemon.py
+++ b/fuchsiacart/daemon.py
@@ -16,6 +16,7 @@
 from asyncio import get_running_loop
 from asyncio import run
 from asyncio import wait
+from faulthandler import dump_traceback_later
 from pathlib import Path
 from signal import SIGINT
 from signal import SIGTERM
@@ -55,6 +56,9 @@
 
 HTTP_BODY_LIMIT_BYTES = 64 * 1024 * 1024
 PEER_GRACE_S = 1.0
+# Time in which a stopped process ends.  One that hangs then would be killed
+# by its platform, without a word on the cause.
+EXIT_TIMEOUT_S = 0.5
 LISTEN_BACKLOG = 1024
 
 
@@ -227,6 +231,7 @@
         await http.close_all_connections()
         await self._adapter.close()
         log_event('stopped', host=self._settings.host.name)
+        dump_traceback_later(EXIT_TIMEOUT_S, exit=True)
 
 
 def serve(
