Trust only responses that name their request, and bound bodies in flight

All bodies in flight now share 32 MiB; the largest is given up and its connection closed, the others are delivered.

Shown by features/exchanges.feature (answers in chunks that break off or are reset, refusals repeated before or instead of an answer, bodies, chunks, heads and interim responses without end) and features/forwarding.feature.

--- a/features/exchanges.feature
+++ b/features/exchanges.feature
@@ -13,6 +13,8 @@
     Examples:
       | fault                                |
       | breaks off its answer                |
+      | breaks off a chunked answer          |
+      | resets a chunked answer              |
       | sends bytes that are no answer       |
       | resets an answer without a length    |
       | answers for another request only     |
@@ -51,3 +53,31 @@
     Given a server that never answers
     When a request is sent and cancelled
     Then the server sees its connection closed
+
+  Scenario Outline: an earlier refusal that is sent again is no answer to the next request
+    Given a server that <fault>
+    When 3 requests are sent one after the other
+    Then each has its own answer
+
+    Examples:
+      | fault                                                     |
+      | sends a refusal without an id before the second answer    |
+      | sends an earlier refusal before the second answer         |
+
+  Scenario: a refusal of an earlier request alone is no promise
+    Given a server that sends an earlier refusal instead of the second answer
+    When 2 requests are sent one after the other
+    Then the second one has no answer
+
+  Scenario Outline: answers without end leave memory and service to the others
+    Given a server that <fault>
+    When 8 requests are sent to it at once, and 20 to a server that answers each request
+    Then the 20 have their own answers
+    And the 8 fail, the memory of the process grew by at most 100 MB
+
+    Examples:
+      | fault                                      |
+      | sends a body without end                   |
+      | sends chunks without end                   |
+      | sends a head without end                   |
+      | sends interim responses without end        |
--- a/features/forwarding.feature
+++ b/features/forwarding.feature
@@ -14,6 +14,8 @@
       | 2     | breaks off         | a non-idempotent    | unknown  | 1        |
       | 2     | says it did not run it | a non-idempotent | 200     | 2        |
       | 1     | says it did not run it | a non-idempotent | overloaded | 1     |
+      | 2     | refuses without an id | a non-idempotent | unknown | 1        |
+      | 2     | refuses without an id | an idempotent   | 200      | 2        |
       | 2     | gives no proof     | an idempotent       | 200      | 2        |
       | 2     | is gone            | a non-idempotent    | 200      | 1        |
 
--- a/features/steps/exchange_steps.py
+++ b/features/steps/exchange_steps.py
@@ -11,6 +11,8 @@
 from asyncio import sleep
 from asyncio import start_server
 from asyncio import wait_for
+from resource import getrusage
+from resource import RUSAGE_SELF
 from socket import SO_LINGER
 from socket import SOL_SOCKET
 from struct import pack
@@ -37,6 +39,7 @@
 )
 WAIT_TIMEOUT_S = 10.0
 DEADLINE_S = 0.5
+PIECE_BYTES = 65_536
 
 
 def answer(request_id, body, length=True):
@@ -47,6 +50,26 @@
     return '\r\n'.join(lines + ['', body]).encode()
 
 
+def chunked_head(request_id):
+    """Return the head of a chunked answer."""
+    lines = ['HTTP/1.1 200 OK', f'{ID_HEADER}: {request_id}']
+    lines += ['Transfer-Encoding: chunked', '', '']
+    return '\r\n'.join(lines).encode()
+
+
+def refusal(request_id=''):
+    """Return the bytes of a refusal, with or without an id."""
+    lines = ['HTTP/1.1 503 Full', 'Not-Run: 1', 'Content-Length: 0']
+    if request_id:
+        lines.append(f'{ID_HEADER}: {request_id}')
+    return '\r\n'.join(lines + ['', '']).encode()
+
+
+def peak_memory_mb():
+    """Return the largest memory that this process has had."""
+    return getrusage(RUSAGE_SELF).ru_maxrss / 1024
+
+
 class RawServer:
     """A server that writes raw bytes, whole or faulty."""
 
@@ -141,6 +164,74 @@
     writer.close()
 
 
+async def break_off_chunks(server, writer, request_id):
+    """Send a chunked answer without its last chunk and close."""
+    writer.write(chunked_head(request_id) + b'4\r\nfor \r\n')
+    writer.close()
+
+
+async def reset_chunks(server, writer, request_id):
+    """Send a chunked answer without its last chunk and reset."""
+    writer.write(chunked_head(request_id) + b'4\r\nfor \r\n')
+    await writer.drain()
+    await sleep(0.05)
+    own_socket = writer.get_extra_info('socket')
+    own_socket.setsockopt(SOL_SOCKET, SO_LINGER, pack('ii', 1, 0))
+    writer.transport.abort()
+
+
+async def refuse_before_second(server, writer, request_id):
+    """Send a refusal without an id before the answer to r1."""
+    if request_id == 'r1':
+        writer.write(refusal())
+    writer.write(answer(request_id, f'for {request_id}'))
+
+
+async def repeat_before_second(server, writer, request_id):
+    """Send the refusal of an earlier request before the answer to r1."""
+    if request_id == 'r1':
+        writer.write(refusal('r0'))
+    writer.write(answer(request_id, f'for {request_id}'))
+
+
+async def repeat_for_second(server, writer, request_id):
+    """Send the refusal of an earlier request instead of the answer to r1."""
+    if request_id == 'r1':
+        writer.write(refusal('r0'))
+        return
+    writer.write(answer(request_id, f'for {request_id}'))
+
+
+async def send_endless(writer, head, piece):
+    """Send a head, then a piece again and again until the caller closes."""
+    writer.write(head)
+    while True:
+        writer.write(piece)
+        await writer.drain()
+
+
+async def send_endless_body(server, writer, request_id):
+    """Send a body that only the end of the connection would end."""
+    head = answer(request_id, '', length=False)
+    await send_endless(writer, head, b'x' * PIECE_BYTES)
+
+
+async def send_endless_chunks(server, writer, request_id):
+    """Send a chunked body without a last chunk."""
+    piece = b'10000\r\n' + b'x' * PIECE_BYTES + b'\r\n'
+    await send_endless(writer, chunked_head(request_id), piece)
+
+
+async def send_endless_head(server, writer, request_id):
+    """Send header lines without end."""
+    await send_endless(writer, b'HTTP/1.1 200 OK\r\n', b'A: b\r\n' * 1000)
+
+
+async def send_endless_interim(server, writer, request_id):
+    """Send interim responses without end."""
+    await send_endless(writer, b'', b'HTTP/1.1 103 Early Hints\r\n\r\n' * 100)
+
+
 async def never_answer(server, writer, request_id):
     """Send nothing."""
 
@@ -156,6 +247,17 @@
     'answers before it has read the body': answer_whole,
     'closes each connection after its answer': answer_and_close,
     'never answers': never_answer,
+    'breaks off a chunked answer': break_off_chunks,
+    'resets a chunked answer': reset_chunks,
+    'sends a refusal without an id before the second answer': (
+        refuse_before_second
+    ),
+    'sends an earlier refusal before the second answer': repeat_before_second,
+    'sends an earlier refusal instead of the second answer': repeat_for_second,
+    'sends a body without end': send_endless_body,
+    'sends chunks without end': send_endless_chunks,
+    'sends a head without end': send_endless_head,
+    'sends interim responses without end': send_endless_interim,
 }
 
 
@@ -186,7 +288,7 @@
             wait_for(coroutine, WAIT_TIMEOUT_S)
         )
 
-    async def send(self, request_id, body=b''):
+    async def send(self, request_id, body=b'', record=None):
         """Send a request and return its outcome."""
 
         def headers(left_ms):
@@ -198,11 +300,11 @@
             request_line('POST', '/'),
             headers,
             body or None,
-            lambda headers_received: headers_received.get(ID_HEADER)
-            == request_id,
+            request_id,
+            lambda received: received.get(ID_HEADER, ''),
         )
         limits = ExchangeLimits(1.0, monotonic() + DEADLINE_S)
-        return await self.pool.exchange(self.record, message, limits)
+        return await self.pool.exchange(record or self.record, message, limits)
 
 
 @given('a server that {fault}')
@@ -286,3 +388,55 @@
 def then_closed(context):
     """Wait until the server has seen the end of its connection."""
     context.exchange.run(context.exchange.server.closed.wait())
+
+
+@when(
+    '{faulty:d} requests are sent to it at once, and {good:d} to a server that'
+    ' {kind}'
+)
+def when_sent_to_both(context, faulty, good, kind):
+    """Send to the faulty server and, one after the other, to the good one."""
+    fixture = context.exchange
+    context.memory_mb = peak_memory_mb()
+
+    async def send_good():
+        server = RawServer(kind)
+        address = await server.start()
+        record = ServerRecord('good', 1, 1, 'stock', address, 'a', 4)
+        outcomes = []
+        for index in range(good):
+            outcomes.append(await fixture.send(f'r{index}', record=record))
+            await sleep(0.02)
+        await server.stop()
+        return outcomes
+
+    async def send_all():
+        *failed, fixture.outcomes = await gather(
+            *(fixture.send(f'f{index}') for index in range(faulty)),
+            send_good(),
+        )
+        return failed
+
+    context.unanswered = fixture.run(send_all())
+
+
+@then('the {count:d} have their own answers')
+def then_good_answered(context, count):
+    assert len(context.exchange.outcomes) == count
+    then_own_answers(context)
+
+
+@then(
+    'the {count:d} fail, the memory of the process grew by at most {most:d} MB'
+)
+def then_failed_in_memory(context, count, most):
+    assert all(each.response is None for each in context.unanswered)
+    assert len(context.unanswered) == count
+    grown_mb = peak_memory_mb() - context.memory_mb
+    assert grown_mb <= most, grown_mb
+
+
+@then('the second one has no answer')
+def then_second_unanswered(context):
+    first, second = context.exchange.outcomes
+    assert first.response is not None and second.response is None, second
--- a/features/steps/forwarding_steps.py
+++ b/features/steps/forwarding_steps.py
@@ -46,6 +46,8 @@
 REGIONS = {'cymru-a': 'cymru'}
 SLOTS = 4
 PROOF_HEADER = 'Proof'
+ID_HEADER = 'Request-Id'
+REQUEST_ID = 'request'
 # Each server that runs this path crashes.
 POISON_PATH = '/poison'
 NOT_RUN_HEADER = 'Not-Run'
@@ -68,14 +70,15 @@
 
     def read_request(self, headers):
         """See :meth:`Dialect.read_request`."""
-        return RequestMetadata('request', None, '')
+        return RequestMetadata(REQUEST_ID, None, '')
 
     def write_metadata(self, headers, server_name, left_ms):
         """See :meth:`Dialect.write_metadata`."""
+        headers[ID_HEADER] = REQUEST_ID
 
     def read_request_id(self, headers):
         """See :meth:`Dialect.read_request_id`."""
-        return ''
+        return headers.get(ID_HEADER, '')
 
     def read_response(self, status, headers):
         """See :meth:`Dialect.read_response`."""
@@ -102,6 +105,11 @@
         if server.fault == 'says it did not run it':
             self.set_status(503)
             self.set_header(NOT_RUN_HEADER, '1')
+        if server.fault == 'refuses without an id':
+            self.set_status(503)
+            self.set_header(NOT_RUN_HEADER, '1')
+            return
+        self.set_header(ID_HEADER, self.request.headers[ID_HEADER])
         if server.fault != 'gives no proof':
             self.set_header(PROOF_HEADER, '1')
 
@@ -220,7 +228,7 @@
             'shop.example',
             headers,
             b'',
-            RequestMetadata('request', None, ''),
+            RequestMetadata(REQUEST_ID, None, ''),
             monotonic(),
             caller,
         )
--- a/fuchsiacart/gateway/exchanges.py
+++ b/fuchsiacart/gateway/exchanges.py
@@ -32,10 +32,14 @@
 
 from fuchsiacart.clocks import MILLISECONDS
 from fuchsiacart.failure_kinds import FailureKind
+from fuchsiacart.gateway.body_budgets import BODY_BUDGET_BYTES
+from fuchsiacart.gateway.body_budgets import BodyBudget
+from fuchsiacart.gateway.response_checks import is_own_response
 from fuchsiacart.logs import log_event
 
 HEADER_LIMIT_BYTES = 65_536
-BODY_LIMIT_BYTES = 64 * 1024 * 1024
+# Bytes that a connection reads before its response is asked for them.
+BUFFER_LIMIT_BYTES = 256 * 1024
 # Unacknowledged data closes the connection after this time, which covers the
 # longest round trip and two transmissions of a lost packet.
 USER_TIMEOUT_MS = 1_000
@@ -53,7 +57,7 @@
 KEEP_ALIVE_TIMEOUT = compile_pattern(r'timeout=(\d+)')
 CONNECTION_PARAMETERS = HTTP1ConnectionParameters(
     max_header_size=HEADER_LIMIT_BYTES,
-    max_body_size=BODY_LIMIT_BYTES,
+    max_body_size=BODY_BUDGET_BYTES,
     decompress=False,
 )
 
@@ -86,14 +90,15 @@
     """A request to a backend server.
 
     ``make_headers`` takes the milliseconds left until the deadline and
-    returns the headers; ``matches`` takes the headers of a response and
-    returns True if it belongs to this request.
+    returns the headers; ``read_id`` takes the headers of a response and
+    returns the id of the request that it belongs to, or ''.
     """
 
     start_line: RequestStartLine
     make_headers: Callable[[float], HTTPHeaders]
     body: bytes | None
-    matches: Callable[[HTTPHeaders], bool]
+    request_id: str
+    read_id: Callable[[HTTPHeaders], str]
 
 
 class ExchangeLimits(Struct, frozen=True):
@@ -124,23 +129,40 @@
 
 
 class _ResponseReader(HTTPMessageDelegate):
-    """Collects a response; it is complete once ``finished`` is set."""
+    """Collects a response; it is complete once ``finished`` is set.
 
-    def __init__(self):
+    :param connection: the :class:`ServerConnection`.
+    """
+
+    def __init__(self, connection):
+        self._connection = connection
+        self._is_aborted = False
         self.start_line = None
         self.headers = None
         self.chunks = []
         self.finished = False
 
+    @property
+    def server_name(self):
+        """Name of the server."""
+        return self._connection.server_name
+
+    def abort(self):
+        """Give the response up and close its connection."""
+        self._is_aborted = True
+        self.chunks = []
+        self._connection.close()
+
     def headers_received(self, start_line, headers):
         self.start_line = start_line
         self.headers = headers
 
     def data_received(self, chunk):
         self.chunks.append(chunk)
+        self._connection.budget.add(self, len(chunk))
 
     def finish(self):
-        self.finished = True
+        self.finished = not self._is_aborted
 
     def is_delimited(self):
         """Return True if the headers say where the response ends."""
@@ -160,10 +182,19 @@
 
 
 class ServerConnection:
-    """One connection to a backend server."""
+    """One connection to a backend server.
 
-    def __init__(self):
-        self._stream = _PeekStream(socket(AF_INET, SOCK_STREAM))
+    :param server_name: name of the server.
+    :param budget: the :class:`BodyBudget` of all connections.
+    """
+
+    def __init__(self, server_name, budget):
+        self.server_name = server_name
+        self.budget = budget
+        self._is_reused = False
+        self._stream = _PeekStream(
+            socket(AF_INET, SOCK_STREAM), max_buffer_size=BUFFER_LIMIT_BYTES
+        )
         self._idle_until_s = 0.0
         self._is_complete = False
         self._round_trip_s = 0.0
@@ -228,6 +259,7 @@
         if reader is None:
             return self._make_broken_result(repr(self._stream.error))
         self._is_complete = is_sent and reader.is_delimited()
+        self._is_reused = True
         self._idle_until_s = monotonic() + _idle_timeout_s(reader.headers)
         served_s = monotonic() - sent_s - self._round_trip_s
         return ExchangeResult(
@@ -252,15 +284,29 @@
         ``MAX_RESPONSES_READ`` responses belonged to other requests.
         """
         for _ in range(MAX_RESPONSES_READ):
-            reader = _ResponseReader()
-            await connection.read_response(reader)
+            reader = _ResponseReader(self)
+            try:
+                await connection.read_response(reader)
+            finally:
+                self.budget.release(reader)
             self._has_headers |= reader.headers is not None
             if not reader.finished:
                 return None
             if not reader.is_delimited() and self._stream.error is not None:
                 return None
-            if request.matches(reader.headers):
+            answered_id = request.read_id(reader.headers)
+            if is_own_response(
+                request.request_id, answered_id, self._is_reused
+            ):
                 return reader
+            log_event(
+                'response_discarded',
+                request=request.request_id,
+                server=self.server_name,
+                answered=answered_id,
+                status=reader.start_line.code,
+            )
+            self._is_reused = True
         return None
 
 
@@ -273,6 +319,7 @@
 
     def __init__(self):
         self._idle = defaultdict(list)
+        self._budget = BodyBudget()
 
     async def exchange(self, record, request, limits):
         """Send a request to a server and read the complete response.
@@ -285,10 +332,13 @@
         :param limits: the :class:`ExchangeLimits`.
         :return: the :class:`ExchangeResult`.
         """
-        connection = self._pop_idle(record.name)
+        connection = None
+        # A response without an id could be that to an earlier request.
+        if request.request_id:
+            connection = self._pop_idle(record.name)
         is_reused = connection is not None
         if not is_reused:
-            connection = ServerConnection()
+            connection = ServerConnection(record.name, self._budget)
         try:
             if not is_reused:
                 await connection.connect(record.address, limits.connect_s)
@@ -322,7 +372,7 @@
         :param record: the :class:`ServerRecord`.
         :param timeout_s: seconds to wait.
         """
-        connection = ServerConnection()
+        connection = ServerConnection(record.name, self._budget)
         try:
             await connection.connect(record.address, timeout_s)
         except (OSError, TimeoutError, ValueError) as error:
--- a/fuchsiacart/gateway/forwarding.py
+++ b/fuchsiacart/gateway/forwarding.py
@@ -18,6 +18,7 @@
 from fuchsiacart.gateway.hop_headers import end_to_end_headers
 from fuchsiacart.gateway.placements import PlacementRequest
 from fuchsiacart.gateway.placements import ServerSelector
+from fuchsiacart.gateway.response_checks import is_promise
 from fuchsiacart.gateway.retry_budgets import SharedRetryBudget
 from fuchsiacart.gateway.route_tables import RouteTable
 from fuchsiacart.gateway.route_tables import TargetSplitter
@@ -175,7 +176,8 @@
                         request, record, left_ms
                     ),
                     request.body or None,
-                    lambda headers: self._matches(request, headers),
+                    request.metadata.request_id,
+                    self._dialect.read_request_id,
                 ),
                 ExchangeLimits(
                     min(CONNECT_TIMEOUT_S, left_s), attempts.deadline_s
@@ -198,12 +200,15 @@
         )
         if metadata.load is not None:
             server.record_report(metadata.load, steady_ms())
-        if metadata.not_run:
+        if metadata.not_run and is_promise(
+            attempts.request.metadata.request_id,
+            self._dialect.read_request_id(response.headers),
+        ):
             server.is_misdirected = metadata.is_misdirected
             attempts.last_failure = f'{server.name} refused it'
             self._log_attempt(attempts, server, f'not_run_{response.status}')
             return None
-        if _is_foreign(response, metadata):
+        if metadata.not_run or _is_foreign(response, metadata):
             attempts.may_have_run = True
             attempts.last_failure = f'{server.name} sent no answer of its own'
             self._record_failure(server)
@@ -258,14 +263,6 @@
             headers['Content-Length'] = str(len(request.body))
         return headers
 
-    def _matches(self, request, headers):
-        """Return True if a response with these headers may be the request's.
-
-        A response that names no request is accepted.
-        """
-        answered_id = self._dialect.read_request_id(headers)
-        return not answered_id or answered_id == request.metadata.request_id
-
     def _log_attempt(self, attempts, server, result, detail='', taken_s=0.0):
         GATEWAY_ATTEMPTS.labels(attempts.service, str(result)).inc()
         log_event(
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -8,6 +8,7 @@
 from tornado.httputil import HTTPHeaders
 
 from fuchsiacart.failure_kinds import FailureKind
+from fuchsiacart.gateway.body_budgets import BodyBudget
 from fuchsiacart.gateway.exchanges import OutboundRequest
 from fuchsiacart.gateway.exchanges import request_line
 from fuchsiacart.gateway.exchanges import ServerConnection
@@ -113,7 +114,10 @@
             )
 
         line = request_line(sent.method, sent.path)
-        return OutboundRequest(line, headers, None, lambda _: True)
+        # Refusals of a gateway name no request, but come in order.
+        return OutboundRequest(
+            line, headers, None, sent.request_id, lambda _: sent.request_id
+        )
 
     async def _ensure_connection(self):
         """Open a connection to a listed gateway unless one is open.
@@ -134,7 +138,7 @@
             await sleep(PAUSE_RANGE_S[1])
             return False
         address = self._soak.random.choice(self._addresses)
-        connection = ServerConnection()
+        connection = ServerConnection(address, BodyBudget())
         try:
             await connection.connect(address, CONNECT_TIMEOUT_S)
         except (OSError, TimeoutError):
