Count an answer that closes its connection as delivered

Change: the outcome is recorded once the response is written; the process still goes on until the caller has read it. Shown by features/pipelining.feature, (0, 1) before.

--- a/features/pipelining.feature
+++ b/features/pipelining.feature
@@ -78,3 +78,8 @@
     Given a gateway that answers each request after its own time
     When a caller pipelines a request of 200 ms and one that expects to continue
     Then the interim response follows the first answer
+
+  Scenario: an answer that closes the connection counts as delivered
+    Given a gateway that answers each request after its own time
+    When a caller sends a request that closes the connection, and leaves with the answer
+    Then one more request counts as 200 and none as left
--- a/features/steps/pipelining_steps.py
+++ b/features/steps/pipelining_steps.py
@@ -10,6 +10,7 @@
 from behave import given
 from behave import then
 from behave import when
+from prometheus_client import REGISTRY
 from tornado.httputil import HTTPHeaders
 from tornado.netutil import bind_sockets
 
@@ -322,3 +323,35 @@
         raise AssertionError(error.partial) from error
     assert head.startswith('HTTP/1.1 100 '), head
     pipeline.run(pipeline.read_answers(1))
+
+
+def count_outcomes():
+    """Return the requests that were answered and those whose caller left."""
+    return tuple(
+        REGISTRY.get_sample_value(
+            'fuchsiacart_gateway_requests_total', {'outcome': outcome}
+        )
+        or 0
+        for outcome in ('200', 'caller_left')
+    )
+
+
+@when(
+    'a caller sends a request that closes the connection, and leaves with the'
+    ' answer'
+)
+def when_left_with_answer(context):
+    fixture = context.pipeline
+    context.outcomes = count_outcomes()
+    fixture.add_request(QUICK_MS, 'Connection: close\r\n')
+    fixture.run(fixture.read_answers(1))
+    fixture.writer.close()
+    fixture.run(
+        fixture.wait_until(lambda: count_outcomes() != context.outcomes)
+    )
+
+
+@then('one more request counts as 200 and none as left')
+def then_counted(context):
+    answered, left = context.outcomes
+    assert count_outcomes() == (answered + 1, left), count_outcomes()
--- a/fuchsiacart/gateway/caller_connections.py
+++ b/fuchsiacart/gateway/caller_connections.py
@@ -149,10 +149,7 @@
         return await self._parser.read_response(self)
 
     async def send(self, status, reason, headers, body):
-        """Send the response in its turn.
-
-        Returns once the socket has accepted it, and a connection that it
-        closes has been read to its end.
+        """Send the response in its turn; return once it is written.
 
         :param status: HTTP status.
         :param reason: its text.
@@ -173,8 +170,6 @@
         written = self._parser.write_headers(line, headers, body)
         # Cancellation by a caller that disconnects must not stop the write.
         await shield(written)
-        if is_closing:
-            await shield(self.connection.linger())
 
     async def _wait_until_first(self):
         """Wait until an interim response can belong to no other request."""
@@ -267,10 +262,10 @@
             self._is_closing = True
         return self._is_closing and self._exchanges[-1] is exchange
 
-    async def linger(self):
-        """Close the connection after the caller has read the response."""
-        self._end()
-        await self._closed.wait()
+    async def wait_if_ended(self):
+        """Wait for the close of a connection that sends no more."""
+        if self._is_ended:
+            await self._closed.wait()
 
     async def wait_until_idle(self):
         """Wait until all requests are answered."""
@@ -309,7 +304,8 @@
             self._append(exchange)
             await exchange.turn.wait()
             await self._stream.write(exchange.message.held)
-            await self.linger()
+            self._end()
+            await self.wait_if_ended()
         return False
 
     async def _wait_for_room(self):
--- a/fuchsiacart/gateway/callers.py
+++ b/fuchsiacart/gateway/callers.py
@@ -133,6 +133,8 @@
         finally:
             exchange.connection.complete(exchange)
             self._record_outcome(request, outcome, exchange)
+        # The process goes on until the caller has read the last response.
+        await exchange.connection.wait_if_ended()
 
     async def _respond(self, exchange, request):
         try:
