Give urgent requests more of the queues and of the retries

Load: more requests for a service than its servers finish in time.

Change: RankedAdmission knows which ranks a service gets requests of.

--- a/fuchsiacart/gateway/attempts.py
+++ b/fuchsiacart/gateway/attempts.py
@@ -11,6 +11,8 @@
 from fuchsiacart.exceptions import ErrorKind
 from fuchsiacart.exceptions import RequestError
 from fuchsiacart.exceptions import Run
+from fuchsiacart.gateway.admissions import ONLY_RANK_URGENCY
+from fuchsiacart.gateway.admissions import retry_part
 from fuchsiacart.gateway.dialects import RequestMetadata
 
 # Fraction of the time left until the deadline that Retry-After suggests.
@@ -58,16 +60,17 @@
 class Attempts(Struct):
     """Attempts made for one request.
 
-    ``sent`` counts the attempts that reached a server, ``unreachable``
-    those that failed to connect.  ``may_have_run`` is set once an attempt
-    failed without the server's promise that the request was not run.
-    ``excluded`` names the servers already tried; ``last_failure`` says how
-    the last attempt failed.
+    ``urgency`` is that of its rank; see :class:`RankedAdmission`.  ``sent``
+    counts the attempts that reached a server, ``unreachable`` those that
+    failed to connect.  ``may_have_run`` is set once an attempt failed without
+    the server's promise that the request was not run.  ``excluded`` names the
+    servers already tried; ``last_failure`` says how the last attempt failed.
     """
 
     request: InboundRequest
     route: PathRoute
     service: str
+    urgency: float | None = ONLY_RANK_URGENCY
     sent: int = 0
     unreachable: int = 0
     may_have_run: bool = False
@@ -114,7 +117,7 @@
         if self.may_have_run and not self.route.is_idempotent:
             return False
         return self.sent < self.route.max_attempts and budget.try_spend(
-            steady_ms()
+            steady_ms(), retry_part(self.urgency)
         )
 
     def make_error(self, reason=''):
--- a/fuchsiacart/gateway/forwarding.py
+++ b/fuchsiacart/gateway/forwarding.py
@@ -7,6 +7,8 @@
 from fuchsiacart.exceptions import ErrorKind
 from fuchsiacart.exceptions import RequestError
 from fuchsiacart.failure_kinds import FailureKind
+from fuchsiacart.gateway.admissions import RankedAdmission
+from fuchsiacart.gateway.admissions import scale_room
 from fuchsiacart.gateway.attempts import Attempts
 from fuchsiacart.gateway.demands import DemandMeter
 from fuchsiacart.gateway.dialects import Dialect
@@ -54,6 +56,7 @@
         self.selector = ServerSelector(
             settings.host.region, settings.routes.regions
         )
+        self._admission = RankedAdmission()
         self.demands = DemandMeter()
         self.evidence = EvidenceMeter()
         self.suspects = SuspectTracker(
@@ -92,8 +95,11 @@
         route = self._find_route(request)
         service = self._splitter.choose(route)
         self._check_quarantine(request, service)
-        attempts = Attempts(request, route, service)
-        self._retry_budget(service).record_request(steady_ms())
+        now_ms = steady_ms()
+        self._admission.record_arrival(service, route.rank, now_ms)
+        urgency = self._admission.urgency(service, route.rank, now_ms)
+        attempts = Attempts(request, route, service, urgency)
+        self._retry_budget(service).record_request(now_ms)
         self.demands.record_arrival(service)
         while True:
             server = self._choose_server(attempts)
@@ -141,8 +147,11 @@
         placement = PlacementRequest(
             attempts.service,
             metadata.object_key or metadata.request_id,
-            self.demands.max_requests_per_slot(
-                attempts.service, attempts.objective_left_s
+            scale_room(
+                self.demands.max_requests_per_slot(
+                    attempts.service, attempts.objective_left_s
+                ),
+                attempts.urgency,
             ),
             attempts.route.home_regions,
             attempts.excluded,
--- a/fuchsiacart/gateway/retry_budgets.py
+++ b/fuchsiacart/gateway/retry_budgets.py
@@ -60,13 +60,15 @@
         self._step(now_ms).requests += 1
         self._requests += 1
 
-    def try_spend(self, now_ms):
+    def try_spend(self, now_ms, part=1.0):
         """Return True if a retry is allowed, and charge it to the budget.
 
         :param now_ms: the current time.
+        :param part: part of the limit that this retry may use; the rest is
+            kept for more urgent ones.
         """
         step = self._step(now_ms)
-        if self._retries + 1 > self.limit(now_ms):
+        if self._retries + 1 > self.limit(now_ms) * part:
             return False
         step.retries += 1
         self._retries += 1
