Emulate deployments of hundreds of hosts in simulated time

Change: standins/emulation plays gateways with the product's decision classes (placement, ranks, retry budget, shares) before servers with slots, queues and caches of objects. `python -m standins.emulation` prints what callers get under the present and an earlier policy; features/emulation.feature checks it.

--- /dev/null
+++ b/features/steps/emulation_steps.py
@@ -0,0 +1,101 @@
+"""Steps that play emulated deployments in simulated time."""
+
+from behave import given
+from behave import then
+from behave import when
+from msgspec.structs import replace
+
+from standins.emulation import Emulator
+from standins.emulation import EXAMPLES
+from standins.emulation import Span
+from standins.emulation import UnrankedGateway
+
+SERVED_FLOOR = 0.25
+RETRY_RATIO = 0.2
+
+
+@given('the emulated deployment "{name}"')
+def step_deployment(context, name):
+    context.plan = EXAMPLES[name]
+
+
+@given('a load of {load:g}')
+def step_load(context, load):
+    context.plan = replace(context.plan, load=load)
+
+
+@given(
+    'a load of {load:g} and a burst of {factor:g} from {start:g} to {end:g} s'
+)
+def step_burst(context, load, factor, start, end):
+    context.plan = replace(
+        context.plan, load=load, bursts=(Span(start, end, factor),)
+    )
+
+
+@when('seeds {first:d} to {last:d} are played with and without ranks')
+def step_play(context, first, last):
+    context.ranked, context.unranked = [], []
+    for seed in range(first, last + 1):
+        plan = replace(context.plan, seed=seed)
+        context.ranked.append(Emulator(plan))
+        context.unranked.append(Emulator(plan, UnrankedGateway))
+    for emulator in context.ranked + context.unranked:
+        emulator.play()
+
+
+def _credit(emulators, kind=None):
+    """Return the share of the credit earned, of one kind or of all."""
+    tallies = [
+        each.tallies.by_kind[kind] if kind else each.tallies.total
+        for each in emulators
+    ]
+    owed = sum(tally.owed for tally in tallies)
+    return sum(tally.earned for tally in tallies) / owed
+
+
+def _served(tallies):
+    count = sum(tally.count for tally in tallies)
+    return sum(tally.in_time + tally.late for tally in tallies) / count
+
+
+@then('the most urgent kind earns at least {gain:g} more with ranks')
+def step_urgent_gain(context, gain):
+    kind = min(context.plan.kinds, key=lambda each: each.rank).name
+    ranked = _credit(context.ranked, kind)
+    unranked = _credit(context.unranked, kind)
+    assert ranked >= unranked + gain, (ranked, unranked)
+
+
+@then('all kinds together earn no less')
+def step_no_loss(context):
+    ranked, unranked = _credit(context.ranked), _credit(context.unranked)
+    assert ranked >= unranked, (ranked, unranked)
+
+
+@then('each kind is served at a quarter of the common rate or more')
+def step_no_starving(context):
+    common = _served([each.tallies.total for each in context.ranked])
+    for kind in context.plan.kinds:
+        served = _served(
+            [each.tallies.by_kind[kind.name] for each in context.ranked]
+        )
+        assert served >= SERVED_FLOOR * common, (kind.name, served, common)
+
+
+@then('no more than {share:g} of the requests are refused or fail')
+def step_few_failures(context, share):
+    for emulator in context.ranked:
+        total = emulator.tallies.total
+        lost = (total.refused + total.failed) / total.count
+        assert lost <= share, lost
+
+
+@then('the retries keep to their budget')
+def step_budget(context):
+    for emulator in context.ranked:
+        count = emulator.tallies.total.count
+        retries = emulator.sends - emulator.first_sends
+        windows = context.plan.duration_s / 10.0
+        limit = RETRY_RATIO * count + context.plan.retry_slack * windows
+        assert retries <= limit, (retries, limit)
--- /dev/null
+++ b/standins/emulation/__init__.py
@@ -0,0 +1,27 @@
+"""Emulated deployments of gateways and backend servers in simulated time."""
+
+from standins.emulation.baselines import UnrankedGateway
+from standins.emulation.deployments import Deployment
+from standins.emulation.deployments import Evacuation
+from standins.emulation.deployments import Kind
+from standins.emulation.deployments import Noise
+from standins.emulation.deployments import Region
+from standins.emulation.deployments import Span
+from standins.emulation.deployments import Wave
+from standins.emulation.emulator import Emulator
+from standins.emulation.examples import EXAMPLES
+from standins.emulation.tallies import Tally
+
+__all__ = (
+    'Deployment',
+    'Emulator',
+    'EXAMPLES',
+    'Evacuation',
+    'Kind',
+    'Noise',
+    'Region',
+    'Span',
+    'Tally',
+    'UnrankedGateway',
+    'Wave',
+)
--- /dev/null
+++ b/standins/emulation/emulator.py
@@ -0,0 +1,250 @@
+"""Plays an emulated deployment in simulated time.
+
+Gateways run the product's own decision classes, hundreds of them in one
+process: :class:`ServerSelector`, :class:`DemandMeter` and
+:class:`SharedRetryBudget`, and for the leader :class:`ShareBalancer`.
+"""
+
+from bisect import bisect
+from heapq import heappop
+from heapq import heappush
+from itertools import accumulate
+from itertools import count
+from random import Random
+
+from fuchsiacart.configurations import Configuration
+from fuchsiacart.configurations import Item
+from fuchsiacart.configurations import ItemId
+from fuchsiacart.configurations import ServiceTerms
+from fuchsiacart.control import region_share_tasks
+from fuchsiacart.control.region_shares import ServiceRegionLoad
+from fuchsiacart.control.region_shares import ShareBalancer
+from fuchsiacart.control.route_states import RouteView
+from fuchsiacart.gateway.route_tables import RouteTable
+from fuchsiacart.servers import ServerRecord
+from standins.emulation.deployments import MILLISECONDS
+from standins.emulation.gateways import EmulatedGateway
+from standins.emulation.gateways import SERVICE
+from standins.emulation.servers import EmulatedServer
+from standins.emulation.servers import Visit
+from standins.emulation.tallies import Ending
+from standins.emulation.tallies import Request
+from standins.emulation.tallies import Tallies
+
+IN_REGION_MS = 2.0
+CALLER_MS = 5.0
+SHARE_STEP_MS = 1000.0
+SHARE_STEP_CAP = 0.03
+DEMAND_WEIGHT = 0.3
+# Tries of a caller, of which all but the first follow a refusal.
+CALLER_TRIES = 2
+# Popularity of the objects of a kind by rank.
+SKEW = 0.2
+# Requests that are still in flight at the end get this time.
+CLOSING_S = 15.0
+
+
+class Emulator:
+    """Plays a deployment.
+
+    :param plan: the :class:`Deployment`.
+    :param make_gateway: makes a gateway from the emulator and a region.
+    """
+
+    def __init__(self, plan, make_gateway=EmulatedGateway):
+        self.plan = plan
+        self.now_ms = 0.0
+        self.tallies = Tallies()
+        self.sends = 0
+        self.first_sends = 0
+        self.sends_between_regions = 0
+        self._random = Random(plan.seed)
+        self._events = []
+        self._order = count()
+        self._demand = {}
+        self._servers = {}
+        self._view = RouteView()
+        self._balancer = ShareBalancer(SHARE_STEP_CAP)
+        terms = ServiceTerms(SERVICE, '/', 1000, 0.0, 0.0)
+        item = Item(ItemId('services', SERVICE), terms, b'')
+        self._view.configuration = Configuration(1, (item,))
+        for region in plan.regions:
+            self._add_servers(region)
+        self._gateways = {
+            region.name: [
+                make_gateway(self, region.name) for _ in range(region.gateways)
+            ]
+            for region in plan.regions
+        }
+        self._view.shares = self._initial_shares()
+        self._apply_view()
+        self._weights = {
+            kind.name: list(
+                accumulate((rank + 1) ** -SKEW for rank in range(kind.objects))
+            )
+            for kind in plan.kinds
+        }
+
+    def play(self):
+        """Play the whole duration and return the :class:`Tallies`."""
+        for index, region in enumerate(self.plan.regions):
+            for kind in self.plan.kinds:
+                self._schedule_arrival(index, region.name, kind)
+        self.after(SHARE_STEP_MS, self._update_view)
+        end_ms = self._end_ms + CLOSING_S * MILLISECONDS
+        while self._events and self._events[0][0] <= end_ms:
+            self.now_ms, _, action = heappop(self._events)
+            action()
+        return self.tallies
+
+    def after(self, delay_ms, action):
+        """Run an action after a delay."""
+        entry = (self.now_ms + delay_ms, next(self._order), action)
+        heappush(self._events, entry)
+
+    def send(self, request, gateway, tracked):
+        """Send a request from a gateway to a server."""
+        server = self._servers[tracked.name]
+        delay_ms = IN_REGION_MS
+        self.sends += 1
+        self.first_sends += request.sends == 1
+        if server.region != gateway.region:
+            self.sends_between_regions += 1
+            delay_ms = self.plan.between_regions_ms
+        deadline_ms = request.received_ms + request.kind.timeout_ms
+        visit = Visit(
+            request,
+            gateway,
+            tracked,
+            delay_ms,
+            self.now_ms,
+            deadline_ms - delay_ms,
+        )
+        self.after(delay_ms, lambda: server.receive(visit))
+
+    def reply(self, visit, result):
+        """Bring a server's response to the gateway."""
+        load = self._servers[visit.tracked.name].load()
+        self.after(
+            visit.delay_ms, lambda: visit.gateway.on_reply(visit, result, load)
+        )
+
+    def refuse(self, request, retry_after_ms):
+        """Refuse a request; its caller may return after some time."""
+        if request.tries >= CALLER_TRIES:
+            self.tallies.add(request, Ending.REFUSED)
+            return
+        delay_ms = retry_after_ms + 2 * CALLER_MS
+        self.after(delay_ms, lambda: self._try(request))
+
+    def answer(self, request, is_success):
+        """Bring the final answer to the caller."""
+        taken_ms = self.now_ms + CALLER_MS - request.sent_ms
+        if not is_success and self._may_repeat(request, taken_ms):
+            self.after(2 * CALLER_MS, lambda: self._try(request))
+            return
+        if not is_success or taken_ms > request.kind.deadline_ms:
+            self.tallies.add(request, Ending.FAILED)
+            return
+        is_in_time = taken_ms <= request.kind.objective_ms
+        self.tallies.add(
+            request, Ending.IN_TIME if is_in_time else Ending.LATE
+        )
+
+    def busiest(self):
+        """Return the arrivals of the busiest server relative to the mean."""
+        arrivals = [server.arrivals for server in self._servers.values()]
+        return max(arrivals) * len(arrivals) / max(1, sum(arrivals))
+
+    @property
+    def _end_ms(self):
+        return self.plan.duration_s * MILLISECONDS
+
+    def _add_servers(self, region):
+        for index in range(region.servers):
+            name = f'{region.name}-{index}'
+            domain = f'{region.name}-{"ab"[index % 2]}'
+            record = ServerRecord(
+                name, 1, 1, SERVICE, name, domain, self.plan.slots
+            )
+            self._view.servers[name] = record
+            seed = f'{self.plan.seed}/{name}'
+            self._servers[name] = EmulatedServer(
+                self, self.plan, region.name, seed
+            )
+
+    def _schedule_arrival(self, index, region, kind):
+        rate = self.plan.arrival_rate(kind, index, self.now_ms)
+        delay_ms = self._random.expovariate(rate) * MILLISECONDS
+        if self.now_ms + delay_ms < self._end_ms:
+            self.after(delay_ms, lambda: self._arrive(index, region, kind))
+
+    def _arrive(self, index, region, kind):
+        self._schedule_arrival(index, region, kind)
+        weights = self._weights[kind.name]
+        rank = bisect(weights, self._random.random() * weights[-1])
+        key = f'{region}/{kind.name}/{rank}'
+        self._try(Request(kind, key, region, self.now_ms))
+
+    def _try(self, request):
+        request.tries += 1
+        gateway = self._random.choice(self._gateways[request.region])
+        self.after(CALLER_MS, lambda: gateway.serve(request))
+
+    def _may_repeat(self, request, taken_ms):
+        return (
+            request.kind.is_idempotent
+            and request.tries < CALLER_TRIES
+            and taken_ms < request.kind.deadline_ms
+        )
+
+    def _initial_shares(self):
+        """Return the shares for an even demand, as before any traffic."""
+        capacity = self.plan.servers * self.plan.slots
+        utilization = region_share_tasks.INITIAL_UTILIZATION
+        demand = utilization * capacity / len(self.plan.regions)
+        loads = [
+            ServiceRegionLoad(
+                region.name, demand, region.servers * self.plan.slots
+            )
+            for region in self.plan.regions
+        ]
+        return ShareBalancer(1.0).next_shares(SERVICE, loads, ())
+
+    def _update_view(self):
+        evacuated = self.plan.evacuated(self.now_ms)
+        loads = []
+        for region in self.plan.regions:
+            slots = sum(
+                each.demands.flush(SHARE_STEP_MS / MILLISECONDS).get(
+                    SERVICE, 0.0
+                )
+                for each in self._gateways[region.name]
+            )
+            mean = self._demand.get(region.name, slots)
+            self._demand[region.name] = mean + DEMAND_WEIGHT * (slots - mean)
+            usable = sum(
+                record.failure_domain not in evacuated
+                for record in self._view.servers.values()
+                if self._servers[record.name].region == region.name
+            )
+            loads.append(
+                ServiceRegionLoad(
+                    region.name,
+                    self._demand[region.name],
+                    usable * self.plan.slots,
+                )
+            )
+        self._view.shares = self._balancer.next_shares(
+            SERVICE, loads, self._view.shares
+        )
+        self._view.evacuated = evacuated
+        self._apply_view()
+        if self.now_ms < self._end_ms:
+            self.after(SHARE_STEP_MS, self._update_view)
+
+    def _apply_view(self):
+        table = RouteTable(self._view.configuration)
+        for gateways in self._gateways.values():
+            for gateway in gateways:
+                gateway.selector.apply_view(self._view, table, self.now_ms)
--- /dev/null
+++ b/standins/emulation/gateways.py
@@ -0,0 +1,107 @@
+"""Emulated gateways: the decision classes of one gateway each."""
+
+from fuchsiacart.gateway.admissions import RankedAdmission
+from fuchsiacart.gateway.admissions import retry_part
+from fuchsiacart.gateway.admissions import scale_room
+from fuchsiacart.gateway.demands import DemandMeter
+from fuchsiacart.gateway.placements import PlacementRequest
+from fuchsiacart.gateway.placements import ServerSelector
+from fuchsiacart.gateway.retry_budgets import SharedRetryBudget
+from fuchsiacart.settings import RouteSettings
+from standins.emulation.deployments import MILLISECONDS
+from standins.emulation.servers import Result
+
+SERVICE = 'stock'
+RETRY_RATIO = 0.2
+RETRY_WINDOW_S = 10.0
+RETRY_AFTER_FRACTION = 0.33
+MAX_RETRY_AFTER_MS = 1000.0
+
+
+class EmulatedGateway:
+    """A gateway without connections.
+
+    :param emulator: the :class:`Emulator`.
+    :param region: name of its region.
+    """
+
+    def __init__(self, emulator, region):
+        settings = RouteSettings(
+            retry_ratio=RETRY_RATIO,
+            retry_slack=emulator.plan.retry_slack,
+            retry_window_s=RETRY_WINDOW_S,
+        )
+        self._emulator = emulator
+        self.region = region
+        self.selector = ServerSelector(region, emulator.plan.domains())
+        self.admission = RankedAdmission()
+        self.demands = DemandMeter()
+        self.budget = SharedRetryBudget(settings, 0.0)
+        self.budget.gateway_count = emulator.plan.gateways
+
+    def serve(self, request):
+        """Take a request from a caller."""
+        now_ms = self._emulator.now_ms
+        self.budget.record_request(now_ms)
+        self.demands.record_arrival(SERVICE)
+        self.admission.record_arrival(SERVICE, request.kind.rank, now_ms)
+        request.received_ms = now_ms
+        request.excluded = frozenset()
+        request.sends = 0
+        self._place(request)
+
+    def on_reply(self, visit, result, load):
+        """Take a server's response."""
+        now_ms = self._emulator.now_ms
+        request = visit.request
+        visit.tracked.in_flight -= 1
+        visit.tracked.record_report(load, now_ms)
+        if result is Result.NOT_RUN:
+            self._retry(request)
+            return
+        taken_s = (now_ms - visit.sent_ms) / MILLISECONDS
+        self.demands.record_service_time(SERVICE, taken_s, load)
+        self._emulator.answer(request, result is Result.ANSWERED)
+
+    def _retry(self, request):
+        if request.sends < self._emulator.plan.max_attempts:
+            part = retry_part(self.urgency(request))
+            if self.budget.try_spend(self._emulator.now_ms, part):
+                self._place(request)
+                return
+        self._refuse(request)
+
+    def urgency(self, request):
+        """Return the urgency of a request; see :class:`RankedAdmission`."""
+        return self.admission.urgency(
+            SERVICE, request.kind.rank, self._emulator.now_ms
+        )
+
+    def _place(self, request):
+        now_ms = self._emulator.now_ms
+        spent_ms = now_ms - request.received_ms
+        left_s = (request.kind.objective_ms - spent_ms) / MILLISECONDS
+        placement = PlacementRequest(
+            SERVICE,
+            request.object_key,
+            scale_room(
+                self.demands.max_requests_per_slot(SERVICE, left_s),
+                self.urgency(request),
+            ),
+            (),
+            request.excluded,
+        )
+        tracked = self.selector.choose(placement, now_ms)
+        if tracked is None:
+            self._refuse(request)
+            return
+        request.excluded |= {tracked.name}
+        request.sends += 1
+        tracked.in_flight += 1
+        self._emulator.send(request, self, tracked)
+
+    def _refuse(self, request):
+        spent_ms = self._emulator.now_ms - request.received_ms
+        left_ms = request.kind.deadline_ms - spent_ms
+        wait_ms = min(MAX_RETRY_AFTER_MS, left_ms * RETRY_AFTER_FRACTION)
+        self._emulator.refuse(request, max(1.0, wait_ms))
