Tell refused callers to return when there is probably room

Load: bursts, and servers that reject part of what they get. Cause: a refused caller was told to return after a third of its time or a second, which is late for any objective of 0.5 to 1 s, although room is there within tens of milliseconds once a server rejects only part of its requests.

Change: the time until the less loaded server of the object is under the limit of the request, by its load, its slots and the mean service time; at least 50 ms, at most what was sent before. Unknown service times keep the old rule.

--- a/features/admissions.feature
+++ b/features/admissions.feature
@@ -19,3 +19,21 @@
     Given a service that gets requests of ranks 0 and 1
     And a retry budget of which 0.4 is used
     Then both ranks get a retry
+
+  Scenario Outline: a refused caller is told to return when there is room
+    Given a gateway in cymru-a with 4 servers in each of 4 domains
+    When both servers of an object hold <requests> requests on 4 slots
+    And requests take 400 ms
+    Then a caller with <left> ms until its deadline may return after <after> ms
+
+    Examples:
+      | requests | left | after |
+      | 2        | 6000 | 50    |
+      | 10       | 6000 | 300   |
+      | 20       | 6000 | 1000  |
+      | 20       | 900  | 297   |
+
+  Scenario: before any request has been measured, a refused caller waits longest
+    Given a gateway in cymru-a with 4 servers in each of 4 domains
+    When both servers of an object hold 2 requests on 4 slots
+    Then a caller with 6000 ms until its deadline may return after 1000 ms
--- a/features/steps/admission_steps.py
+++ b/features/steps/admission_steps.py
@@ -4,17 +4,21 @@
 from behave import then
 from behave import when
 
+from fuchsiacart.gateway.admissions import choose_retry_after_ms
+from fuchsiacart.gateway.admissions import longest_retry_after_ms
 from fuchsiacart.gateway.admissions import ONLY_RANK_URGENCY
 from fuchsiacart.gateway.admissions import RankedAdmission
 from fuchsiacart.gateway.admissions import retry_part
 from fuchsiacart.gateway.admissions import scale_room
 from fuchsiacart.gateway.demands import MIN_REQUESTS_PER_SLOT
+from fuchsiacart.gateway.placements import PlacementRequest
 from fuchsiacart.gateway.retry_budgets import SharedRetryBudget
 from fuchsiacart.settings import RouteSettings
 
 SERVICE = 'stock'
 START_MS = 50_000.0
 SLACK = 100
+LOAD_LIMIT = 2.0
 REQUESTS = 100
 
 
@@ -85,3 +89,31 @@
 def step_both_retry(context):
     assert _gets_retry(context, 0)
     assert _gets_retry(context, 1)
+
+
+@when('both servers of an object hold {count:d} requests on 4 slots')
+def step_held(context, count):
+    context.service_ms = 0.0
+    for server in context.placement.servers():
+        server.in_flight = count
+
+
+@when('requests take {service_ms:d} ms')
+def step_service_time(context, service_ms):
+    context.service_ms = float(service_ms)
+
+
+@then(
+    'a caller with {left_ms:d} ms until its deadline '
+    'may return after {after_ms:d} ms'
+)
+def step_retry_after(context, left_ms, after_ms):
+    placement = PlacementRequest(
+        SERVICE, 'object', LOAD_LIMIT, excluded=frozenset({'cymru-a-0'})
+    )
+    room_ms = context.placement.selector.time_to_room_ms(
+        placement, context.service_ms, context.placement.now_ms
+    )
+    longest_ms = longest_retry_after_ms(left_ms)
+    retry_after_ms = choose_retry_after_ms(room_ms, longest_ms)
+    assert abs(retry_after_ms - after_ms) < 1, (retry_after_ms, room_ms)
--- a/fuchsiacart/gateway/admissions.py
+++ b/fuchsiacart/gateway/admissions.py
@@ -2,7 +2,8 @@
 
 Answers a load that the servers of a service cannot finish in time: the queue
 at a server, and the retries, are kept for the urgent requests, and others are
-refused earlier.  Each rank keeps a part of both, so that none starves.
+refused earlier.  Each rank keeps a part of both, so that none starves.  A
+refused caller is told to return when there is probably room again.
 """
 
 from collections import defaultdict
@@ -15,6 +16,12 @@
 LEAST_URGENT_FACTOR = 5 / 6
 # Part of the retry budget that the least urgent rank may use.
 LEAST_URGENT_RETRIES = 0.6
+# Shortest time after which a refused caller may return: that of a server
+# that rejects some requests although it has room.
+MIN_RETRY_AFTER_MS = 50.0
+# Bounds of the time after which a refused caller still returns.
+RETRY_AFTER_FRACTION = 0.33
+MAX_RETRY_AFTER_MS = 1000.0
 # Time after which a rank without requests no longer counts.
 RANK_MEMORY_MS = 10_000.0
 # Urgency of requests that differ from no others.
@@ -77,3 +84,23 @@
     if urgency is ONLY_RANK_URGENCY:
         return 1.0
     return LEAST_URGENT_RETRIES + (1 - LEAST_URGENT_RETRIES) * urgency
+
+
+def longest_retry_after_ms(left_ms):
+    """Return the longest time after which a caller still returns.
+
+    :param left_ms: milliseconds left until its deadline.
+    """
+    wait_ms = min(MAX_RETRY_AFTER_MS, left_ms * RETRY_AFTER_FRACTION)
+    return max(1.0, wait_ms)
+
+
+def choose_retry_after_ms(room_ms, longest_ms):
+    """Return after how many milliseconds a refused caller should return.
+
+    :param room_ms: time until there is probably room; None if unknown.
+    :param longest_ms: the longest time after which the caller still returns.
+    """
+    if room_ms is None:
+        return longest_ms
+    return min(longest_ms, max(MIN_RETRY_AFTER_MS, room_ms))
--- a/fuchsiacart/gateway/attempts.py
+++ b/fuchsiacart/gateway/attempts.py
@@ -11,13 +11,13 @@
 from fuchsiacart.exceptions import ErrorKind
 from fuchsiacart.exceptions import RequestError
 from fuchsiacart.exceptions import Run
+from fuchsiacart.gateway.admissions import choose_retry_after_ms
+from fuchsiacart.gateway.admissions import longest_retry_after_ms
+from fuchsiacart.gateway.admissions import MAX_RETRY_AFTER_MS
 from fuchsiacart.gateway.admissions import ONLY_RANK_URGENCY
 from fuchsiacart.gateway.admissions import retry_part
 from fuchsiacart.gateway.dialects import RequestMetadata
 
-# Fraction of the time left until the deadline that Retry-After suggests.
-RETRY_AFTER_FRACTION = 0.33
-MAX_RETRY_AFTER_MS = 1000
 # Failed connections after which a request that was not sent yet fails.
 MAX_UNREACHABLE_SERVERS = 4
 
@@ -45,16 +45,14 @@
 
     @property
     def retry_after_ms(self):
-        """Milliseconds that a refused caller should wait before a retry.
+        """Longest time in milliseconds after which the caller returns.
 
-        A fraction of the time left until the caller's deadline, from 1 ms
-        to ``MAX_RETRY_AFTER_MS``.  A request without a deadline counts as
-        one with a deadline of ``MAX_RETRY_AFTER_MS``.
+        A request without a deadline counts as one with a deadline of
+        ``MAX_RETRY_AFTER_MS``.
         """
         left_ms = self.metadata.deadline_ms or MAX_RETRY_AFTER_MS
         left_ms -= (monotonic() - self.received_s) * MILLISECONDS
-        wait_ms = min(MAX_RETRY_AFTER_MS, left_ms * RETRY_AFTER_FRACTION)
-        return max(1, int(wait_ms))
+        return int(longest_retry_after_ms(left_ms))
 
 
 class Attempts(Struct):
@@ -120,9 +118,11 @@
             steady_ms(), retry_part(self.urgency)
         )
 
-    def make_error(self, reason=''):
+    def make_error(self, room_ms, reason=''):
         """Return the error of a request that fails before its deadline.
 
+        :param room_ms: time until a server probably has room; None if
+            unknown.
         :param reason: detail of the error if no attempt was made.
         :return: the :class:`RequestError`.
         """
@@ -133,7 +133,9 @@
         return RequestError(
             self.last_failure or reason,
             ErrorKind.OVERLOADED,
-            retry_after_ms=self.request.retry_after_ms,
+            retry_after_ms=int(
+                choose_retry_after_ms(room_ms, self.request.retry_after_ms)
+            ),
         )
 
     def make_deadline_error(self):
--- a/fuchsiacart/gateway/demands.py
+++ b/fuchsiacart/gateway/demands.py
@@ -1,5 +1,7 @@
 """Estimates the demand for each service from its request rate."""
 
+from fuchsiacart.clocks import MILLISECONDS
+
 # Bounds of the requests that a server may hold per slot, regardless of their
 # service time.
 MIN_REQUESTS_PER_SLOT = 1.5
@@ -36,6 +38,13 @@
         mean_s = self._mean_s.get(service, taken_s)
         self._mean_s[service] = mean_s + SAMPLE_WEIGHT * (taken_s - mean_s)
 
+    def mean_service_ms(self, service):
+        """Return the mean service time, 0 until it has been measured.
+
+        :param service: the service.
+        """
+        return self._mean_s.get(service, 0.0) * MILLISECONDS
+
     def max_requests_per_slot(self, service, left_s):
         """Return how many requests a server may hold per slot.
 
--- a/fuchsiacart/gateway/forwarding.py
+++ b/fuchsiacart/gateway/forwarding.py
@@ -111,7 +111,7 @@
             if not attempts.may_try_again(
                 self._retry_budget(attempts.service)
             ):
-                raise attempts.make_error()
+                raise attempts.make_error(self._time_to_room_ms(attempts))
 
     def _find_route(self, request):
         if not self.version:
@@ -143,25 +143,34 @@
         return budget
 
     def _choose_server(self, attempts):
+        placement = self._make_placement(attempts)
+        server = self.selector.choose(placement, steady_ms())
+        if server is None:
+            raise attempts.make_error(
+                self._time_to_room_ms(attempts),
+                f'no server of {attempts.service} has room',
+            )
+        return server
+
+    def _time_to_room_ms(self, attempts):
+        return self.selector.time_to_room_ms(
+            self._make_placement(attempts),
+            self.demands.mean_service_ms(attempts.service),
+            steady_ms(),
+        )
+
+    def _make_placement(self, attempts):
         metadata = attempts.request.metadata
-        placement = PlacementRequest(
+        room = self.demands.max_requests_per_slot(
+            attempts.service, attempts.objective_left_s
+        )
+        return PlacementRequest(
             attempts.service,
             metadata.object_key or metadata.request_id,
-            scale_room(
-                self.demands.max_requests_per_slot(
-                    attempts.service, attempts.objective_left_s
-                ),
-                attempts.urgency,
-            ),
+            scale_room(room, attempts.urgency),
             attempts.route.home_regions,
             attempts.excluded,
         )
-        server = self.selector.choose(placement, steady_ms())
-        if server is None:
-            raise attempts.make_error(
-                f'no server of {attempts.service} has room'
-            )
-        return server
 
     async def _make_attempt(self, attempts, server):
         """Send a request to a server.
--- a/fuchsiacart/gateway/placements.py
+++ b/fuchsiacart/gateway/placements.py
@@ -9,6 +9,7 @@
 from itertools import islice
 
 from msgspec import Struct
+from msgspec.structs import replace
 from xxhash import xxh64_intdigest
 
 from fuchsiacart.clocks import MILLISECONDS
@@ -197,9 +198,7 @@
         domains = self._by_service.get(placement.service)
         if not domains:
             return None
-        hash_fraction = (
-            xxh64_intdigest(placement.object_key.encode()) / HASH_SPAN
-        )
+        hash_fraction = _hash_fraction(placement.object_key)
         for region in self._ordered_regions(placement, domains, hash_fraction):
             usable = self._usable_servers(domains, region, placement, now_ms)
             preferred = tuple(islice(usable, PREFERRED_SERVERS))
@@ -207,6 +206,33 @@
                 return self._pick(preferred, usable, placement, now_ms)
         return None
 
+    def time_to_room_ms(self, placement, service_ms, now_ms):
+        """Estimate when a preferred server has room for a request.
+
+        The requests above the limit of the server leave at the rate at which
+        its slots finish requests.
+
+        :param placement: the :class:`PlacementRequest`; the servers already
+            tried count too, as the request may return to them.
+        :param service_ms: mean service time of a request, 0 if unknown.
+        :param now_ms: the current time.
+        :return: milliseconds, or None if that cannot be estimated.
+        """
+        domains = self._by_service.get(placement.service)
+        if not domains or not service_ms:
+            return None
+        placement = replace(placement, excluded=frozenset())
+        hash_fraction = _hash_fraction(placement.object_key)
+        for region in self._ordered_regions(placement, domains, hash_fraction):
+            usable = self._usable_servers(domains, region, placement, now_ms)
+            preferred = tuple(islice(usable, PREFERRED_SERVERS))
+            if preferred:
+                return min(
+                    _time_to_limit_ms(server, placement, service_ms, now_ms)
+                    for server in preferred
+                )
+        return None
+
     def _update_server(self, record, now_ms):
         server = self._servers.get(record.name)
         region = self._regions.get(record.failure_domain, '')
@@ -342,3 +368,16 @@
         if server.is_cold(now_ms):
             server.cold_tokens -= 1.0
         return server
+
+
+def _hash_fraction(object_key):
+    """Return the hash of an object key in the range 0 to 1."""
+    return xxh64_intdigest(object_key.encode()) / HASH_SPAN
+
+
+def _time_to_limit_ms(server, placement, service_ms, now_ms):
+    """Return when a server's load is below the limit of a request."""
+    slots = max(1, server.record.slots)
+    limit = placement.max_requests_per_slot * slots
+    excess = server.load(now_ms) - limit + 1
+    return max(0.0, excess) * service_ms / slots
--- a/standins/emulation/gateways.py
+++ b/standins/emulation/gateways.py
@@ -1,5 +1,7 @@
 """Emulated gateways: the decision classes of one gateway each."""
 
+from fuchsiacart.gateway.admissions import choose_retry_after_ms
+from fuchsiacart.gateway.admissions import longest_retry_after_ms
 from fuchsiacart.gateway.admissions import RankedAdmission
 from fuchsiacart.gateway.admissions import retry_part
 from fuchsiacart.gateway.admissions import scale_room
@@ -14,8 +16,6 @@
 SERVICE = 'stock'
 RETRY_RATIO = 0.2
 RETRY_WINDOW_S = 10.0
-RETRY_AFTER_FRACTION = 0.33
-MAX_RETRY_AFTER_MS = 1000.0
 
 
 class EmulatedGateway:
@@ -79,19 +79,7 @@
 
     def _place(self, request):
         now_ms = self._emulator.now_ms
-        spent_ms = now_ms - request.received_ms
-        left_s = (request.kind.objective_ms - spent_ms) / MILLISECONDS
-        placement = PlacementRequest(
-            SERVICE,
-            request.object_key,
-            scale_room(
-                self.demands.max_requests_per_slot(SERVICE, left_s),
-                self.urgency(request),
-            ),
-            (),
-            request.excluded,
-        )
-        tracked = self.selector.choose(placement, now_ms)
+        tracked = self.selector.choose(self._make_placement(request), now_ms)
         if tracked is None:
             self._refuse(request)
             return
@@ -100,8 +88,28 @@
         tracked.in_flight += 1
         self._emulator.send(request, self, tracked)
 
-    def _refuse(self, request):
+    def _make_placement(self, request):
         spent_ms = self._emulator.now_ms - request.received_ms
+        left_s = (request.kind.objective_ms - spent_ms) / MILLISECONDS
+        room = self.demands.max_requests_per_slot(SERVICE, left_s)
+        return PlacementRequest(
+            SERVICE,
+            request.object_key,
+            scale_room(room, self.urgency(request)),
+            (),
+            request.excluded,
+        )
+
+    def _refuse(self, request):
+        now_ms = self._emulator.now_ms
+        spent_ms = now_ms - request.received_ms
         left_ms = request.kind.deadline_ms - spent_ms
-        wait_ms = min(MAX_RETRY_AFTER_MS, left_ms * RETRY_AFTER_FRACTION)
-        self._emulator.refuse(request, max(1.0, wait_ms))
+        room_ms = self.selector.time_to_room_ms(
+            self._make_placement(request),
+            self.demands.mean_service_ms(SERVICE),
+            now_ms,
+        )
+        wait_ms = choose_retry_after_ms(
+            room_ms, longest_retry_after_ms(left_ms)
+        )
+        self._emulator.refuse(request, wait_ms)
