Serve by a view that the leader confirmed; lose no waiting connection at a stop

Reports of other operators, shown by scenarios that failed first: - After a restart a server that had left was in use again: a gateway took its first view from any control host, also from one that had just started from its disk or was cut off, and served by it. It now waits until its lease is granted at a revision that its view has reached (features/gateway_starts). - A planned stop cut connections that waited to be accepted: closing the listener reset them, 50 of 50. They are accepted first (features/callers). - A process that was paused acted on a request whose time was over: after a slow connect or a pause it was still sent, with 1 ms left. It is not sent now, and a request that may not be repeated is refused as not run (features/exchanges). - A slow server that leaves the view keeps the request that it runs: was so before, now shown (features/forwarding).

--- a/features/callers.feature
+++ b/features/callers.feature
@@ -34,3 +34,8 @@
       | 5      |
       | 6      |
       | 8      |
+
+  Scenario: connections that wait to be accepted when a gateway stops are answered
+    Given a gateway whose answers have 10 bytes
+    When 50 callers connect and send while the gateway is busy, and it stops
+    Then all 50 callers got an answer
--- a/features/exchanges.feature
+++ b/features/exchanges.feature
@@ -49,6 +49,13 @@
     When a request is sent
     Then it fails as not_connected
 
+  Scenario: a request whose time passed while it connected is not sent
+    Given a server that answers each request
+    When a request is sent whose time has just passed
+    Then the request was not sent, and the server got none
+    When 2 requests are sent one after the other
+    Then each gets its own answer over 1 connection
+
   Scenario: a cancelled request closes its connection to the server
     Given a server that never answers
     When a request is sent and cancelled
--- a/features/forwarding.feature
+++ b/features/forwarding.feature
@@ -50,3 +50,8 @@
     When a non-idempotent request is served
     And the gateway has checked its servers
     Then no request is suspected
+
+  Scenario: a slow server that leaves the view keeps the request that it runs
+    Given a gateway with 2 servers, of which the first answers after 0.6 s
+    When an idempotent request is served while the first server expires
+    Then the caller gets 200 after 1 attempts
--- /dev/null
+++ b/features/gateway_starts.feature
@@ -0,0 +1,16 @@
+Feature: the first view of a gateway that starts
+
+  Scenario: a server that had left is not in use again after a restart
+    Given a gateway that starts while its first control host is behind
+    When it has pulled a view of revision 5 with a server that left at revision 9
+    And the leader grants its lease at revision 9
+    Then it is not ready and uses no server
+    When it has pulled the changes up to revision 9
+    Then it is ready and uses the other server only
+
+  Scenario: a gateway that has served goes on without the control group
+    Given a gateway that starts while its first control host is behind
+    When the leader grants its lease at revision 5
+    And it has pulled a view of revision 5 with a server that left at revision 9
+    And the leader no longer answers
+    Then it is ready and uses both servers
--- a/features/steps/caller_steps.py
+++ b/features/steps/caller_steps.py
@@ -149,6 +149,26 @@
             )
         )
 
+    async def connect_at_stop(self, count):
+        """Fill the backlog of the listener, then stop accepting."""
+        clients = []
+        for _ in range(count):
+            client = socket(AF_INET, SOCK_STREAM)
+            client.connect(self.address)
+            client.sendall(REQUEST)
+            client.setblocking(False)
+            clients.append(client)
+        await self.callers.stop_accepting()
+        await self.callers.close_idle()
+        for client in clients:
+            connection = await open_connection(sock=client)
+            self.idle_connections.append(connection)
+        self.answered = sum(
+            await gather(
+                *(_is_answered(reader) for reader, _ in self.idle_connections)
+            )
+        )
+
     async def wait_until_idle(self):
         """Wait until no request is in flight."""
         while self.callers.in_flight:
@@ -235,3 +255,16 @@
 def then_closed(context):
     unread = context.caller.run(context.caller.reader.read())
     assert unread == b'', unread
+
+
+@when(
+    '{count:d} callers connect and send while the gateway is busy,'
+    ' and it stops'
+)
+def when_stops_at_connect(context, count):
+    context.caller.run(context.caller.connect_at_stop(count))
+
+
+@then('all {count:d} callers got an answer')
+def then_all_answered(context, count):
+    assert context.caller.answered == count, context.caller.answered
--- a/features/steps/exchange_steps.py
+++ b/features/steps/exchange_steps.py
@@ -76,6 +76,7 @@
     def __init__(self, fault):
         self.fault = fault
         self.connections = 0
+        self.requests = 0
         self.closed = Event()
         self._server = None
         self._tasks = set()
@@ -107,6 +108,7 @@
         lines = head.split('\r\n')
         fields = dict(line.split(': ', 1) for line in lines[1:] if line)
         request_id = fields[ID_HEADER]
+        self.requests += 1
         if self.fault != 'answers before it has read the body':
             await reader.readexactly(int(fields.get('Content-Length', 0)))
         await FAULTS[self.fault](self, writer, request_id)
@@ -288,7 +290,7 @@
             wait_for(coroutine, WAIT_TIMEOUT_S)
         )
 
-    async def send(self, request_id, body=b'', record=None):
+    async def send(self, request_id, body=b'', record=None, left_s=DEADLINE_S):
         """Send a request and return its outcome."""
 
         def headers(left_ms):
@@ -303,7 +305,7 @@
             request_id,
             lambda received: received.get(ID_HEADER, ''),
         )
-        limits = ExchangeLimits(1.0, monotonic() + DEADLINE_S)
+        limits = ExchangeLimits(1.0, monotonic() + left_s)
         return await self.pool.exchange(record or self.record, message, limits)
 
 
@@ -440,3 +442,18 @@
 def then_second_unanswered(context):
     first, second = context.exchange.outcomes
     assert first.response is not None and second.response is None, second
+
+
+@when('a request is sent whose time has just passed')
+def when_sent_late(context):
+    """Send a request whose deadline passed 10 ms ago."""
+    outcome = context.exchange.run(context.exchange.send('r0', left_s=-0.01))
+    context.exchange.outcomes.append(outcome)
+
+
+@then('the request was not sent, and the server got none')
+def then_not_sent(context):
+    outcome = context.exchange.outcomes.pop()
+    assert outcome.failure is FailureKind.NOT_SENT, outcome
+    context.exchange.run(sleep(0.1))
+    assert context.exchange.server.requests == 0
--- a/features/steps/forwarding_steps.py
+++ b/features/steps/forwarding_steps.py
@@ -1,5 +1,6 @@
 """Steps for a gateway's attempts at backend servers, over real sockets."""
 
+from asyncio import gather
 from asyncio import new_event_loop
 from asyncio import sleep
 from asyncio import wait_for
@@ -45,6 +46,8 @@
 QUARANTINE_MS = 60_000
 REGIONS = {'cymru-a': 'cymru'}
 SLOTS = 4
+SLOW_S = 0.6
+EXPIRY_S = 0.2
 PROOF_HEADER = 'Proof'
 ID_HEADER = 'Request-Id'
 REQUEST_ID = 'request'
@@ -90,9 +93,11 @@
 class ServerHandler(RequestHandler):
     """Answers, or fails in the way that its server is set to."""
 
-    def get(self):
+    async def get(self):
         server = self.application.settings['server']
         server.served += 1
+        if server.fault == 'answers after 0.6 s':
+            await sleep(SLOW_S)
         if server.fault == 'breaks off':
             self.request.connection.stream.close()
             return
@@ -239,6 +244,12 @@
             return
         self.outcome = str(answer.status)
 
+    async def expire(self, name):
+        """Remove a server from the view after ``EXPIRY_S``."""
+        await sleep(EXPIRY_S)
+        del self.view.servers[name]
+        self.forwarder.apply_view(self.view, 1)
+
     def close(self):
         """Close the servers and the loop."""
         for server in self.servers:
@@ -323,3 +334,16 @@
 def then_no_suspect(context):
     """Check that no suspect would be reported to the control group."""
     assert context.forwarding.forwarder.suspects.flush() == ()
+
+
+@when('an idempotent request is served while the first server expires')
+def when_served_while_expiring(context):
+    fixture = context.forwarding
+
+    async def serve():
+        await gather(
+            fixture.serve(RequestKind.IDEMPOTENT),
+            fixture.expire(fixture.servers[0].name),
+        )
+
+    fixture.run(serve())
--- /dev/null
+++ b/features/steps/gateway_start_steps.py
@@ -0,0 +1,159 @@
+"""Steps for the first view of a gateway, without a network."""
+
+from asyncio import new_event_loop
+
+from behave import given
+from behave import then
+from behave import when
+
+from features.steps.forwarding_steps import PlainDialect
+from fuchsiacart.adapters import Method
+from fuchsiacart.adapters import PeerAdapter
+from fuchsiacart.configurations import Configuration
+from fuchsiacart.configurations import Item
+from fuchsiacart.configurations import ItemId
+from fuchsiacart.configurations import ServiceTerms
+from fuchsiacart.control.pulls import pack_view
+from fuchsiacart.control.route_states import RouteSnapshot
+from fuchsiacart.control.route_states import ServerGone
+from fuchsiacart.control.states import Delta
+from fuchsiacart.control.states import ViewSnapshot
+from fuchsiacart.exceptions import Run
+from fuchsiacart.exceptions import TransportError
+from fuchsiacart.gateway.hosts import GatewayHost
+from fuchsiacart.messages import KeepAliveReply
+from fuchsiacart.messages import PullReply
+from fuchsiacart.servers import ServerRecord
+from fuchsiacart.settings import Settings
+
+LEASE_MS = 3000
+LEFT = 'server-0'
+KEPT = 'server-1'
+
+
+class ScriptedAdapter(PeerAdapter):
+    """Answers each call with the reply set for its method, or not at all."""
+
+    def __init__(self):
+        self.replies = {}
+
+    async def call(self, address, method, message, timeout_s):
+        """See :meth:`PeerAdapter.call`."""
+        reply = self.replies.get(method)
+        if reply is None:
+            raise TransportError(address, run=Run.NO)
+        return reply
+
+    async def close(self):
+        """Nothing to close."""
+
+
+class GatewayStartFixture:
+    """A gateway host and the answers of its control hosts."""
+
+    def __init__(self):
+        self.loop = new_event_loop()
+        self.adapter = ScriptedAdapter()
+        settings = Settings.model_validate(
+            {
+                'role': 'gateway',
+                'host': {
+                    'name': 'gateway',
+                    'region': 'cymru',
+                    'failure_domain': 'cymru-a',
+                },
+                'tokens': {
+                    'operator_sha256': '0' * 64,
+                    'backend_sha256': '0' * 64,
+                    'peer': 'x' * 16,
+                },
+                'control_hosts': [
+                    {'name': 'control', 'peer_address': '127.0.0.1:1'}
+                ],
+                'routes': {'regions': {'cymru-a': 'cymru'}},
+            }
+        )
+        self.gateway = self.run(self._make_gateway(settings))
+        self.gateway.start('127.0.0.1:2', '127.0.0.1:3')
+
+    async def _make_gateway(self, settings):
+        return GatewayHost(settings, self.adapter, PlainDialect())
+
+    def run(self, coroutine):
+        """Run a coroutine to completion."""
+        return self.loop.run_until_complete(coroutine)
+
+    def pull(self, reply):
+        """Let the gateway pull a reply."""
+        self.adapter.replies[Method.PULL] = reply
+        self.run(self.gateway._views._pull('127.0.0.1:1'))
+
+    def renew(self):
+        """Let the gateway renew its lease once."""
+        self.run(self.gateway._lease.renew())
+
+    def used(self):
+        """Return the names of the servers that the gateway may use."""
+        return set(self.gateway.forwarder.selector.servers)
+
+
+@given('a gateway that starts while its first control host is behind')
+def step_gateway(context):
+    context.start = GatewayStartFixture()
+    context.resources.callback(context.start.loop.close)
+
+
+@when(
+    'it has pulled a view of revision {revision:d} '
+    'with a server that left at revision 9'
+)
+def step_old_view(context, revision):
+    terms = ServiceTerms('stock', '/', 100, 0.0, 0.0)
+    item = Item(ItemId('services', 'stock'), terms, b'')
+    servers = tuple(
+        ServerRecord(name, 1, 1, 'stock', name, 'cymru-a', 4)
+        for name in (LEFT, KEPT)
+    )
+    routes = RouteSnapshot(Configuration(1, (item,)), (), servers)
+    snapshot = ViewSnapshot(revision, (), (), (), (), routes)
+    context.start.pull(PullReply(packed_view=pack_view(snapshot)))
+
+
+@when('the leader grants its lease at revision {revision:d}')
+def step_lease(context, revision):
+    context.start.adapter.replies[Method.KEEP_ALIVE] = KeepAliveReply(
+        LEASE_MS, revision
+    )
+    context.start.renew()
+
+
+@when('the leader no longer answers')
+def step_no_leader(context):
+    context.start.adapter.replies[Method.KEEP_ALIVE] = None
+    context.start.renew()
+
+
+@when('it has pulled the changes up to revision 9')
+def step_changes(context):
+    deltas = tuple(
+        Delta(revision, ServerGone(LEFT)) for revision in range(6, 10)
+    )
+    context.start.pull(PullReply(deltas))
+
+
+@then('it is not ready and uses no server')
+def step_not_ready(context):
+    assert not context.start.gateway.is_ready
+    assert not context.start.used(), context.start.used()
+
+
+@then('it is ready and uses the other server only')
+def step_ready(context):
+    assert context.start.gateway.is_ready
+    assert context.start.used() == {KEPT}, context.start.used()
+
+
+@then('it is ready and uses both servers')
+def step_ready_both(context):
+    assert context.start.gateway.is_ready
+    assert context.start.used() == {KEPT, LEFT}, context.start.used()
--- a/fuchsiacart/gateway/callers.py
+++ b/fuchsiacart/gateway/callers.py
@@ -3,6 +3,7 @@
 from asyncio import CancelledError
 from asyncio import create_task
 from asyncio import gather
+from asyncio import sleep
 from time import monotonic
 
 from tornado.http1connection import HTTP1ConnectionParameters
@@ -30,6 +31,9 @@
 # Event loop iterations in which a request that has already been read is
 # started.
 START_ITERATIONS = 20
+# Event loop iterations in which all waiting connections are accepted; tornado
+# accepts 128 in one.
+ACCEPT_ITERATIONS = 10
 # Before the first configuration sets its own limits.
 BODY_LIMIT_BYTES = 64 * 1024 * 1024
 
@@ -88,6 +92,15 @@
             self._connections.discard(connection)
             connection.close()
 
+    async def stop_accepting(self):
+        """Accept the connections that wait in the backlog, and no others.
+
+        Closing the listener at once would reset them.
+        """
+        for _ in range(ACCEPT_ITERATIONS):
+            await sleep(0)
+        self.stop()
+
     async def close_idle(self):
         """Close the connections that have no request in flight.
 
--- a/fuchsiacart/gateway/edges.py
+++ b/fuchsiacart/gateway/edges.py
@@ -30,8 +30,8 @@
         """Close each caller's connection after its next response."""
 
     @abstractmethod
-    def stop_accepting(self):
-        """Stop accepting new connections of callers."""
+    async def stop_accepting(self):
+        """Accept the waiting connections of callers, and no others."""
 
     @abstractmethod
     async def close(self):
--- a/fuchsiacart/gateway/exchanges.py
+++ b/fuchsiacart/gateway/exchanges.py
@@ -351,6 +351,11 @@
             connection.close()
             raise
         deadline_s = limits.deadline_s
+        if monotonic() >= deadline_s:
+            # The connection took the rest of its time, or this process was
+            # paused.
+            self._keep(record.name, connection)
+            return ExchangeResult(failure=FailureKind.NOT_SENT)
         try:
             result = await wait_for(
                 connection.send_request(request, deadline_s),
@@ -407,6 +412,10 @@
             # The cause may have broken the other connections as well.
             self._close_idle(name)
             return
+        self._keep(name, connection)
+
+    def _keep(self, name, connection):
+        """Keep a connection for further requests if it can be reused."""
         if connection.is_reusable:
             self._idle[name].append(connection)
             return
--- a/fuchsiacart/gateway/forwarding.py
+++ b/fuchsiacart/gateway/forwarding.py
@@ -260,6 +260,8 @@
         self._log_attempt(
             attempts, server, result.failure.value, result.detail, taken_s
         )
+        if result.failure is FailureKind.NOT_SENT:
+            return
         if result.failure is FailureKind.NOT_CONNECTED:
             attempts.unreachable += 1
         else:
--- a/fuchsiacart/gateway/hosts.py
+++ b/fuchsiacart/gateway/hosts.py
@@ -53,7 +53,9 @@
         # Maps server names to whether this gateway warms them up; a cache
         # that each new view clears.
         self._warmup_owned = {}
+        self._is_view_confirmed = False
         self._views.on_change(self._apply_view)
+        self._lease.on_renewal(self._confirm_view)
         self.forwarder.suspects.on_suspect(self._lease.renew_soon)
 
     @property
@@ -164,7 +166,7 @@
         await self._lease.renew()
         left_s = started_s + ACCEPT_AFTER_STOP_S - monotonic()
         await sleep(max(0.0, left_s))
-        edge.stop_accepting()
+        await edge.stop_accepting()
         await self.caller_server.close_idle()
         end_s = started_s + self._settings.routes.stop_s - CLOSE_MARGIN_S
         try:
@@ -183,7 +185,19 @@
     async def _run_view(self):
         await self._views.run(self._lease.needed_revision)
 
+    def _confirm_view(self):
+        if not self._is_view_confirmed:
+            self._apply_view()
+
     def _apply_view(self):
+        """Serve by the present view, once the leader has confirmed one.
+
+        The first view may come from a control host that has just started
+        from its disk or is cut off, with servers that have left since.
+        """
+        if not self._lease.has_confirmed_view:
+            return
+        self._is_view_confirmed = True
         view = self._views.replicated_state
         self._gateways = tuple(host for host in view.hosts if is_live(host))
         self._warmup_owned = {}
--- a/fuchsiacart/host_tasks.py
+++ b/fuchsiacart/host_tasks.py
@@ -139,6 +139,7 @@
         self._dispatcher = None
         self._in_flight = None
         self._renewal_requested = Event()
+        self._renewal_listener = None
         self.host = None
         views.on_change(self._record_revision)
 
@@ -154,6 +155,18 @@
         self._dispatcher = dispatcher
         self._in_flight = in_flight
 
+    def on_renewal(self, listener):
+        """Set the function that is called after each renewal.
+
+        :param listener: function without parameters.
+        """
+        self._renewal_listener = listener
+
+    @property
+    def has_confirmed_view(self):
+        """Return True once the view was as new as the leader's state."""
+        return self._lease.was_held
+
     def holds(self):
         """Return True if this host holds a valid lease."""
         return self._lease.holds(steady_ms())
@@ -245,6 +258,8 @@
         self._views.set_parents(reply.parents)
         self._control.add_addresses(reply.members)
         self._control.prefer(reply.leader)
+        if self._renewal_listener is not None:
+            self._renewal_listener()
         return True
 
     async def leave(self):
--- a/fuchsiacart/leases.py
+++ b/fuchsiacart/leases.py
@@ -126,6 +126,11 @@
         """Return True if the lease is valid."""
         return now_ms < self._until_ms
 
+    @property
+    def was_held(self):
+        """Return True once the lease has been valid."""
+        return self._until_ms > 0
+
     def left_ms(self, now_ms):
         """Return the remaining milliseconds of the lease, 0 if expired."""
         return max(0.0, self._until_ms - now_ms)
--- a/fuchsiacart/platform/edge.py
+++ b/fuchsiacart/platform/edge.py
@@ -55,9 +55,9 @@
         """See :meth:`Edge.close_after_responses`."""
         self._caller_server.is_stopping = True
 
-    def stop_accepting(self):
+    async def stop_accepting(self):
         """See :meth:`Edge.stop_accepting`."""
-        self._caller_server.stop()
+        await self._caller_server.stop_accepting()
 
     async def close(self):
         """See :meth:`Edge.close`."""
