Let a change of the view cross to a region few times

Cause: the relay tree was filled by name, so that of 195 gateways in three regions two thirds pulled changes from another region.

Change: each region has a tree of its own below the control hosts; with more regions than the fan-out, the first hosts of regions relay to each other.

--- a/features/agreement.feature
+++ b/features/agreement.feature
@@ -48,3 +48,16 @@
     Then no host relays to more than 8 others
     And the control group relays to at most 8
     And every host reaches the control group in at most 5 hops
+
+  Scenario Outline: a change crosses to a region few times
+    Given <count> entry hosts in <regions> regions that relay with a fan-out of 8
+    Then no host relays to more than 8 others
+    And the control group relays to at most 8
+    And every host reaches the control group in at most <hops> hops
+    And at most <crossings> hosts of a region pull from outside
+
+    Examples:
+      | count | regions | hops | crossings |
+      | 195   | 3       | 4    | 2         |
+      | 66    | 3       | 3    | 2         |
+      | 4400  | 20      | 6    | 1         |
--- a/features/steps/agreement_steps.py
+++ b/features/steps/agreement_steps.py
@@ -5,6 +5,7 @@
 from behave import given
 from behave import then
 from behave import when
+from msgspec.structs import replace
 
 from fuchsiacart.control.commands import Change
 from fuchsiacart.control.commands import StartDrain
@@ -188,6 +189,38 @@
     context.by_address = by_address
 
 
+@given(
+    '{count:d} entry hosts in {regions:d} regions '
+    'that relay with a fan-out of {fan_out:d}'
+)
+def given_regional_tree(context, count, regions, fan_out):
+    """Find the first parent of each host; hosts take regions in turn."""
+    hosts = [
+        replace(host(index), region=f'region-{index % regions}')
+        for index in range(count)
+    ]
+    context.region_by_name = {each.name: each.region for each in hosts}
+    context.by_address = {each.peer_address: each.name for each in hosts}
+    context.tree = RelayTree(hosts, CONTROL_ADDRESSES, fan_out)
+    context.parents = {
+        each.name: context.by_address.get(
+            context.tree.parents(each.name)[0], 'control'
+        )
+        for each in hosts
+    }
+
+
+@then('at most {most:d} hosts of a region pull from outside')
+def then_crossings(context, most):
+    regions = context.region_by_name
+    crossings = Counter(
+        regions[name]
+        for name, parent in context.parents.items()
+        if regions.get(parent) != regions[name]
+    )
+    assert max(crossings.values()) <= most, crossings
+
+
 @then('no host relays to more than {most:d} others')
 def then_fan_out(context, most):
     """Count the children of each host."""
--- a/fuchsiacart/leases.py
+++ b/fuchsiacart/leases.py
@@ -6,6 +6,8 @@
 either applied it or lost its lease.
 """
 
+from collections import defaultdict
+
 from msgspec import Struct
 
 from fuchsiacart.models import Host
@@ -144,9 +146,9 @@
 class RelayTree:
     """Assigns the parents that each host pulls changes from.
 
-    The hosts, ordered by name, form a tree in which each serves at most
-    ``fan_out`` others, whatever their number.  The tree is built once for a
-    revision.
+    The hosts of each region form a tree in which each serves at most
+    ``fan_out`` others, whatever their number, so that a change crosses to a
+    region once.  The tree is built once for a revision.
 
     :param hosts: all entry hosts.
     :param control_addresses: peer addresses of the control hosts.
@@ -155,12 +157,19 @@
     """
 
     def __init__(self, hosts, control_addresses, fan_out):
-        self._ordered = sorted(hosts, key=lambda host: host.name)
+        by_region = defaultdict(list)
+        for host in sorted(hosts, key=lambda host: host.name):
+            by_region[host.region].append(host)
+        self._regions = [by_region[name] for name in sorted(by_region)]
         self._positions = {
-            host.name: position for position, host in enumerate(self._ordered)
+            host.name: (region, position)
+            for region, members in enumerate(self._regions)
+            for position, host in enumerate(members)
         }
         self._control_addresses = tuple(control_addresses)
         self._fan_out = fan_out
+        # Hosts of each region that pull from outside.
+        self._roots = max(1, fan_out // max(1, len(self._regions)))
 
     def parents(self, name):
         """Return the peer addresses a host pulls from, best first.
@@ -170,14 +179,28 @@
 
         :param name: name of the host.
         """
-        position = self._positions.get(name)
+        region, position = self._positions.get(name, (0, None))
         if position is None:
             return self._control_addresses
-        first = position % len(self._control_addresses)
+        first = (region + position) % len(self._control_addresses)
         rotated = (
             self._control_addresses[first:] + self._control_addresses[:first]
         )
-        if position < self._fan_out:
+        parent = self._parent(region, position)
+        if parent is None:
             return rotated
-        parent = self._ordered[position // self._fan_out - 1]
         return (parent.peer_address,) + rotated
+
+    def _parent(self, region, position):
+        """Return the host that a host pulls from, or None for control."""
+        members = self._regions[region]
+        if len(self._regions) <= self._fan_out:
+            if position < self._roots:
+                return None
+            return members[(position - self._roots) // self._fan_out]
+        if position > 0:
+            # The first host has one child less, for that of another region.
+            return members[position // self._fan_out]
+        if region < self._fan_out:
+            return None
+        return self._regions[region - self._fan_out][0]
