--- a/features/steps/exchange_steps.py
+++ b/features/steps/exchange_steps.py
@@ -24,7 +24,7 @@
 from tornado.httputil import HTTPHeaders
 
 from fuchsiacart.failure_kinds import FailureKind
-from fuchsiacart.gateway.exchanges import ConnectionPool
+from fuchsiacart.gateway.connection_pools import ConnectionPool
 from fuchsiacart.gateway.exchanges import ExchangeLimits
 from fuchsiacart.gateway.exchanges import OutboundRequest
 from fuchsiacart.gateway.exchanges import request_line
--- a/features/steps/forwarding_steps.py
+++ b/features/steps/forwarding_steps.py
@@ -26,10 +26,10 @@
 from fuchsiacart.control.route_states import RouteView
 from fuchsiacart.exceptions import RequestError
 from fuchsiacart.gateway.attempts import InboundRequest
+from fuchsiacart.gateway.connection_pools import ConnectionPool
 from fuchsiacart.gateway.dialects import Dialect
 from fuchsiacart.gateway.dialects import RequestMetadata
 from fuchsiacart.gateway.dialects import ResponseMetadata
-from fuchsiacart.gateway.exchanges import ConnectionPool
 from fuchsiacart.gateway.forwarding import Forwarder
 from fuchsiacart.gateway.placements import PlacementRequest
 from fuchsiacart.gateway.suspects import SuspectTracker
--- a/fuchsiacart/gateway/attempts.py
+++ b/fuchsiacart/gateway/attempts.py
@@ -63,6 +63,9 @@
     failed to connect.  ``may_have_run`` is set once an attempt failed without
     the server's promise that the request was not run.  ``excluded`` names the
     servers already tried; ``last_failure`` says how the last attempt failed.
+    ``room``, ``believed_load`` and ``load_age_ms`` are the requests per slot
+    that were allowed for the last placement, the load on which it was based
+    and the age of that load, -1 if none was known.
     """
 
     request: InboundRequest
@@ -74,6 +77,9 @@
     may_have_run: bool = False
     excluded: frozenset[str] = frozenset()
     last_failure: str = ''
+    room: float = 0.0
+    believed_load: float = 0.0
+    load_age_ms: float = -1.0
 
     @property
     def deadline_s(self):
--- /dev/null
+++ b/fuchsiacart/gateway/connection_pools.py
@@ -0,0 +1,130 @@
+"""Pool of idle connections to backend servers."""
+
+from asyncio import wait_for
+from collections import defaultdict
+from time import monotonic
+
+from fuchsiacart.failure_kinds import FailureKind
+from fuchsiacart.gateway.body_budgets import BodyBudget
+from fuchsiacart.gateway.exchanges import ExchangeResult
+from fuchsiacart.gateway.exchanges import ServerConnection
+from fuchsiacart.logs import log_event
+
+# Extra time for the response of a server that works up to the deadline.
+RESPONSE_MARGIN_S = 0.15
+
+
+class ConnectionPool:
+    """Idle connections to all backend servers.
+
+    They are pooled by server name rather than by address, so that no
+    connection outlives its server.
+    """
+
+    def __init__(self):
+        self._idle = defaultdict(list)
+        self._budget = BodyBudget()
+
+    async def exchange(self, record, request, limits):
+        """Send a request to a server and read the complete response.
+
+        Cancellation closes the connection, so that the server can stop its
+        work.
+
+        :param record: the :class:`ServerRecord`.
+        :param request: the :class:`OutboundRequest`.
+        :param limits: the :class:`ExchangeLimits`.
+        :return: the :class:`ExchangeResult`.
+        """
+        connection = None
+        # A response without an id could be that to an earlier request.
+        if request.request_id:
+            connection = self._pop_idle(record.name)
+        is_reused = connection is not None
+        if not is_reused:
+            connection = ServerConnection(record.name, self._budget)
+        try:
+            if not is_reused:
+                await connection.connect(record.address, limits.connect_s)
+        except (OSError, TimeoutError, ValueError) as error:
+            connection.close()
+            return ExchangeResult(
+                failure=FailureKind.NOT_CONNECTED, detail=repr(error)
+            )
+        except BaseException:
+            connection.close()
+            raise
+        deadline_s = limits.deadline_s
+        if monotonic() >= deadline_s:
+            # The connection took the rest of its time, or this process was
+            # paused.
+            self._keep(record.name, connection)
+            return ExchangeResult(failure=FailureKind.NOT_SENT)
+        try:
+            result = await wait_for(
+                connection.send_request(request, deadline_s),
+                max(0.0, deadline_s + RESPONSE_MARGIN_S - monotonic()),
+            )
+        except TimeoutError:
+            result = ExchangeResult(failure=FailureKind.TOO_LATE)
+        except BaseException:
+            connection.close()
+            raise
+        self._release(record.name, connection, result)
+        return result
+
+    async def can_connect(self, record, timeout_s):
+        """Return True if a server accepts a new connection.
+
+        The connection is kept for further requests.
+
+        :param record: the :class:`ServerRecord`.
+        :param timeout_s: seconds to wait.
+        """
+        connection = ServerConnection(record.name, self._budget)
+        try:
+            await connection.connect(record.address, timeout_s)
+        except (OSError, TimeoutError, ValueError) as error:
+            connection.close()
+            log_event(
+                'server_not_reached', server=record.name, detail=repr(error)
+            )
+            return False
+        self._idle[record.name].append(connection)
+        return True
+
+    def retain(self, names):
+        """Close the connections to all other servers.
+
+        :param names: names of the servers whose connections are kept.
+        """
+        for name in set(self._idle) - set(names):
+            self._close_idle(name)
+
+    def _pop_idle(self, name):
+        idle = self._idle[name]
+        while idle:
+            connection = idle.pop()
+            if connection.is_reusable:
+                return connection
+            connection.close()
+        return None
+
+    def _release(self, name, connection, result):
+        if result.failure is not None:
+            connection.close()
+            # The cause may have broken the other connections as well.
+            self._close_idle(name)
+            return
+        self._keep(name, connection)
+
+    def _keep(self, name, connection):
+        """Keep a connection for further requests if it can be reused."""
+        if connection.is_reusable:
+            self._idle[name].append(connection)
+            return
+        connection.close()
+
+    def _close_idle(self, name):
+        for connection in self._idle.pop(name, ()):
+            connection.close()
--- a/fuchsiacart/gateway/forwarding.py
+++ b/fuchsiacart/gateway/forwarding.py
@@ -10,10 +10,10 @@
 from fuchsiacart.gateway.admissions import RankedAdmission
 from fuchsiacart.gateway.admissions import scale_room
 from fuchsiacart.gateway.attempts import Attempts
+from fuchsiacart.gateway.connection_pools import ConnectionPool
 from fuchsiacart.gateway.demands import DemandMeter
 from fuchsiacart.gateway.dialects import Dialect
 from fuchsiacart.gateway.evidence import EvidenceMeter
-from fuchsiacart.gateway.exchanges import ConnectionPool
 from fuchsiacart.gateway.exchanges import ExchangeLimits
 from fuchsiacart.gateway.exchanges import OutboundRequest
 from fuchsiacart.gateway.exchanges import request_line
@@ -144,12 +144,16 @@
 
     def _choose_server(self, attempts):
         placement = self._make_placement(attempts)
-        server = self.selector.choose(placement, steady_ms())
+        now_ms = steady_ms()
+        server = self.selector.choose(placement, now_ms)
+        attempts.room = placement.max_requests_per_slot
         if server is None:
             raise attempts.make_error(
                 self._time_to_room_ms(attempts),
                 f'no server of {attempts.service} has room',
             )
+        attempts.believed_load = server.load(now_ms)
+        attempts.load_age_ms = server.report_age_ms(now_ms)
         return server
 
     def _time_to_room_ms(self, attempts):
@@ -288,8 +292,11 @@
         log_event(
             'attempt',
             request=attempts.request.metadata.request_id,
+            object=attempts.request.metadata.object_key,
             server=server.name,
-            load=round(server.load(steady_ms()), 1),
+            load=round(attempts.believed_load, 1),
+            load_age_ms=int(attempts.load_age_ms),
+            room=round(attempts.room, 2),
             result=result,
             taken_ms=int(taken_s * MILLISECONDS),
             detail=detail,
