--- a/tools/prove_red.py
+++ b/tools/prove_red.py
@@ -249,7 +249,7 @@
     ),
     Fault(
         'a leader does not check its quorum',
-        'control/replicas.py',
+        'control/timed_consensus.py',
         'if not self._timer.has_fresh_quorum(now_ms):',
         'if False:',
         'control_group',
@@ -320,7 +320,9 @@
     Fault(
         'an answer to another request is accepted',
         'gateway/exchanges.py',
-        'if request.matches(reader.headers):',
+        'if is_own_response(\n'
+        '                request.request_id, answered_id, self._is_reused\n'
+        '            ):',
         'if True:',
         'exchanges',
     ),
@@ -347,7 +349,7 @@
     ),
     Fault(
         'an answer counts as sent before it is written',
-        'gateway/callers.py',
+        'gateway/caller_connections.py',
         'await shield(written)',
         'pass',
         'callers',
@@ -389,6 +391,92 @@
         "data = b''.join(frame(encode(each)) for each in records)",
         'records',
     ),
+    Fault(
+        'a response that names no request is accepted on a used connection',
+        'gateway/response_checks.py',
+        'return not is_reused',
+        'return True',
+        'exchanges',
+    ),
+    Fault(
+        'a refusal that names no request counts as its promise',
+        'gateway/response_checks.py',
+        '"""\n    return answered_id == request_id',
+        '"""\n    return True',
+        'forwarding',
+    ),
+    Fault(
+        'a planned stop resets the connections that wait to be accepted',
+        'gateway/callers.py',
+        'for _ in range(ACCEPT_ITERATIONS):',
+        'for _ in range(0):',
+        'callers',
+    ),
+    Fault(
+        'a gateway that starts serves by any view',
+        'gateway/hosts.py',
+        'if not self._lease.has_confirmed_view:',
+        'if False:',
+        'gateway_starts',
+    ),
+    Fault(
+        'an answer that breaks off counts as whole',
+        'gateway/exchanges.py',
+        'if not reader.finished:',
+        'if reader.headers is None:',
+        'exchanges',
+    ),
+    Fault(
+        'a request is sent after its deadline',
+        'gateway/connection_pools.py',
+        'if monotonic() >= deadline_s:',
+        'if False:',
+        'exchanges',
+    ),
+    Fault(
+        'bodies in flight have no common limit',
+        'gateway/body_budgets.py',
+        'while self._total_bytes > self._limit_bytes:',
+        'while False:',
+        'exchanges',
+    ),
+    Fault(
+        'all ranks have the same room',
+        'gateway/admissions.py',
+        'MOST_URGENT_FACTOR = 4 / 3',
+        'MOST_URGENT_FACTOR = 5 / 6',
+        'admissions',
+    ),
+    Fault(
+        'an earlier count replaces what the server said',
+        'gateway/tracked_servers.py',
+        'if counted_ms <= self.reported_ms:',
+        'if False:',
+        'load_boards',
+    ),
+    Fault(
+        'the counts of silent gateways are kept',
+        'load_boards.py',
+        'if now_ms - each.received_ms >= MAX_COUNT_AGE_MS',
+        'if False',
+        'load_boards',
+    ),
+    Fault(
+        'loads are read in the order of another view',
+        'gateway/placements.py',
+        'if load_map.index_id != self._index.id:',
+        'if False:',
+        'load_boards',
+    ),
+    Fault(
+        'each host of a region pulls from another region',
+        'leases.py',
+        'return members[(position - self._roots) // self._fan_out]',
+        'return self._regions[region - 1][\n'
+        '                (position - self._roots) // self._fan_out\n'
+        '            ]',
+        'agreement',
+    ),
 )
 
 
