Wait for the view after a pause before a request is forwarded

Here: a gateway served the requests that it found after a pause by the view from before it, with servers that had left and routes that had changed.

Change: if no pull has been answered for 1.5 s (they are answered each 0.4 s), a request waits for the next answer, 0.3 s at most; a gateway that is cut off waits once and goes on. Shown by features/forwarding.feature, two scenarios, red before.

--- a/features/forwarding.feature
+++ b/features/forwarding.feature
@@ -55,3 +55,14 @@
     Given a gateway with 2 servers, of which the first answers after 0.6 s
     When an idempotent request is served while the first server expires
     Then the caller gets 200 after 1 attempts
+
+  Scenario: after a pause a request waits for the view
+    Given a gateway with 2 servers, of which the first answers
+    When it was paused for 5 s and the first server leaves the view 0.1 s later
+    Then the caller gets 200 after 1 attempts
+    And the first server got no request
+
+  Scenario: a gateway that is cut off from the control group waits once
+    Given a gateway with 2 servers, of which the first answers
+    When it was cut off for 5 s
+    Then the first of two requests waits 0.3 s and the second does not wait
--- a/features/steps/forwarding_steps.py
+++ b/features/steps/forwarding_steps.py
@@ -16,6 +16,7 @@
 from tornado.web import Application
 from tornado.web import RequestHandler
 
+from fuchsiacart.clocks import steady_ms
 from fuchsiacart.configurations import Configuration
 from fuchsiacart.configurations import Item
 from fuchsiacart.configurations import ItemId
@@ -347,3 +348,51 @@
         )
 
     fixture.run(serve())
+
+
+@when(
+    'it was paused for {pause_s:d} s and the first server leaves the view'
+    ' {delay_s:g} s later'
+)
+def when_paused(context, pause_s, delay_s):
+    fixture = context.forwarding
+    freshness = fixture.forwarder.freshness
+    freshness.record_answer(steady_ms() - pause_s * 1000)
+
+    async def pull():
+        await sleep(delay_s)
+        del fixture.view.servers[fixture.servers[0].name]
+        fixture.forwarder.apply_view(fixture.view, 1)
+        freshness.record_answer(steady_ms())
+
+    async def serve():
+        await gather(fixture.serve(RequestKind.IDEMPOTENT), pull())
+
+    fixture.run(serve())
+
+
+@then('the first server got no request')
+def then_first_unused(context):
+    assert context.forwarding.servers[0].served == 0
+
+
+@when('it was cut off for {pause_s:d} s')
+def when_cut_off(context, pause_s):
+    context.forwarding.forwarder.freshness.record_answer(
+        steady_ms() - pause_s * 1000
+    )
+
+
+@then(
+    'the first of two requests waits {wait_s:g} s and the second does not wait'
+)
+def then_waits_once(context, wait_s):
+    fixture = context.forwarding
+    taken_s = []
+    for _ in range(2):
+        started_s = monotonic()
+        fixture.run(fixture.serve(RequestKind.IDEMPOTENT))
+        assert fixture.outcome == '200', fixture.outcome
+        taken_s.append(monotonic() - started_s)
+    assert taken_s[0] >= wait_s, taken_s
+    assert taken_s[1] < wait_s, taken_s
--- a/fuchsiacart/gateway/forwarding.py
+++ b/fuchsiacart/gateway/forwarding.py
@@ -25,6 +25,7 @@
 from fuchsiacart.gateway.route_tables import RouteTable
 from fuchsiacart.gateway.route_tables import TargetSplitter
 from fuchsiacart.gateway.suspects import SuspectTracker
+from fuchsiacart.gateway.view_freshness import ViewFreshness
 from fuchsiacart.logs import log_event
 from fuchsiacart.metrics import GATEWAY_ATTEMPTS
 
@@ -57,6 +58,7 @@
             settings.host.region, settings.routes.regions
         )
         self._admission = RankedAdmission()
+        self.freshness = ViewFreshness()
         self.demands = DemandMeter()
         self.evidence = EvidenceMeter()
         self.suspects = SuspectTracker(
@@ -92,6 +94,8 @@
         :raises RequestError: if the request is refused or all attempts
             failed.
         """
+        if self.freshness.needs_wait(steady_ms()):
+            await self.freshness.wait(steady_ms())
         route = self._find_route(request)
         service = self._splitter.choose(route)
         self._check_quarantine(request, service)
--- a/fuchsiacart/gateway/hosts.py
+++ b/fuchsiacart/gateway/hosts.py
@@ -7,6 +7,7 @@
 
 from fuchsiacart.adapters import Method
 from fuchsiacart.clocks import MILLISECONDS
+from fuchsiacart.clocks import steady_ms
 from fuchsiacart.control.states import is_live
 from fuchsiacart.control_clients import ControlClient
 from fuchsiacart.entry.limits import ContractLimiter
@@ -45,6 +46,9 @@
             settings, self._control, self._views, ContractLimiter()
         )
         self.forwarder = Forwarder(settings, dialect)
+        self._views.on_answer(
+            lambda: self.forwarder.freshness.record_answer(steady_ms())
+        )
         self.caller_server = CallerServer(self.forwarder, dialect)
         self._demands_read_s = monotonic()
         self.is_stopping = False
--- /dev/null
+++ b/fuchsiacart/gateway/view_freshness.py
@@ -0,0 +1,56 @@
+"""Decides when a gateway waits for its view before it acts on it.
+
+Answers the requests that a process finds after it was paused: servers may
+have left and routes may have changed meanwhile.  A gateway that is cut off
+from the control group waits once and then goes on by the view that it has.
+"""
+
+from asyncio import Event
+from asyncio import wait_for
+
+from fuchsiacart.logs import log_event
+
+# Age of the last answer to a pull after which the view may be outdated.
+# Pulls are answered at least every 0.4 s.
+MAX_VIEW_AGE_MS = 1500.0
+# Time in which a pull after a pause is answered.
+MAX_WAIT_S = 0.3
+
+
+class ViewFreshness:
+    """Knows when the view was last confirmed by an answer to a pull."""
+
+    def __init__(self):
+        self._confirmed_ms = None
+        self._has_waited = False
+        self._confirmed = Event()
+
+    def record_answer(self, now_ms):
+        """Record an answer to a pull.
+
+        :param now_ms: the current time, of a steady clock.
+        """
+        self._confirmed_ms = now_ms
+        self._has_waited = False
+        self._confirmed.set()
+
+    def needs_wait(self, now_ms):
+        """Return True if a request should wait for a newer view.
+
+        :param now_ms: the current time.
+        """
+        if self._confirmed_ms is None or self._has_waited:
+            return False
+        return now_ms - self._confirmed_ms > MAX_VIEW_AGE_MS
+
+    async def wait(self, now_ms):
+        """Wait for the next answer to a pull, at most ``MAX_WAIT_S``.
+
+        :param now_ms: the current time.
+        """
+        log_event('view_outdated', age_ms=int(now_ms - self._confirmed_ms))
+        self._confirmed.clear()
+        try:
+            await wait_for(self._confirmed.wait(), MAX_WAIT_S)
+        except TimeoutError:
+            self._has_waited = True
--- a/fuchsiacart/host_tasks.py
+++ b/fuchsiacart/host_tasks.py
@@ -49,6 +49,7 @@
             lambda: self.replicated_state.revision
         )
         self._listeners = []
+        self._answer_listener = None
         self.replicated_state = View()
 
     def on_change(self, listener):
@@ -58,6 +59,13 @@
         """
         self._listeners.append(listener)
 
+    def on_answer(self, listener):
+        """Set the function that is called after each answer to a pull.
+
+        :param listener: function without parameters.
+        """
+        self._answer_listener = listener
+
     def set_parents(self, parents):
         """Replace the hosts to pull from.
 
@@ -109,6 +117,8 @@
             )
         if has_changed:
             self._notify()
+        if self._answer_listener is not None:
+            self._answer_listener()
 
     def _notify(self):
         REVISION.set(self.replicated_state.revision)
--- a/tools/prove_red.py
+++ b/tools/prove_red.py
@@ -433,6 +433,13 @@
         'if False:',
         'exchanges',
     ),
+    Fault(
+        'a gateway that was paused serves by its old view',
+        'gateway/forwarding.py',
+        'if self.freshness.needs_wait(steady_ms()):',
+        'if False:',
+        'forwarding',
+    ),
     Fault(
         'bodies in flight have no common limit',
         'gateway/body_budgets.py',
