--- a/fuchsiacart/gateway/exchanges.py
+++ b/fuchsiacart/gateway/exchanges.py
@@ -1,8 +1,8 @@
 """Connections to backend servers that carry one request at a time.
 
-A connection is kept for further requests.
-A response is accepted only if its headers match the request, since a server
-may send bytes that belong to no request or to an earlier one.
+A connection is kept for further requests.  A response is accepted only if its
+headers match the request, since a server may send bytes that belong to no
+request or to an earlier one.
 """
 
 from asyncio import create_task
