--- a/tools/gateway_slopes.py
+++ b/tools/gateway_slopes.py
@@ -14,6 +14,10 @@
 from fuchsiacart.gateway.placements import PlacementRequest
 from fuchsiacart.gateway.placements import ServerSelector
 from fuchsiacart.gateway.route_tables import RouteTable
+from fuchsiacart.load_boards import LoadBoard
+from fuchsiacart.load_boards import ServerCount
+from fuchsiacart.load_boards import ServerIndex
+from fuchsiacart.models import HostId
 from fuchsiacart.servers import ServerRecord
 from fuchsiacart.views import View
 from tools.slopes import measure_bytes
@@ -22,8 +26,18 @@
 
 REGIONS = 3
 SERVER_COUNTS = (100, 400, 1600)
+GATEWAY_COUNTS = (100, 400, 4400)
+GATEWAYS = 200
+# Servers of one region, and those that one gateway uses at a time.
+SERVERS_IN_REGION = 500
+SERVERS_IN_USE = 5
+RENEWAL_MS = 500.0
 MICROSECONDS_PER_S = 1_000_000
 SEED = 11
+DOMAINS = {
+    f'domain-{index}': f'region-{index % REGIONS}'
+    for index in range(2 * REGIONS)
+}
 # Objects that callers request repeatedly.
 OBJECT_COUNT = 20
 
@@ -46,11 +60,7 @@
 
 def make_selector(count):
     """Return a gateway's server selector and the view applied to it."""
-    regions = {
-        f'domain-{index}': f'region-{index % REGIONS}'
-        for index in range(2 * REGIONS)
-    }
-    selector = ServerSelector('region-0', regions)
+    selector = ServerSelector('region-0', DOMAINS)
     view = View()
     view.restore(make_state(count).view())
     selector.apply_view(
@@ -122,6 +132,46 @@
     )
 
 
+def _make_board(gateway_count, server_count):
+    """Return a load board and an index, with all gateways recorded."""
+    index = ServerIndex(
+        [make_server(each) for each in range(server_count)],
+        DOMAINS,
+        'region-0',
+    )
+    board = LoadBoard()
+    for gateway in range(gateway_count):
+        _record_counts(board, index, gateway)
+    return board, index
+
+
+def _record_counts(board, index, gateway):
+    """Record what one gateway has in flight."""
+    picked = Random(gateway).sample(index.names, SERVERS_IN_USE)
+    counts = tuple(ServerCount(name, 4) for name in picked)
+    board.record(HostId(f'gateway-{gateway}'), counts, 0.0)
+    return counts
+
+
+def measure_load_map_bytes(count):
+    """Return the bytes of loads in a reply to a renewal, by servers."""
+    board, index = _make_board(GATEWAYS, count)
+    return len(encode(board.load_map(HostId('gateway-1'), index, 1.0)))
+
+
+def measure_load_map_us(count):
+    """Return the leader's microseconds for one renewal, by gateways."""
+    board, index = _make_board(count, SERVERS_IN_REGION)
+
+    def renew(number):
+        # Renewals arrive evenly over the interval of each gateway.
+        now_ms = number * RENEWAL_MS / count
+        _record_counts(board, index, number % count)
+        board.load_map(HostId(f'gateway-{number % count}'), index, now_ms)
+
+    return MICROSECONDS_PER_S * measure_processor_s(renew, 2 * count)
+
+
 def measure_gateways():
     """Return all slopes of gateways."""
     return (
@@ -152,6 +202,18 @@
             (4, 16, 64),
             measure_evidence_bytes,
         ),
+        measure_slope(
+            'loads in a reply, by servers',
+            'B',
+            SERVER_COUNTS,
+            measure_load_map_bytes,
+        ),
+        measure_slope(
+            'loads at the leader, by gateways',
+            'us',
+            GATEWAY_COUNTS,
+            measure_load_map_us,
+        ),
         measure_slope(
             'comparison at the leader',
             'ms',
