Serve sooner after a loss of power of all hosts

Load: all hosts lose power and start again within half a second. The first answers of gateways followed 1.0 s later: a join took two rounds (its commit, then a confirmation), all gateways asked the same control host, and callers refused meanwhile used up their one retry.

Change: the first wait is 0 to half an election timeout; of two pre-candidates the first by name goes on; a response comes back on the call of its message; the commit of a join confirms the leader; gateways start with different control hosts; the state is packed once for 64 changes; a request before the first view waits for it, up to the time after which its caller would return.

Ruled out: a connect timeout of 300 ms between hosts: a connection of gRPC takes two round trips, 220 ms and more, and some never opened in time.

Shown by features/elections, control_group, first_views, gateway_starts; each new scenario is red with its part taken out (tools/prove_red.py).

--- a/features/control_group.feature
+++ b/features/control_group.feature
@@ -48,3 +48,17 @@
     When a follower loses its data folder
     And the leader is cut off in both directions
     Then no leader is elected in 4 election timeouts
+
+  Scenario: the response to a message comes back on its call
+    Given 3 control hosts on a network that can be cut
+    And a leader has been elected
+    When a follower is called with a heartbeat of the leader
+    Then the call returns its response
+
+  Scenario: a host that joins gets its lease with the commit of its join
+    Given 3 control hosts on a network that can be cut
+    And a leader has been elected
+    When a host that is new to the leader renews its lease
+    Then its lease is granted without a further round
+    When it renews its lease again
+    Then a round confirms the leader first
--- a/features/elections.feature
+++ b/features/elections.feature
@@ -37,3 +37,13 @@
     Given groups of 5 control hosts in simulated time, seeds 1 to 20
     When the leader is paused for 8000 ms
     Then the paused leader lists no silent voter at the moment it goes on
+
+  Scenario: after a loss of power of all hosts a leader is elected soon
+    Given groups of 5 control hosts in simulated time, seeds 1 to 40
+    When all lose power and start again within 350 ms of each other
+    Then each has a leader, on average a quarter of an election timeout after the last start
+
+  Scenario: of two hosts that ask for votes at the same time one goes on
+    Given groups of 5 control hosts in simulated time, seeds 1 to 1
+    When two hosts that have lost the leader ask each other for a pre-vote
+    Then the first by name goes on, and the other grants and waits
--- a/features/gateway_starts.feature
+++ b/features/gateway_starts.feature
@@ -14,3 +14,15 @@
     And it has pulled a view of revision 5 with a server that left at revision 9
     And the leader no longer answers
     Then it is ready and uses both servers
+
+  Scenario: a request that arrives before the first view waits for it
+    Given a gateway that starts while its first control host is behind
+    When a request with 6000 ms left arrives
+    And the leader grants its lease at revision 5
+    And it has pulled a view of revision 5 with a server that left at revision 9
+    Then the request is handled by the view
+
+  Scenario: a request is refused once its caller would return anyway
+    Given a gateway that starts while its first control host is behind
+    When a request with 300 ms left arrives
+    Then it is refused as not run after a third of that, and told when to return
--- a/features/steps/connection_steps.py
+++ b/features/steps/connection_steps.py
@@ -18,6 +18,7 @@
 from fuchsiacart.control.commands import RecordServer
 from fuchsiacart.control.pulls import answer_pull
 from fuchsiacart.control.pulls import unpack_view
+from fuchsiacart.control.pulls import ViewPacker
 from fuchsiacart.control.states import ReplicatedState
 from fuchsiacart.exceptions import ErrorKind
 from fuchsiacart.exceptions import FuchsiacartError
@@ -119,6 +120,7 @@
     def __init__(self, state):
         self.replicated_state = state
         self.notifier = self
+        self.packer = ViewPacker()
 
     async def wait_past(self, revision, timeout_s):
         """Return at once."""
--- a/features/steps/control_group_steps.py
+++ b/features/steps/control_group_steps.py
@@ -16,17 +16,23 @@
 from fuchsiacart.adapters import PeerAdapter
 from fuchsiacart.control.commands import Change
 from fuchsiacart.control.commands import PutContract
+from fuchsiacart.control.consensus import Consensus
 from fuchsiacart.control.leaders import ControlService
 from fuchsiacart.control.leaders import Replacement
 from fuchsiacart.control.replica_messages import AppendRequest
+from fuchsiacart.control.replica_messages import AppendResponse
 from fuchsiacart.control.replica_messages import SnapshotRequest
 from fuchsiacart.control.replica_states import Group
 from fuchsiacart.control.replicas import ReplicaTask
 from fuchsiacart.exceptions import ChangeError
 from fuchsiacart.exceptions import ErrorKind
 from fuchsiacart.exceptions import TransportError
+from fuchsiacart.messages import Deliver
 from fuchsiacart.messages import Done
+from fuchsiacart.messages import KeepAliveRequest
 from fuchsiacart.models import Contract
+from fuchsiacart.models import Host
+from fuchsiacart.models import HostId
 from fuchsiacart.models import RankName
 from fuchsiacart.models import RankTerms
 from fuchsiacart.settings import Settings
@@ -263,6 +269,65 @@
     context.control.run(context.control.commit_changes(count))
 
 
+@when('a follower is called with a heartbeat of the leader')
+def when_heartbeat_call(context):
+    control = context.control
+    leader = control.network.replicas[control.first_leader]
+    follower = control.network.replicas[control.follower]
+    heartbeat = next(
+        each.message
+        for each in Consensus().heartbeat(leader.state).outbound
+        if each.to == follower.replica
+    )
+    context.answer = control.run(
+        control.services[control.follower].on_deliver(Deliver(heartbeat))
+    )
+
+
+@then('the call returns its response')
+def then_response_returned(context):
+    assert isinstance(context.answer, Deliver), context.answer
+    response = context.answer.message
+    assert isinstance(response, AppendResponse) and response.ok, response
+
+
+@when('a host that is new to the leader renews its lease')
+def when_new_host_renews(context):
+    """Count the rounds that the leader starts for the renewal."""
+    control = context.control
+    leader = control.network.replicas[control.first_leader]
+    confirm = leader.confirm_leadership
+    context.rounds = 0
+
+    async def confirm_counted():
+        context.rounds += 1
+        await confirm()
+
+    leader.confirm_leadership = confirm_counted
+    host = Host(HostId('gateway'), 1, 'cymru', 'cymru-a', 'a:1', 'a:2')
+    context.renewal = KeepAliveRequest(host, 0)
+    when_renews(context)
+
+
+@when('it renews its lease again')
+def when_renews(context):
+    control = context.control
+    service = control.services[control.first_leader]
+    context.lease = control.run(service.on_keep_alive(context.renewal))
+
+
+@then('its lease is granted without a further round')
+def then_no_round(context):
+    assert context.lease.lease_ms > 0
+    assert context.rounds == 0, context.rounds
+
+
+@then('a round confirms the leader first')
+def then_one_round(context):
+    assert context.lease.lease_ms > 0
+    assert context.rounds == 1, context.rounds
+
+
 @when('the leader is cut off in both directions')
 def when_isolated(context):
     context.control.network.isolate(context.control.first_leader)
--- a/features/steps/gateway_start_steps.py
+++ b/features/steps/gateway_start_steps.py
@@ -1,10 +1,13 @@
 """Steps for the first view of a gateway, without a network."""
 
 from asyncio import new_event_loop
+from asyncio import sleep
+from time import monotonic
 
 from behave import given
 from behave import then
 from behave import when
+from tornado.httputil import HTTPHeaders
 
 from features.steps.forwarding_steps import PlainDialect
 from fuchsiacart.adapters import Method
@@ -18,8 +21,12 @@
 from fuchsiacart.control.route_states import ServerGone
 from fuchsiacart.control.states import Delta
 from fuchsiacart.control.states import ViewSnapshot
+from fuchsiacart.exceptions import ErrorKind
+from fuchsiacart.exceptions import RequestError
 from fuchsiacart.exceptions import Run
 from fuchsiacart.exceptions import TransportError
+from fuchsiacart.gateway.attempts import InboundRequest
+from fuchsiacart.gateway.dialects import RequestMetadata
 from fuchsiacart.gateway.hosts import GatewayHost
 from fuchsiacart.messages import KeepAliveReply
 from fuchsiacart.messages import PullReply
@@ -127,6 +134,51 @@
     context.start.renew()
 
 
+@when('a request with {left_ms:d} ms left arrives')
+def step_request(context, left_ms):
+    fixture = context.start
+    metadata = RequestMetadata('request', left_ms, 'object')
+    request = InboundRequest(
+        'GET',
+        '/none/',
+        'none.example',
+        HTTPHeaders(),
+        b'',
+        metadata,
+        monotonic(),
+    )
+    context.left_s = left_ms / 1000
+    context.sent_s = monotonic()
+    serving = fixture.gateway.forwarder.serve(request)
+    context.request = fixture.loop.create_task(serving)
+    fixture.run(sleep(0.01))
+
+
+@then('the request is handled by the view')
+def step_handled(context):
+    error = _request_error(context)
+    assert error.kind is ErrorKind.NOT_FOUND, error
+
+
+@then(
+    'it is refused as not run after a third of that, and told when to return'
+)
+def step_refused(context):
+    error = _request_error(context)
+    assert error.kind is ErrorKind.STALE and error.run is Run.NO, error
+    assert error.retry_after_ms > 0
+    taken_s = monotonic() - context.sent_s
+    assert context.left_s * 0.3 < taken_s < context.left_s, taken_s
+
+
+def _request_error(context):
+    try:
+        context.start.run(context.request)
+    except RequestError as error:
+        return error
+    raise AssertionError('the request was answered')
+
+
 @when('the leader no longer answers')
 def step_no_leader(context):
     context.start.adapter.replies[Method.KEEP_ALIVE] = None
--- a/features/steps/simulated_group_steps.py
+++ b/features/steps/simulated_group_steps.py
@@ -3,10 +3,13 @@
 from heapq import heappop
 from heapq import heappush
 from itertools import count
+from random import Random
+from statistics import mean
 
 from behave import given
 from behave import then
 from behave import when
+from msgspec.structs import replace
 
 from fuchsiacart.control.replica_states import Entry
 from fuchsiacart.control.replica_states import Group
@@ -32,6 +35,7 @@
 
     def __init__(self, host_count, seed):
         self.now_ms = 0
+        self.seed = seed
         self.names = [f'c{index}:1/old' for index in range(host_count)]
         self.cuts = set()
         self.stopped = set()
@@ -52,6 +56,31 @@
         self.run_until(lambda: self.leader() is not None, 10_000)
         self.run(1000)
 
+    def restart(self, spread_ms):
+        """Stop all hosts and start them again from their disks.
+
+        :param spread_ms: time within which they start, at random times.
+        """
+        random = Random(self.seed)
+        starts = {
+            self.now_ms + random.randrange(spread_ms): name
+            for name in self.names
+        }
+        self.stopped = set(self.names)
+        self._messages.clear()
+        while starts:
+            self.run(1)
+            name = starts.pop(self.now_ms, None)
+            if name is None:
+                continue
+            self.states[name] = replace(
+                self.states[name], role=Role.FOLLOWER, leader=None
+            )
+            self.steps[name] = TimedConsensus(
+                SETTINGS, make_random(self.seed, f'{name}/2'), self.now_ms
+            )
+            self.stopped.discard(name)
+
     def leader(self):
         """Return the running leader with the highest term, or None."""
         leaders = [
@@ -207,6 +236,54 @@
         group.stopped.discard(paused)
 
 
+@when('all lose power and start again within {spread_ms:d} ms of each other')
+def when_all_restart(context, spread_ms):
+    context.waits_ms = []
+    for group in context.groups:
+        group.restart(spread_ms)
+        started_ms = group.now_ms
+        limit_ms = 5 * SETTINGS.election_timeout_ms
+        assert group.run_until(lambda: group.leader() is not None, limit_ms)
+        context.waits_ms.append(group.now_ms - started_ms)
+
+
+@when('two hosts that have lost the leader ask each other for a pre-vote')
+def when_two_ask(context):
+    (group,) = context.groups
+    context.first, context.second = sorted(
+        name for name in group.names if name != group.leader()
+    )[:2]
+    rules = group.steps[context.first].rules
+    asking = {
+        name: rules.start_election(group.states[name])
+        for name in (context.first, context.second)
+    }
+    context.after = {}
+    for name, other in (
+        (context.first, context.second),
+        (context.second, context.first),
+    ):
+        request = asking[other].outbound[0].message
+        context.after[name] = rules.receive(asking[name].state, request)
+
+
+@then('the first by name goes on, and the other grants and waits')
+def then_first_goes_on(context):
+    first, second = context.after[context.first], context.after[context.second]
+    assert first.state.role is Role.PRE_CANDIDATE, first.state.role
+    assert second.state.role is Role.FOLLOWER, second.state.role
+    assert second.outbound[0].message.granted
+
+
+@then(
+    'each has a leader, on average a quarter of an election timeout after the'
+    ' last start'
+)
+def then_elected_soon(context):
+    limit_ms = SETTINGS.election_timeout_ms / 4
+    assert mean(context.waits_ms) <= limit_ms, mean(context.waits_ms)
+
+
 @then('each leader and its term are the same as before')
 def then_leaders_same(context):
     for group, (leader, term) in zip(context.groups, context.leaders):
--- a/fuchsiacart/control/consensus.py
+++ b/fuchsiacart/control/consensus.py
@@ -243,8 +243,18 @@
         response = PreVoteResponse(
             state.replica, message.term, state.term, granted
         )
+        if granted and self._yields_to(state, message.sender):
+            state = self.step_down(state).state
         return Step(state, (OutboundMessage(message.sender, response),))
 
+    def _yields_to(self, state, other):
+        """Return True if a pre-candidate leaves the election to another.
+
+        Of two that ask at the same time, the first by name goes on, so that
+        they do not split the votes.
+        """
+        return state.role is Role.PRE_CANDIDATE and other < state.replica
+
     def _on_pre_vote_response(self, state, message):
         if message.own_term > state.term:
             return Step(self._adopt_term(state, message.own_term))
--- a/fuchsiacart/control/elections.py
+++ b/fuchsiacart/control/elections.py
@@ -16,11 +16,12 @@
         self._timeout_ms = timeout_ms
         self._random = random
         self._last_leader_message_ms = now_ms - timeout_ms
-        self._election_due_ms = 0.0
+        # A replica that starts has no leader to wait for, and no vote that
+        # could be split.  A leader that exists is not disturbed, as the
+        # others refuse the pre-vote.
+        self._election_due_ms = now_ms + random.uniform(0, timeout_ms / 2)
         self._confirmed_round = 0
         self._confirmed_ms = now_ms
-        # A replica that starts has no leader to wait for either.
-        self.restart_as_candidate(now_ms)
 
     def restart(self, now_ms):
         """Restart the timeout before the next election."""
--- a/fuchsiacart/control/leaders.py
+++ b/fuchsiacart/control/leaders.py
@@ -33,6 +33,7 @@
 from fuchsiacart.leases import RelayTree
 from fuchsiacart.logs import log_event
 from fuchsiacart.messages import ClaimQuery
+from fuchsiacart.messages import Deliver
 from fuchsiacart.messages import Done
 from fuchsiacart.messages import KeepAliveReply
 from fuchsiacart.messages import LeaveRequest
@@ -104,9 +105,12 @@
         }
 
     async def on_deliver(self, request):
-        """Pass a message of the replicated log to the replica."""
-        self._replica.deliver(request.message)
-        return Done()
+        """Pass a message of the replicated log to the replica.
+
+        :return: a :class:`Deliver` with the response, or :class:`Done`.
+        """
+        response = await self._replica.respond(request.message)
+        return Done() if response is None else Deliver(response)
 
     async def on_keep_alive(self, request):
         """Renew the lease of an entry host, or end it if the host leaves.
@@ -132,9 +136,11 @@
         self._leases.renew(host, request.revision, now_ms)
         self._reports[host.name] = HostReport(request, now_ms)
         self._gateway_reports.add_report(request, now_ms)
-        if existing != host:
+        if existing == host:
+            await self._replica.confirm_leadership()
+        else:
+            # Its commit confirms the leadership too.
             await self._replica.propose(JoinHost(host, wall_ms()))
-        await self._replica.confirm_leadership()
         stored = self._replica.replicated_state.stored
         contracts = [item.contract for item in stored.contracts.values()]
         # Once all hosts have reported the shares that they hold, new ones can
--- a/fuchsiacart/control/replica_messages.py
+++ b/fuchsiacart/control/replica_messages.py
@@ -95,6 +95,7 @@
     | AppendResponse
     | SnapshotRequest
 )
+RESPONSES = PreVoteResponse | VoteResponse | AppendResponse
 
 
 class OutboundMessage(Struct, frozen=True):
--- a/fuchsiacart/control/replica_senders.py
+++ b/fuchsiacart/control/replica_senders.py
@@ -10,7 +10,7 @@
 from fuchsiacart.exceptions import FuchsiacartError
 from fuchsiacart.messages import Deliver
 
-MAX_PENDING_SENDS = 32
+MAX_PENDING_SENDS = 64
 SEND_TIMEOUT_S = 2.0
 SNAPSHOT_TIMEOUT_S = 30.0
 
@@ -19,15 +19,18 @@
     """Sends messages to other replicas and owns the pending calls.
 
     A message that cannot be delivered is dropped.  The leader sends missing
-    entries again.
+    entries again.  The response comes back on the same call, so that it does
+    not depend on a connection in the other direction.
 
     :param adapter: transport to the other control hosts.
     :param addresses: mapping from control hosts to their addresses.
+    :param on_response: takes each response.
     """
 
-    def __init__(self, adapter, addresses):
+    def __init__(self, adapter, addresses, on_response):
         self._adapter = adapter
         self._addresses = addresses
+        self._on_response = on_response
         self._pending_counts = {}
         self._tasks = set()
 
@@ -65,10 +68,12 @@
 
     async def _call(self, channel, address, message, timeout_s):
         try:
-            await self._adapter.call(
+            answer = await self._adapter.call(
                 address, Method.DELIVER, Deliver(message), timeout_s
             )
         except FuchsiacartError:
             return
         finally:
             self._pending_counts[channel] -= 1
+        if isinstance(answer, Deliver):
+            self._on_response(answer.message)
--- a/fuchsiacart/control/replicas.py
+++ b/fuchsiacart/control/replicas.py
@@ -22,8 +22,10 @@
 from fuchsiacart.control.commands import COMMANDS
 from fuchsiacart.control.consensus import Step
 from fuchsiacart.control.journals import Journal
+from fuchsiacart.control.pulls import ViewPacker
 from fuchsiacart.control.replica_messages import Message
 from fuchsiacart.control.replica_messages import OutboundMessage
+from fuchsiacart.control.replica_messages import RESPONSES
 from fuchsiacart.control.replica_messages import SnapshotRequest
 from fuchsiacart.control.replica_senders import ReplicaSender
 from fuchsiacart.control.replica_states import Entry
@@ -45,9 +47,14 @@
 
 
 class InboundMessage(Struct, frozen=True):
-    """A message from another replica."""
+    """A message from another replica.
+
+    ``response`` is resolved with the response to it, None if there is none,
+    once all that the response says is durable.
+    """
 
     message: Message
+    response: Future | None = None
 
 
 class Proposal(Struct, frozen=True):
@@ -104,7 +111,7 @@
     def __init__(self, settings, adapter):
         self._settings = settings
         self._addresses = make_address_book(settings)
-        self._sender = ReplicaSender(adapter, self._addresses)
+        self._sender = ReplicaSender(adapter, self._addresses, self.deliver)
         self._inbox = Queue()
         founders = founding_voters(settings)
         self._is_founder = bool(founders)
@@ -126,6 +133,7 @@
         self.notifier = RevisionNotifier(
             lambda: self.replicated_state.stored.revision
         )
+        self.packer = ViewPacker()
         self.led_since_s = 0.0
         self.replicated_state = ReplicatedState()
         self._state = ReplicaState(self.replica)
@@ -183,6 +191,16 @@
         """Queue a message from another replica; does not wait."""
         self._inbox.put_nowait(InboundMessage(message))
 
+    async def respond(self, message):
+        """Handle a message from another replica.
+
+        :param message: the message.
+        :return: the response to its sender, None if there is none.
+        """
+        response = get_running_loop().create_future()
+        self._inbox.put_nowait(InboundMessage(message, response))
+        return await response
+
     async def propose(self, command, timeout_s=5.0):
         """Commit a command as the leader.
 
@@ -289,15 +307,24 @@
         before = self._state
         state = before
         outbound = []
+        responses = []
         for event in _merge_proposals(events):
             step = self._process_event(state, event)
             state = step.state
-            outbound.extend(step.outbound)
+            others = step.outbound
+            if isinstance(event, InboundMessage) and (
+                event.response is not None
+            ):
+                response, others = _split_response(event.message, others)
+                responses.append((event.response, response))
+            outbound.extend(others)
         state, barrier_outbound = self._start_barrier_round(state)
         outbound.extend(barrier_outbound)
         await self._persist(before, state)
         self._state = state
         self._on_role_change(before, state)
+        for future, response in responses:
+            _set_result(future, response)
         self._send(outbound)
         self._apply_committed()
         self._resolve_barriers()
@@ -496,6 +523,14 @@
         yield proposals
 
 
+def _split_response(message, outbound):
+    """Return the response to a message's sender, and the other messages."""
+    for index, each in enumerate(outbound):
+        if each.to == message.sender and isinstance(each.message, RESPONSES):
+            return each.message, outbound[:index] + outbound[index + 1 :]
+    return None, outbound
+
+
 def _set_result(future, result):
     if not future.done():
         future.set_result(result)
--- a/fuchsiacart/control/timed_consensus.py
+++ b/fuchsiacart/control/timed_consensus.py
@@ -50,6 +50,10 @@
         if is_from_leader and message.term == step.state.term:
             self._timer.on_leader_message(now_ms)
             self._adopt_silences(step.state, message, now_ms)
+        if state.role is Role.PRE_CANDIDATE and (
+            step.state.role is Role.FOLLOWER
+        ):
+            self._timer.restart_as_candidate(now_ms)
         has_voted = step.state.voted_for not in (state.voted_for, None)
         if has_voted and step.state.voted_for != state.replica:
             self._timer.restart(now_ms)
--- a/fuchsiacart/control_clients.py
+++ b/fuchsiacart/control_clients.py
@@ -3,6 +3,8 @@
 from asyncio import sleep
 from time import monotonic
 
+from xxhash import xxh32_intdigest
+
 from fuchsiacart.adapters import Method
 from fuchsiacart.exceptions import ChangeError
 from fuchsiacart.exceptions import ErrorKind
@@ -14,6 +16,18 @@
 RETRY_DELAY_S = 0.05
 
 
+def rotate_addresses(addresses, host_name):
+    """Return addresses in an order that differs from host to host.
+
+    Spreads the first calls of many hosts that start at the same time.
+
+    :param addresses: peer addresses of control hosts.
+    :param host_name: name of the calling host.
+    """
+    first = xxh32_intdigest(host_name.encode()) % max(1, len(addresses))
+    return tuple(addresses[first:]) + tuple(addresses[:first])
+
+
 class ControlClient:
     """Calls one control host and switches to the next when it fails.
 
--- a/fuchsiacart/gateway/forwarding.py
+++ b/fuchsiacart/gateway/forwarding.py
@@ -85,6 +85,8 @@
         self._gateway_count = max(1, gateway_count)
         self.selector.apply_view(view, self.route_table, steady_ms())
         self._pool.retain(view.servers)
+        if self.version:
+            self.freshness.record_use()
 
     async def serve(self, request):
         """Forward a request and wait for its response.
@@ -94,7 +96,9 @@
         :raises RequestError: if the request is refused or all attempts
             failed.
         """
-        if self.freshness.needs_wait(steady_ms()):
+        if not self.version:
+            await self.freshness.wait_for_first(request.retry_after_ms)
+        elif self.freshness.needs_wait(steady_ms()):
             await self.freshness.wait(steady_ms())
         route = self._find_route(request)
         service = self._splitter.choose(route)
--- a/fuchsiacart/gateway/hosts.py
+++ b/fuchsiacart/gateway/hosts.py
@@ -10,6 +10,7 @@
 from fuchsiacart.clocks import steady_ms
 from fuchsiacart.control.states import is_live
 from fuchsiacart.control_clients import ControlClient
+from fuchsiacart.control_clients import rotate_addresses
 from fuchsiacart.entry.limits import ContractLimiter
 from fuchsiacart.gateway.callers import CallerServer
 from fuchsiacart.gateway.forwarding import Forwarder
@@ -40,8 +41,11 @@
 
     def __init__(self, settings, adapter, dialect):
         self._settings = settings
-        self._control = ControlClient(adapter, settings.control_addresses)
-        self._views = ViewReplicator(adapter, settings.control_addresses)
+        addresses = rotate_addresses(
+            settings.control_addresses, settings.host.name
+        )
+        self._control = ControlClient(adapter, addresses)
+        self._views = ViewReplicator(adapter, addresses)
         self._lease = LeaseClient(
             settings, self._control, self._views, ContractLimiter()
         )
--- a/fuchsiacart/gateway/view_freshness.py
+++ b/fuchsiacart/gateway/view_freshness.py
@@ -3,11 +3,15 @@
 Answers the requests that a process finds after it was paused: servers may
 have left and routes may have changed meanwhile.  A gateway that is cut off
 from the control group waits once and then goes on by the view that it has.
+Answers also the requests that arrive while a gateway starts, as after a loss
+of power of all hosts: its view is a second away, and callers that were told
+to return would lose that second and their next try.
 """
 
 from asyncio import Event
 from asyncio import wait_for
 
+from fuchsiacart.clocks import MILLISECONDS
 from fuchsiacart.logs import log_event
 
 # Age of the last answer to a pull after which the view may be outdated.
@@ -24,6 +28,23 @@
         self._confirmed_ms = None
         self._has_waited = False
         self._confirmed = Event()
+        self._in_use = Event()
+
+    def record_use(self):
+        """Record that the gateway serves by a view."""
+        self._in_use.set()
+
+    async def wait_for_first(self, limit_ms):
+        """Wait until the gateway serves by a view.
+
+        :param limit_ms: milliseconds to wait at most.
+        :return: True if it does.
+        """
+        try:
+            await wait_for(self._in_use.wait(), limit_ms / MILLISECONDS)
+        except TimeoutError:
+            return False
+        return True
 
     def record_answer(self, now_ms):
         """Record an answer to a pull.
--- a/fuchsiacart/host_tasks.py
+++ b/fuchsiacart/host_tasks.py
@@ -9,6 +9,7 @@
 from fuchsiacart.clocks import steady_ms
 from fuchsiacart.control.pulls import answer_pull
 from fuchsiacart.control.pulls import unpack_view
+from fuchsiacart.control.pulls import ViewPacker
 from fuchsiacart.exceptions import FuchsiacartError
 from fuchsiacart.leases import Lease
 from fuchsiacart.logs import log_event
@@ -48,6 +49,7 @@
         self.notifier = RevisionNotifier(
             lambda: self.replicated_state.revision
         )
+        self.packer = ViewPacker()
         self._listeners = []
         self._answer_listener = None
         self.replicated_state = View()
@@ -110,11 +112,12 @@
         reply = await self._adapter.call(
             address, Method.PULL, request, PULL_TIMEOUT_S
         )
-        has_changed = self.replicated_state.advance(reply.deltas)
+        has_changed = False
         if reply.packed_view:
             has_changed = self.replicated_state.restore(
                 unpack_view(reply.packed_view)
             )
+        has_changed |= self.replicated_state.advance(reply.deltas)
         if has_changed:
             self._notify()
         if self._answer_listener is not None:
--- a/fuchsiacart/messages.py
+++ b/fuchsiacart/messages.py
@@ -220,7 +220,8 @@
 class PullReply(Struct, frozen=True, tag=True):
     """Returns the deltas after the revision, or else the whole view.
 
-    ``packed_view`` is a compressed :class:`ViewSnapshot`.
+    ``packed_view`` is a compressed :class:`ViewSnapshot`; the deltas then
+    follow its revision.
     """
 
     deltas: tuple[Delta, ...] = ()
--- a/tools/prove_red.py
+++ b/tools/prove_red.py
@@ -343,7 +343,7 @@
     Fault(
         'a host without a view is sent all deltas',
         'control/pulls.py',
-        'if request.revision == 0 and source.replicated_state.revision > 0:',
+        'if request.revision == 0 and state.revision > 0:',
         'if False:',
         'connections',
     ),
@@ -436,8 +436,8 @@
     Fault(
         'a gateway that was paused serves by its old view',
         'gateway/forwarding.py',
-        'if self.freshness.needs_wait(steady_ms()):',
-        'if False:',
+        'elif self.freshness.needs_wait(steady_ms()):',
+        'elif False:',
         'forwarding',
     ),
     Fault(
@@ -484,6 +484,48 @@
         '            ]',
         'agreement',
     ),
+    Fault(
+        'a host that starts waits as long as after a split vote',
+        'control/elections.py',
+        'random.uniform(0, timeout_ms / 2)',
+        'random.uniform(timeout_ms / 4, timeout_ms)',
+        'elections',
+    ),
+    Fault(
+        'hosts that ask for votes at the same time all go on',
+        'control/consensus.py',
+        'if granted and self._yields_to(state, message.sender):',
+        'if False:',
+        'elections',
+    ),
+    Fault(
+        'a response needs a connection of its own',
+        'control/leaders.py',
+        'return Done() if response is None else Deliver(response)',
+        'return Done()',
+        'control_group',
+    ),
+    Fault(
+        'a join waits for a further round',
+        'control/leaders.py',
+        'if existing == host:',
+        'if True:',
+        'control_group',
+    ),
+    Fault(
+        'the state is packed for each host',
+        'control/pulls.py',
+        'MAX_CHANGES_AFTER_PACK = 64',
+        'MAX_CHANGES_AFTER_PACK = 0',
+        'first_views',
+    ),
+    Fault(
+        'requests before the first view are refused at once',
+        'gateway/forwarding.py',
+        'if not self.version:\n            await',
+        'if not self.version:\n            0 and await',
+        'gateway_starts',
+    ),
 )
 
 
