Wait for a control host to listen before a configuration is read there

A host that has not started can answer nothing. Change: the step first waits, with its usual limit, until each control host answers; what is read is compared as before, at each.

--- a/features/steps/platform_path_steps.py
+++ b/features/steps/platform_path_steps.py
@@ -441,6 +441,12 @@
     fixture = context.platform
     for ip in fixture.seeds:
         url = f'http://{ip}:{fixture.ports["control"]}/api/config'
+
+        async def listens(url=url):
+            return await fixture.fetch('GET', url) is not None
+
+        # Two control hosts may serve before the third has started.
+        fixture.run(fixture.wait_until(listens))
         reply = fixture.run(fixture.fetch('GET', url))
         document = decode(reply.body)
         assert document['version'] == fixture.body['version'], document
