Send hosts only what a change of the configuration changes, packed

An order replaces the whole configuration, and its delta held all items, each with the operator's text: 824 KB for 3,000 routes, which each gateway relays to up to eight others. Pulls timed out after 0.9 s, were asked of the next parent, and timed out there.

Change: the delta of a change is the difference of the configurations, without texts, and views have none either; deltas of 4 KB and more are packed once for all that pull them; once no parent has answered in time, a pull may take longer.

Ruled out: zlib for the deltas (40 KB for 27 KB).

--- a/features/gateway_starts.feature
+++ b/features/gateway_starts.feature
@@ -26,3 +26,8 @@
     Given a gateway that starts while its first control host is behind
     When a request with 300 ms left arrives
     Then it is refused as not run after a third of that, and told when to return
+
+  Scenario: a reply that takes longer than the timeout on a thin link arrives
+    Given a host that follows 2 parents
+    When each reply takes 1500 ms
+    Then it has its first view after 4 pulls at most
--- a/features/routes.feature
+++ b/features/routes.feature
@@ -36,6 +36,12 @@
     When a change adds a route and removes the first
     Then the added route is in force and the first is not
 
+  Scenario: a change within thousands of routes reaches hosts in few bytes
+    Given a state with a configuration of 3000 routes
+    When an order with all routes changes one, adds one and removes one
+    Then the change of the view has at most 3000 bytes
+    And a view built from deltas has the routes of the configuration
+
   Scenario: deltas and a snapshot give an entry host the same routes
     Given a state with a first configuration of version 3
     When orders, registrations, evacuations and departures are applied
--- a/features/steps/first_view_steps.py
+++ b/features/steps/first_view_steps.py
@@ -6,11 +6,18 @@
 from behave import given
 from behave import then
 from behave import when
+from msgspec.msgpack import encode
+from msgspec.structs import replace
 
 from features.steps.connection_steps import changed_state
+from features.steps.connection_steps import MEGABIT_BYTES
 from features.steps.connection_steps import StaticState
+from features.steps.route_steps import change
+from features.steps.route_steps import order
+from features.steps.route_steps import ROUTE
 from fuchsiacart.control.commands import JoinHost
 from fuchsiacart.control import pulls
+from fuchsiacart.host_tasks import PULL_TIMEOUT_S
 from fuchsiacart.host_tasks import ViewReplicator
 from fuchsiacart.messages import PullRequest
 from fuchsiacart.models import Host
@@ -22,11 +29,14 @@
 
     def __init__(self, source):
         self._source = source
+        self.reply_bytes = 0
 
     async def call(self, address, method, message, timeout_s):
         """See :meth:`PeerAdapter.call`."""
         assert isinstance(message, PullRequest)
-        return await pulls.answer_pull(self._source, message)
+        reply = await pulls.answer_pull(self._source, message)
+        self.reply_bytes += len(encode(reply))
+        return reply
 
 
 async def pull_first(adapter):
@@ -56,6 +66,57 @@
     context.packed = pack.call_count
 
 
+@when(
+    '{hosts:d} hosts follow it while its configuration grows by {count:d}'
+    ' routes'
+)
+def step_grow(context, hosts, count):
+    """Pull before and after the change; count the bytes of the second."""
+    adapter = context.adapter = DirectAdapter(context.source)
+    routes = [
+        replace(
+            ROUTE,
+            name=f'r-{index * 7919:x}',
+            path_prefix=f'/{index * 104729:x}/',
+        )
+        for index in range(count)
+    ]
+
+    async def follow():
+        followers = [
+            ViewReplicator(adapter, ['control']) for _ in range(hosts)
+        ]
+        for each in followers:
+            await each._pull('control')
+        context.state.apply(change(order(3, 0, routes)))
+        adapter.reply_bytes = 0
+        for each in followers:
+            await each._pull('control')
+        return [each.replicated_state for each in followers]
+
+    context.followers = run(follow())
+    context.routes = routes
+
+
+@then(
+    'all their pulls fit a link of {megabits:d} Mbit/s within the timeout of'
+    ' one pull'
+)
+def step_thin_link(context, megabits):
+    limit = megabits * MEGABIT_BYTES * PULL_TIMEOUT_S
+    assert context.adapter.reply_bytes <= limit, (
+        context.adapter.reply_bytes,
+        limit,
+    )
+
+
+@then('each host has all routes')
+def step_all_routes(context):
+    for view in context.followers:
+        routes = view.routes.configuration.routes
+        assert set(routes) == set(context.routes), len(routes)
+
+
 @then('the state was packed at most {count:d} times')
 def step_packed(context, count):
     assert context.packed <= count, context.packed
--- a/features/steps/gateway_start_steps.py
+++ b/features/steps/gateway_start_steps.py
@@ -1,6 +1,8 @@
 """Steps for the first view of a gateway, without a network."""
 
+from asyncio import create_task
 from asyncio import new_event_loop
+from asyncio import run
 from asyncio import sleep
 from time import monotonic
 
@@ -28,6 +30,7 @@
 from fuchsiacart.gateway.attempts import InboundRequest
 from fuchsiacart.gateway.dialects import RequestMetadata
 from fuchsiacart.gateway.hosts import GatewayHost
+from fuchsiacart.host_tasks import ViewReplicator
 from fuchsiacart.messages import KeepAliveReply
 from fuchsiacart.messages import PullReply
 from fuchsiacart.servers import ServerRecord
@@ -209,3 +212,50 @@
 def step_ready_both(context):
     assert context.start.gateway.is_ready
     assert context.start.used() == {KEPT, LEFT}, context.start.used()
+
+
+class SlowAdapter(PeerAdapter):
+    """Answers pulls after a given time, unless the caller waits less."""
+
+    def __init__(self):
+        self.reply_s = 0.0
+        self.pulls = 0
+
+    async def call(self, address, method, message, timeout_s):
+        """See :meth:`PeerAdapter.call`."""
+        self.pulls += 1
+        await sleep(0.01)
+        if timeout_s < self.reply_s:
+            raise TransportError(address)
+        return PullReply(
+            packed_view=pack_view(ViewSnapshot(5, (), (), (), ()))
+        )
+
+    async def close(self):
+        """Nothing to close."""
+
+
+@given('a host that follows {count:d} parents')
+def step_follower(context, count):
+    context.slow = SlowAdapter()
+    context.parents = [f'parent-{index}' for index in range(count)]
+
+
+@when('each reply takes {reply_ms:d} ms')
+def step_slow_replies(context, reply_ms):
+    context.slow.reply_s = reply_ms / 1000
+
+
+@then('it has its first view after {most:d} pulls at most')
+def step_first_view(context, most):
+    async def pull_until_view():
+        views = ViewReplicator(context.slow, context.parents)
+        task = create_task(views.run(lambda: 0))
+        while not views.replicated_state.revision:
+            assert context.slow.pulls <= most, context.slow.pulls
+            assert not task.done(), task
+            await sleep(0.01)
+        task.cancel()
+
+    run(pull_until_view())
+    assert context.slow.pulls <= most, context.slow.pulls
--- a/features/steps/route_steps.py
+++ b/features/steps/route_steps.py
@@ -3,6 +3,7 @@
 from behave import given
 from behave import then
 from behave import when
+from msgspec.msgpack import encode
 from msgspec.structs import replace
 
 from fuchsiacart.configurations import ConfigurationOrder
@@ -96,6 +97,42 @@
     context.outcomes.append(context.state.apply(change(competing)))
 
 
+@given('a state with a configuration of {count:d} routes')
+def given_many_routes(context, count):
+    context.state = ReplicatedState()
+    context.routes = [
+        replace(ROUTE, name=f'route-{index}', path_prefix=f'/route-{index}/')
+        for index in range(count)
+    ]
+    outcome = context.state.apply(change(order(3, 0, context.routes)))
+    assert outcome.error is None, outcome
+
+
+@when('an order with all routes changes one, adds one and removes one')
+def when_few_changed(context):
+    changed = replace(context.routes[1], timeout_ms=2000.0)
+    added = replace(ROUTE, name='added', path_prefix='/added/')
+    routes = [added, changed] + context.routes[2:]
+    outcome = context.state.apply(change(order(5, 3, routes)))
+    assert outcome.error is None, outcome
+
+
+@then('the change of the view has at most {limit:d} bytes')
+def then_small_delta(context, limit):
+    delta = context.state.deltas_after(context.state.revision - 1)
+    assert len(encode(delta)) <= limit, len(encode(delta))
+
+
+@then('a view built from deltas has the routes of the configuration')
+def then_same_routes(context):
+    view = View()
+    view.advance(context.state.deltas_after(0))
+    expected = context.state.stored.routes.configuration
+    assert view.routes.configuration.version == expected.version
+    assert set(view.routes.configuration.routes) == set(expected.routes)
+    assert set(view.routes.configuration.services) == set(expected.services)
+
+
 @when('the state is restored from its snapshot')
 def when_snapshot(context):
     """Restore the state from its own snapshot."""
--- a/fuchsiacart/configurations.py
+++ b/fuchsiacart/configurations.py
@@ -164,6 +164,37 @@
     return Configuration(order.version, tuple(items.values()))
 
 
+def find_difference(before, after):
+    """Return the order that leads from one configuration to another.
+
+    It holds only the items whose values differ, without their texts: an
+    operator may send thousands of items to change one.
+
+    :param before: the :class:`Configuration` to which it applies.
+    :param after: the :class:`Configuration` to which it leads.
+    """
+    values = {item.id: item.value for item in before.items}
+    changed = tuple(
+        _without_text(item)
+        for item in after.items
+        if values.get(item.id) != item.value
+    )
+    kept = {item.id for item in after.items}
+    removed = tuple(each for each in values if each not in kept)
+    return ConfigurationOrder(
+        after.version, before.version, '', False, changed, removed
+    )
+
+
+def without_texts(configuration):
+    """Return a configuration without the texts, which only reads need.
+
+    :param configuration: the :class:`Configuration`.
+    """
+    items = tuple(_without_text(item) for item in configuration.items)
+    return Configuration(configuration.version, items)
+
+
 def find_validation_error(configuration):
     """Return a message about the first invalid route, or None.
 
@@ -177,6 +208,10 @@
     return None
 
 
+def _without_text(item):
+    return Item(item.id, item.value, b'')
+
+
 def _index_by_id(items):
     return {item.id: item for item in items}
 
--- a/fuchsiacart/control/pulls.py
+++ b/fuchsiacart/control/pulls.py
@@ -1,23 +1,30 @@
 """Replies to pulls, by control hosts and by hosts that relay changes."""
 
-from zlib import compress
-from zlib import decompress
+from lzma import compress
+from lzma import decompress
 
 from msgspec.msgpack import Decoder
 from msgspec.msgpack import encode
 
+from fuchsiacart.control.states import Delta
 from fuchsiacart.control.states import ViewSnapshot
 from fuchsiacart.messages import PullReply
 
 MAX_PULL_S = 10.0
 # Changes that follow a packed view before it is packed anew.
 MAX_CHANGES_AFTER_PACK = 64
+# Bytes of deltas from which they are compressed.
+MIN_PACKED_BYTES = 4096
+# Fastest preset of LZMA: thousands of similar routes take a third less than
+# with zlib, at the same speed.
+LZMA_PRESET = 0
 VIEWS = Decoder(ViewSnapshot)
+DELTAS = Decoder(tuple[Delta, ...])
 
 
 def pack_view(snapshot):
     """Return a :class:`ViewSnapshot` as compressed bytes."""
-    return compress(encode(snapshot))
+    return compress(encode(snapshot), preset=LZMA_PRESET)
 
 
 def unpack_view(packed):
@@ -25,16 +32,41 @@
     return VIEWS.decode(decompress(packed))
 
 
+def read_deltas(reply):
+    """Return the deltas of a :class:`PullReply`."""
+    if not reply.packed_deltas:
+        return reply.deltas
+    return DELTAS.decode(decompress(reply.packed_deltas))
+
+
 class ViewPacker:
-    """Packs the state once for many hosts that ask for their first view.
+    """Packs the state and its changes once for many hosts.
 
-    Answers the load after a restart of all hosts, when hundreds ask within a
-    second while each of them changes the state.
+    Answers the load after a restart of all hosts, when hundreds ask for
+    their first view within a second while each of them changes the state,
+    and that of a configuration which grows by thousands of routes, which
+    each host relays to several others over a link of a few Mbit/s.
     """
 
     def __init__(self):
         self._packed = b''
         self._revision = 0
+        self._packed_deltas = b''
+        self._packed_range = None
+
+    def make_delta_reply(self, deltas):
+        """Return a :class:`PullReply` with deltas.
+
+        :param deltas: consecutive deltas.
+        """
+        body = encode(deltas)
+        if len(body) < MIN_PACKED_BYTES:
+            return PullReply(deltas)
+        revisions = deltas[0].revision, deltas[-1].revision
+        if revisions != self._packed_range:
+            self._packed_deltas = compress(body, preset=LZMA_PRESET)
+            self._packed_range = revisions
+        return PullReply(packed_deltas=self._packed_deltas)
 
     def make_reply(self, state):
         """Return a :class:`PullReply` with the whole state.
@@ -71,4 +103,4 @@
     deltas = state.deltas_after(request.revision)
     if deltas is None:
         return source.packer.make_reply(state)
-    return PullReply(deltas)
+    return source.packer.make_delta_reply(deltas)
--- a/fuchsiacart/control/route_states.py
+++ b/fuchsiacart/control/route_states.py
@@ -10,7 +10,9 @@
 from fuchsiacart.configurations import apply_order
 from fuchsiacart.configurations import Configuration
 from fuchsiacart.configurations import ConfigurationOrder
+from fuchsiacart.configurations import find_difference
 from fuchsiacart.configurations import find_validation_error
+from fuchsiacart.configurations import without_texts
 from fuchsiacart.control.region_shares import RegionShare
 from fuchsiacart.models import FailureDomainId
 from fuchsiacart.servers import ServerRecord
@@ -23,7 +25,10 @@
 
 
 class ConfigurationChanged(Struct, frozen=True, tag=True):
-    """Delta: a configuration order was accepted."""
+    """Delta: the configuration has changed.
+
+    ``order`` holds the items that differ, see :func:`find_difference`.
+    """
 
     order: ConfigurationOrder
 
@@ -58,7 +63,10 @@
 
 
 class RouteSnapshot(Struct, frozen=True):
-    """The state of routes that entry hosts need, at one revision."""
+    """The state of routes that entry hosts need, at one revision.
+
+    The items of the configuration have no texts.
+    """
 
     configuration: Configuration = Configuration()
     evacuated: tuple[FailureDomainId, ...] = ()
@@ -102,11 +110,13 @@
 
         :return: the delta.
         """
-        self.configuration = apply_order(self.configuration, order)
+        before = self.configuration
+        self.configuration = apply_order(before, order)
         self.accepted[order.digest] = order.version
         while len(self.accepted) > ACCEPTED_LIMIT:
             del self.accepted[next(iter(self.accepted))]
-        return ConfigurationChanged(order)
+        difference = find_difference(before, self.configuration)
+        return ConfigurationChanged(difference)
 
     def set_evacuation(self, domain, evacuated):
         """Start or end the evacuation of a failure domain.
@@ -221,7 +231,7 @@
 def _snapshot_of(routes):
     """Return the :class:`RouteSnapshot` of a state or a view."""
     return RouteSnapshot(
-        routes.configuration,
+        without_texts(routes.configuration),
         routes.evacuated,
         tuple(routes.servers.values()),
         routes.shares,
--- a/fuchsiacart/host_tasks.py
+++ b/fuchsiacart/host_tasks.py
@@ -8,6 +8,7 @@
 from fuchsiacart.clocks import MILLISECONDS
 from fuchsiacart.clocks import steady_ms
 from fuchsiacart.control.pulls import answer_pull
+from fuchsiacart.control.pulls import read_deltas
 from fuchsiacart.control.pulls import unpack_view
 from fuchsiacart.control.pulls import ViewPacker
 from fuchsiacart.exceptions import FuchsiacartError
@@ -28,6 +29,8 @@
 PULL_WAIT_MS = 400
 # A parent that does not answer within this time is replaced by the next one.
 PULL_TIMEOUT_S = 0.9
+# If no parent has answered in time, a reply may be too large for the link.
+MAX_PULL_TIMEOUT_S = 3.6
 PULL_RETRY_DELAY_S = 0.05
 MIN_RENEWAL_INTERVAL_S = 0.1
 LEAVE_TIMEOUT_S = 2.0
@@ -46,6 +49,7 @@
         self._control_addresses = tuple(control_addresses)
         self._parents = self._control_addresses
         self._parent_index = 0
+        self._failed_pulls = 0
         self.notifier = RevisionNotifier(
             lambda: self.replicated_state.revision
         )
@@ -82,6 +86,12 @@
             self._parents = parents
             self._parent_index = 0
 
+    @property
+    def pull_timeout_s(self):
+        """Seconds to wait for a reply; longer once all parents have failed."""
+        rounds = self._failed_pulls // len(self._parents)
+        return min(MAX_PULL_TIMEOUT_S, PULL_TIMEOUT_S * (1 + rounds))
+
     async def on_pull(self, request):
         """Answer a :class:`PullRequest` of another entry host."""
         return await answer_pull(self, request)
@@ -100,6 +110,7 @@
             try:
                 await self._pull(address)
             except FuchsiacartError:
+                self._failed_pulls += 1
                 self._parent_index += 1
                 await sleep(PULL_RETRY_DELAY_S)
                 continue
@@ -110,14 +121,15 @@
     async def _pull(self, address):
         request = PullRequest(self.replicated_state.revision, PULL_WAIT_MS)
         reply = await self._adapter.call(
-            address, Method.PULL, request, PULL_TIMEOUT_S
+            address, Method.PULL, request, self.pull_timeout_s
         )
+        self._failed_pulls = 0
         has_changed = False
         if reply.packed_view:
             has_changed = self.replicated_state.restore(
                 unpack_view(reply.packed_view)
             )
-        has_changed |= self.replicated_state.advance(reply.deltas)
+        has_changed |= self.replicated_state.advance(read_deltas(reply))
         if has_changed:
             self._notify()
         if self._answer_listener is not None:
--- a/fuchsiacart/messages.py
+++ b/fuchsiacart/messages.py
@@ -221,11 +221,13 @@
     """Returns the deltas after the revision, or else the whole view.
 
     ``packed_view`` is a compressed :class:`ViewSnapshot`; the deltas then
-    follow its revision.
+    follow its revision.  Many bytes of deltas are compressed too, as
+    ``packed_deltas``.
     """
 
     deltas: tuple[Delta, ...] = ()
     packed_view: bytes = b''
+    packed_deltas: bytes = b''
 
 
 class Summary(Struct, frozen=True):
--- a/tools/prove_red.py
+++ b/tools/prove_red.py
@@ -519,6 +519,27 @@
         'MAX_CHANGES_AFTER_PACK = 0',
         'first_views',
     ),
+    Fault(
+        'a change of the configuration is sent with all its items',
+        'configurations.py',
+        'if values.get(item.id) != item.value',
+        'if True',
+        'routes',
+    ),
+    Fault(
+        'many bytes of changes are sent as they are',
+        'control/pulls.py',
+        'MIN_PACKED_BYTES = 4096',
+        'MIN_PACKED_BYTES = 2**30',
+        'first_views',
+    ),
+    Fault(
+        'a pull is never given more time',
+        'host_tasks.py',
+        'PULL_TIMEOUT_S * (1 + rounds)',
+        'PULL_TIMEOUT_S',
+        'gateway_starts',
+    ),
     Fault(
         'requests before the first view are refused at once',
         'gateway/forwarding.py',
