--- a/fuchsiacart/host_tasks.py
+++ b/fuchsiacart/host_tasks.py
@@ -109,8 +109,8 @@
             address = self._parents[self._parent_index % len(self._parents)]
             try:
                 await self._pull(address)
-            except FuchsiacartError:
-                self._failed_pulls += 1
+            except FuchsiacartError as error:
+                self._record_failed_pull(error)
                 self._parent_index += 1
                 await sleep(PULL_RETRY_DELAY_S)
                 continue
@@ -118,12 +118,27 @@
                 self._parent_index += 1
                 await sleep(PULL_RETRY_DELAY_S)
 
+    def _record_failed_pull(self, error):
+        """Count a failed pull; log once all parents have failed."""
+        self._failed_pulls += 1
+        if self._failed_pulls == len(self._parents):
+            log_warning(
+                'parents_lost',
+                revision=self.replicated_state.revision,
+                detail=error.detail,
+            )
+
+    def _record_pull(self):
+        if self._failed_pulls >= len(self._parents):
+            log_event('parents_found', revision=self.replicated_state.revision)
+        self._failed_pulls = 0
+
     async def _pull(self, address):
         request = PullRequest(self.replicated_state.revision, PULL_WAIT_MS)
         reply = await self._adapter.call(
             address, Method.PULL, request, self.pull_timeout_s
         )
-        self._failed_pulls = 0
+        self._record_pull()
         has_changed = False
         if reply.packed_view:
             has_changed = self.replicated_state.restore(
