--- a/features/emulation.feature
+++ b/features/emulation.feature
@@ -28,3 +28,10 @@
     And each kind is served at a quarter of the common rate or more
     And the retries keep to their budget
     And no message to a gateway has more than 306 bytes of loads
+
+  Scenario: fewer callers are refused where requests wait for the first view
+    Given the emulated deployment "few servers"
+    And gateways without a view from 15 to 16.8 s
+    When seeds 1 to 8 are played with and without a wait for the view
+    Then fewer than half as many requests of these seconds end refused
+    And all kinds together earn no less than without
--- a/features/steps/emulation_steps.py
+++ b/features/steps/emulation_steps.py
@@ -6,9 +6,11 @@
 from msgspec.structs import replace
 
 from standins.emulation import BASELINES
+from standins.emulation.deployments import MILLISECONDS
 from standins.emulation import Emulator
 from standins.emulation import EXAMPLES
 from standins.emulation import Span
+from standins.emulation.tallies import WINDOW_MS
 
 SERVED_FLOOR = 0.25
 RETRY_RATIO = 0.2
@@ -33,6 +35,11 @@
     )
 
 
+@given('gateways without a view from {start:g} to {end:g} s')
+def step_blind(context, start, end):
+    context.plan = replace(context.plan, blind=(Span(start, end, 1.0),))
+
+
 @when('seeds {first:d} to {last:d} are played with and without {part}')
 def step_play(context, first, last, part):
     context.present, context.without = [], []
@@ -103,3 +110,23 @@
 def step_small_messages(context, count):
     for emulator in context.present:
         assert emulator.largest_message <= count, emulator.largest_message
+
+
+@then('fewer than half as many requests of these seconds end refused')
+def step_fewer_refused(context):
+    present, without = (
+        sum(_refused_in_blind(each) for each in emulators)
+        for emulators in (context.present, context.without)
+    )
+    assert present < without / 2, (present, without)
+
+
+def _refused_in_blind(emulator):
+    """Return the refused requests of the windows of 2 s without a view."""
+    (span,) = emulator.plan.blind
+    windows = emulator.tallies.by_window
+    first, last = (
+        int(each * MILLISECONDS // WINDOW_MS)
+        for each in (span.start_s, span.end_s)
+    )
+    return sum(windows[at].refused for at in range(first, last + 1))
--- a/standins/emulation/baselines.py
+++ b/standins/emulation/baselines.py
@@ -18,4 +18,16 @@
         """Ignore them."""
 
 
-BASELINES = {'ranks': UnrankedGateway, 'shared loads': IsolatedGateway}
+class ImpatientGateway(EmulatedGateway):
+    """A gateway that refuses at once what arrives before its view."""
+
+    def wait_for_view(self, request, view_ms):
+        """Refuse the request."""
+        self.refuse_blind(request)
+
+
+BASELINES = {
+    'ranks': UnrankedGateway,
+    'shared loads': IsolatedGateway,
+    'a wait for the view': ImpatientGateway,
+}
--- a/standins/emulation/deployments.py
+++ b/standins/emulation/deployments.py
@@ -94,7 +94,8 @@
     """One service, its callers and what happens to it.
 
     ``bursts`` are factors of the load, ``shedding`` shares of the requests
-    that servers reject.  ``retry_slack`` is the fixed part of the retry
+    that servers reject.  In ``blind`` spans no gateway has a view, as after a
+    loss of power of all hosts.  ``retry_slack`` is the fixed part of the retry
     budget of all gateways together.
     """
 
@@ -112,6 +113,7 @@
     noise: Noise = Noise(0.0, 1.0)
     bursts: tuple[Span, ...] = ()
     shedding: tuple[Span, ...] = ()
+    blind: tuple[Span, ...] = ()
     evacuations: tuple[Evacuation, ...] = ()
     seed: int = 1
 
@@ -125,6 +127,17 @@
         """Number of gateways."""
         return sum(region.gateways for region in self.regions)
 
+    def time_to_view_ms(self, now_ms):
+        """Return the time until gateways have a view, 0 if they have one."""
+        return max(
+            (
+                span.end_s * MILLISECONDS - now_ms
+                for span in self.blind
+                if span.holds(now_ms)
+            ),
+            default=0.0,
+        )
+
     def domains(self):
         """Return the region of each failure domain."""
         return {
--- a/standins/emulation/gateways.py
+++ b/standins/emulation/gateways.py
@@ -49,8 +49,28 @@
         request.received_ms = now_ms
         request.excluded = frozenset()
         request.sends = 0
+        view_ms = self._emulator.plan.time_to_view_ms(now_ms)
+        if view_ms:
+            self.wait_for_view(request, view_ms)
+            return
         self._place(request)
 
+    def wait_for_view(self, request, view_ms):
+        """Let a request wait for the view, as the product's gateway does.
+
+        :param view_ms: time until the view arrives.
+        """
+        limit_ms = longest_retry_after_ms(self._left_ms(request))
+        if view_ms <= limit_ms:
+            self._emulator.after(view_ms, lambda: self._place(request))
+            return
+        self._emulator.after(limit_ms, lambda: self.refuse_blind(request))
+
+    def refuse_blind(self, request):
+        """Refuse a request for want of a view."""
+        left_ms = self._left_ms(request)
+        self._emulator.refuse(request, longest_retry_after_ms(left_ms))
+
     def on_reply(self, visit, result, load):
         """Take a server's response."""
         now_ms = self._emulator.now_ms
@@ -105,16 +125,18 @@
             request.excluded,
         )
 
+    def _left_ms(self, request):
+        spent_ms = self._emulator.now_ms - request.received_ms
+        return request.kind.deadline_ms - spent_ms
+
     def _refuse(self, request):
         now_ms = self._emulator.now_ms
-        spent_ms = now_ms - request.received_ms
-        left_ms = request.kind.deadline_ms - spent_ms
         room_ms = self.selector.time_to_room_ms(
             self._make_placement(request),
             self.demands.mean_service_ms(SERVICE),
             now_ms,
         )
         wait_ms = choose_retry_after_ms(
-            room_ms, longest_retry_after_ms(left_ms)
+            room_ms, longest_retry_after_ms(self._left_ms(request))
         )
         self._emulator.refuse(request, wait_ms)
--- a/tools/check.py
+++ b/tools/check.py
@@ -20,8 +20,10 @@
 SOURCES = ('fuchsiacart', 'standins', 'models', 'features', 'tools', 'soak')
 # Seeds of the soak; those that have failed stay here as regression cases.
 # 7: responses were reported as late while the event loop of the soak was
-# blocked.
-SOAK_SEEDS = ('2', '7')
+# blocked.  703: two gateways that had stopped did not end; open, see
+# KNOWN-RED.txt.
+SOAK_SEEDS = ('2', '7', '703')
+CONCURRENT_SEEDS = 2
 # Features that run concurrently; they spend most of their time waiting.
 CONCURRENT_FEATURES = 3
 # These take longest and start first: they start many processes, one scenario
@@ -64,9 +66,18 @@
 def run_soak():
     """Run ``SOAK_SEEDS``; promises with time limits are not checked."""
     print('running soak', flush=True)
-    command = (executable, '-m', 'soak', '--untimed', '--jobs=2')
-    code = run((*command, *SOAK_SEEDS)).returncode
-    return CheckResult(0, ['soak']) if code else CheckResult(1, [])
+    with ThreadPoolExecutor(CONCURRENT_SEEDS) as pool:
+        codes = list(pool.map(_run_seed, SOAK_SEEDS))
+    return CheckResult(
+        codes.count(0),
+        [f'soak seed {seed}' for seed, code in zip(SOAK_SEEDS, codes) if code],
+    )
+
+
+def _run_seed(seed):
+    """Run a seed of the soak and return the exit code."""
+    command = (executable, '-m', 'soak', '--untimed', '--jobs=1', seed)
+    return run(command).returncode
 
 
 def run_behave():
