--- a/features/emulation.feature
+++ b/features/emulation.feature
@@ -20,6 +20,13 @@
     Then all kinds together earn at least 0.01 more than without
     And each kind is served at a quarter of the common rate or more
 
+  Scenario: callers are served in a deployment of hundreds of hosts
+    Given the emulated deployment "hundreds of servers"
+    When seeds 1 to 1 are played with and without ranks
+    Then each kind is served at a quarter of the common rate or more
+    And no more than 0.01 of the requests are refused or fail
+    And the retries keep to their budget
+
   Scenario: hundreds of gateways and servers under more load than they finish
     Given the emulated deployment "hundreds of servers"
     And a load of 1.5
--- a/features/steps/emulation_steps.py
+++ b/features/steps/emulation_steps.py
@@ -96,6 +96,14 @@
         assert served >= SERVED_FLOOR * common, (kind.name, served, common)
 
 
+@then('no more than {share:g} of the requests are refused or fail')
+def step_few_failures(context, share):
+    for emulator in context.present:
+        total = emulator.tallies.total
+        lost = (total.refused + total.failed) / total.count
+        assert lost <= share, lost
+
+
 @then('the retries keep to their budget')
 def step_budget(context):
     for emulator in context.present:
