Keep the ports of scenarios reserved, and name the host that ends at a start

Ports were found free, released, and bound by the host up to a second later; a connection of any concurrent scenario could be given them meanwhile, and while a host restarts. A trial that takes the port of control-1 shows the same: it ends with "cannot listen", and the scenario times out without a word on it.

Change: a socket that does not listen stays bound to each port.

Before: the new scenarios fail (no reservation; TimeoutError after 30 s); after: features/fleets.feature 2 passed, lint 3 passed.

--- a/features/steps/settings_steps.py
+++ b/features/steps/settings_steps.py
@@ -20,7 +20,7 @@
 from fuchsiacart.models import Contract
 from fuchsiacart.settings import load_settings
 from standins.fleet import DEPLOY_FOLDER
-from standins.fleet import find_free_port
+from standins.ports import PortReservations
 from tools.settings_reference import render_reference
 
 ROOT = DEPLOY_FOLDER.parent
@@ -84,7 +84,9 @@
 @when('the command asks for the status without a control host')
 def when_status_asked(context):
     """Ask an address without a listener."""
-    host = f'127.0.0.1:{find_free_port()}'
+    ports = PortReservations()
+    context.resources.callback(ports.release)
+    host = f'127.0.0.1:{ports.reserve()}'
     context.completed = run_module(
         'cli', f'--control={host}', '--token=x', 'status'
     )
--- a/features/steps/whole_path_steps.py
+++ b/features/steps/whole_path_steps.py
@@ -18,7 +18,7 @@
 from standins.caller import Caller
 from standins.caller import RequestOutcome
 from standins.fleet import Fleet
-from standins.fleet import FleetSpec
+from standins.fleet_specs import FleetSpec
 from standins.invariants import check_invariants
 from standins.workloads import WORKLOADS
 
--- a/standins/bench.py
+++ b/standins/bench.py
@@ -37,8 +37,8 @@
 from standins.caller import RequestOutcome
 from standins.caller import RequestTemplate
 from standins.fleet import Fleet
-from standins.fleet import FleetSpec
 from standins.fleet import stop_on_sigterm
+from standins.fleet_specs import FleetSpec
 from standins.invariants import check_invariants
 from standins.workloads import WORKLOADS
 
--- a/standins/commits.py
+++ b/standins/commits.py
@@ -35,8 +35,8 @@
 from standins.delayed import OneWayDelays
 from standins.fleet import DEPLOY_FOLDER
 from standins.fleet import Fleet
-from standins.fleet import FleetSpec
 from standins.fleet import stop_on_sigterm
+from standins.fleet_specs import FleetSpec
 from tools.deploy import EXAMPLE_TOKENS
 
 COMMIT_TIMEOUT_S = 10.0
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -1,7 +1,6 @@
 """Runs the processes of a small deployment on loopback."""
 
 from contextlib import AbstractContextManager
-from os import environ
 from pathlib import Path
 from shutil import rmtree
 from signal import SIGCONT
@@ -9,70 +8,26 @@
 from signal import signal
 from signal import SIGSTOP
 from signal import SIGTERM
-from socket import socket
-from subprocess import Popen
-from subprocess import STDOUT
-from subprocess import TimeoutExpired
-from sys import executable
 from tempfile import mkdtemp
 from time import monotonic
 from time import sleep
 from tomllib import loads
 
 from msgspec.json import decode
-from msgspec.json import encode
-from msgspec import Struct
 
 from fuchsiacart.client.sessions import CallerSession
 from fuchsiacart.client.sessions import OperatorSession
 from fuchsiacart.exceptions import FuchsiacartError
+from standins.ports import PortReservations
+from standins.processes import Process
+from standins.toml_files import write_toml
 from tools.deploy import EXAMPLE_TOKENS
 
 START_TIMEOUT_S = 30.0
-STOP_TIMEOUT_S = 20.0
 POLL_S = 0.05
 DEPLOY_FOLDER = Path(__file__).parent.parent / 'deploy'
 
 
-class Service(Struct, frozen=True):
-    """A service that stand-in backend servers offer.
-
-    ``per_region`` is the number of servers in each region, ``slots`` those of
-    each server, ``service_ms`` the mean time of a request.
-    """
-
-    name: str
-    per_region: int
-    slots: int
-    service_ms: int
-
-
-class FleetSpec(Struct, frozen=True):
-    """The part of a user's deployment that a :class:`Fleet` starts.
-
-    ``control`` and ``entry`` are numbers of hosts, ``claim_hosts`` is that of
-    a claim group in each region.  ``one_way_delays_ms`` are the delays between
-    failure domains and between regions; without them nothing is delayed.
-    """
-
-    user: str
-    control: int = 3
-    entry: int = 4
-    services: tuple[Service, ...] = ()
-    entry_settings: dict[str, object] = {}
-    control_settings: dict[str, object] = {}
-    one_way_delays_ms: tuple[float, float] = ()
-    claim_hosts: int = 0
-    seed: int = 1
-
-
-def find_free_port():
-    """Return a TCP port that is free now."""
-    with socket() as probe:
-        probe.bind(('127.0.0.1', 0))
-        return probe.getsockname()[1]
-
-
 def stop_on_sigterm():
     """Raise SystemExit on SIGTERM, so that a fleet stops its processes."""
 
@@ -82,74 +37,18 @@
     signal(SIGTERM, exit_on_signal)
 
 
-class Process:
-    """A process that appends its output to a log file.
-
-    :param name: name of the process and of its log file.
-    :param arguments: module to run and its arguments.
-    :param folder: folder of the log file.
-    :param environment: environment variables to add.
-    """
-
-    def __init__(self, name, arguments, folder, environment=None):
-        self.name = name
-        self.arguments = arguments
-        self.log_path = folder / f'{name}.log'
-        self._environment = environ | (environment or {})
-        self._popen = None
-
-    def start(self):
-        """Start the process without waiting for it."""
-        with open(self.log_path, 'ab') as log:
-            self._popen = Popen(
-                [executable, '-m', *self.arguments],
-                stdout=log,
-                stderr=STDOUT,
-                env=self._environment,
-            )
-
-    @property
-    def is_running(self):
-        """True while the process runs."""
-        return self._popen is not None and self._popen.poll() is None
-
-    @property
-    def process_id(self):
-        """The process id given by the operating system."""
-        return self._popen.pid
-
-    @property
-    def exit_code(self):
-        """The exit code, or None while the process runs."""
-        return self._popen.poll()
-
-    def send_signal(self, number):
-        """Send a signal to the process if it is running."""
-        if self.is_running:
-            self._popen.send_signal(number)
-
-    def wait(self, timeout_s=STOP_TIMEOUT_S):
-        """Wait until the process ends; kill it after the time-out.
-
-        :return: its exit code.
-        """
-        try:
-            return self._popen.wait(timeout_s)
-        except TimeoutExpired:
-            self._popen.kill()
-            return self._popen.wait()
-
-
 class Fleet(AbstractContextManager):
     """Control hosts, entry hosts and backend servers of one user.
 
     The processes start with the context and are killed at its end.
 
     :param spec: the :class:`FleetSpec` of the deployment.
+    :param ports: the :class:`PortReservations` for its control hosts.
     """
 
-    def __init__(self, spec):
+    def __init__(self, spec, ports=None):
         self.spec = spec
+        self._ports = ports or PortReservations()
         self.folder = Path(mkdtemp(prefix='fuchsiacart-'))
         self.processes = {}
         self.regions = []
@@ -172,7 +71,11 @@
         self.stop()
 
     def start(self):
-        """Start all processes, initialize the group and put the contracts."""
+        """Start all processes, initialize the group and put the contracts.
+
+        :raises ChildProcessError: if a host ends instead of listening.
+        :raises TimeoutError: if the hosts are not ready in time.
+        """
         self._start_role('control', self.spec.control, self._control_names)
         self._wait_for_ports(self._control_names)
         with self.operator_session() as session:
@@ -351,6 +254,7 @@
             process.send_signal(SIGKILL)
         for process in self.processes.values():
             process.wait()
+        self._ports.release()
         rmtree(self.folder, ignore_errors=True)
 
     @property
@@ -366,7 +270,7 @@
             if region not in self.regions:
                 self.regions.append(region)
             if role == 'control':
-                self._peer_ports[name] = find_free_port()
+                self._peer_ports[name] = self._ports.reserve()
         for name in names:
             path = self._write_settings(role, name)
             self._start_daemon(name, path)
@@ -380,7 +284,7 @@
                 f'claim-{region}-{index + 1}'
                 for index in range(self.spec.claim_hosts)
             ]
-            ports = {name: find_free_port() for name in names}
+            ports = {name: self._ports.reserve() for name in names}
             self._claim_groups.append(
                 {'home': region, 'hosts': _control_host_rows(ports)}
             )
@@ -405,7 +309,7 @@
         settings['control_hosts'] = _control_host_rows(ports)
         settings['control'] = {'data_folder': str(self.data_folder(name))}
         path = self.folder / f'{name}.toml'
-        path.write_text(_to_toml(settings))
+        path.write_text(write_toml(settings))
         return path
 
     def _listen_table(self, name, peer_port):
@@ -430,7 +334,7 @@
             control = {'data_folder': str(self.data_folder(name))}
             settings['control'] = control | self.spec.control_settings
         path = self.folder / f'{name}.toml'
-        path.write_text(_to_toml(settings))
+        path.write_text(write_toml(settings))
         return path
 
     def _start_daemon(self, name, path):
@@ -454,12 +358,22 @@
         return decode((self.folder / f'{name}.ports').read_bytes())
 
     def _wait_for_ports(self, names):
-        def all_written():
+        def all_listen():
+            for name in names:
+                self._check_running(name)
             return all(
                 (self.folder / f'{name}.ports').exists() for name in names
             )
 
-        self.wait_until(all_written)
+        self.wait_until(all_listen)
+
+    def _check_running(self, name):
+        process = self.processes[name]
+        if process.has_ended:
+            raise ChildProcessError(
+                f'{name} ended with exit code {process.exit_code}:'
+                f' {process.last_lines()}'
+            )
 
     def _all_leases_held(self):
         try:
@@ -473,44 +387,9 @@
         return len(status['hosts']) == len(self._entry_names)
 
 
-def _to_toml(settings):
-    """Return settings with at most one level of tables as TOML."""
-    lines = []
-    tables = []
-    for key, value in settings.items():
-        if isinstance(value, dict):
-            tables.append(f'[{key}]')
-            tables += [
-                f'{name} = {_to_toml_value(item)}'
-                for name, item in value.items()
-            ]
-        elif isinstance(value, list):
-            for row in value:
-                tables.append(f'[[{key}]]')
-                tables += [
-                    f'{name} = {_to_toml_value(item)}'
-                    for name, item in row.items()
-                ]
-        else:
-            lines.append(f'{key} = {_to_toml_value(value)}')
-    return '\n'.join(lines + tables) + '\n'
-
-
 def _control_host_rows(ports):
     """Return the ``control_hosts`` setting for a dict of peer ports."""
     return [
         {'name': name, 'peer_address': f'127.0.0.1:{port}'}
         for name, port in ports.items()
     ]
-
-
-def _to_toml_value(value):
-    """Return a value as TOML; dicts become inline tables."""
-    if isinstance(value, dict):
-        pairs = [
-            f'{name} = {_to_toml_value(item)}' for name, item in value.items()
-        ]
-        return '{' + ', '.join(pairs) + '}'
-    if isinstance(value, list):
-        return '[' + ', '.join(map(_to_toml_value, value)) + ']'
-    return encode(value).decode()
--- a/standins/workloads.py
+++ b/standins/workloads.py
@@ -3,7 +3,7 @@
 from msgspec import Struct
 
 from standins.caller import RequestTemplate
-from standins.fleet import Service
+from standins.fleet_specs import Service
 
 TOKEN_PREFIX = 'example-token-'
 
--- a/tools/process_costs.py
+++ b/tools/process_costs.py
@@ -10,7 +10,7 @@
 from tornado.httpclient import AsyncHTTPClient
 
 from standins.fleet import Fleet
-from standins.fleet import FleetSpec
+from standins.fleet_specs import FleetSpec
 
 IDLE_SPAN_S = 5.0
 LOOKUP_COUNT = 4000
