Keep what a process did that did not end in the soak

The soak keeps the kernel's state of each thread (state, place of waiting, time on and in wait for a processor) and says when its own loop was blocked last.

--- a/soak/processes.py
+++ b/soak/processes.py
@@ -1,6 +1,7 @@
 """Control hosts and gateways under test, each behind its own proxies."""
 
 from asyncio import sleep
+from contextlib import suppress
 from enum import Enum
 from enum import unique
 from os import environ
@@ -113,6 +114,21 @@
         return f'127.{self.number}.3.{index}'
 
 
+def read_thread_states(process_id):
+    """Return what the kernel tells of each thread of a process.
+
+    That is its state, the kernel function in which it waits, and its
+    nanoseconds on a processor and in wait for one.
+    """
+    lines = []
+    for folder in Path(f'/proc/{process_id}/task').glob('*'):
+        lines.append(folder.name)
+        for name in ('stat', 'wchan', 'schedstat'):
+            with suppress(OSError):
+                lines.append(f'{name}: {(folder / name).read_text().strip()}')
+    return '\n'.join(lines)
+
+
 class SoakProcess:
     """One process, its settings and the proxies in front of it.
 
@@ -222,7 +238,7 @@
         """Stop the process with SIGTERM and wait for its end.
 
         :return: True if it ended within ``STOP_TIMEOUT_S``; it is killed
-            otherwise.
+            otherwise, and the file ``threads`` keeps what it did.
         """
         self._should_run = False
         self.send_signal(SIGTERM)
@@ -230,6 +246,10 @@
         while self.is_running and monotonic() < deadline_s:
             await sleep(POLL_INTERVAL_S)
         ended = not self.is_running
+        if not ended:
+            (self.folder / 'threads').write_text(
+                read_thread_states(self._process.pid)
+            )
         self.kill()
         return ended
 
--- a/soak/runs.py
+++ b/soak/runs.py
@@ -267,8 +267,11 @@
         stalled_s = sum(
             stall.end_s - stall.start_s for stall in soak.ledger.stalls
         )
+        last = soak.ledger.stalls[-1]
         print(
-            f'  event loop of the soak blocked for {stalled_s:.1f} s in total'
+            f'  event loop of the soak blocked for {stalled_s:.1f} s in total,'
+            f' last for {last.end_s - last.start_s:.1f} s,'
+            f' {monotonic() - last.end_s:.1f} s ago'
         )
     for violation in violations[:20]:
         print(f'  {violation}')
