Move the excess of a region at once when a domain of it is evacuated

Cause: the shares of requests between regions move by 3 in 100 a second, a cap that SHIFT asks for while only traffic and configuration change.

Change: in the first step after an evacuation the shares go to their plan at once. Objects return in capped steps. A new leader does not take a standing evacuation for a new one.

The baselines of the emulator are policies now, of gateways and balancer.

--- a/features/emulation.feature
+++ b/features/emulation.feature
@@ -42,3 +42,25 @@
     When seeds 1 to 8 are played with and without a wait for the view
     Then fewer than half as many requests of these seconds end refused
     And all kinds together earn no less than without
+
+  Scenario Outline: fewer callers are refused when a failure domain is evacuated
+    Given the emulated deployment "few servers"
+    And a load of <load>
+    And an evacuation of <domain> from 8 to 20 s
+    When seeds 1 to 4 are played with and without a step for evacuations
+    Then fewer requests end refused than without
+    And all kinds together earn no less than without
+    And each kind is served at a quarter of the common rate or more
+
+    Examples:
+      | load | domain  |
+      | 1    | noa-a   |
+      | 1.3  | noa-a   |
+
+  Scenario: fewer callers are refused when half of the largest region is evacuated
+    Given the emulated deployment "few servers"
+    And a load of 1.3
+    And an evacuation of pampa-b from 8 to 20 s
+    When seeds 1 to 4 are played with and without a step for evacuations
+    Then fewer requests end refused than without
+    And each kind is served at a quarter of the common rate or more
--- a/features/shifts.feature
+++ b/features/shifts.feature
@@ -19,3 +19,25 @@
     Given three regions with uneven capacity and a cap of 30 permille a step
     When a region's demand is twice its capacity for 60 steps
     Then about half of its requests go to the other regions
+
+  Scenario: the excess of a region moves at once when a domain of it is evacuated
+    Given three regions with uneven capacity and a cap of 30 permille a step
+    And a demand of 0.7 of the capacity of each region
+    When half of the capacity of cymru is evacuated
+    Then within 1 step between 200 and 600 permille of its objects are elsewhere
+    And objects of the other regions are where they were
+
+  Scenario: objects return step by step when the evacuation ends
+    Given three regions with uneven capacity and a cap of 30 permille a step
+    And a demand of 0.7 of the capacity of each region
+    When half of the capacity of cymru is evacuated
+    And the evacuation ends after 3 steps
+    Then no later step moves more than 30 permille of a region's objects
+    And after 60 steps every region serves its own requests
+
+  Scenario: a new leader does not take an evacuation for a new one
+    Given three regions with uneven capacity and a cap of 30 permille a step
+    And a demand of 0.7 of the capacity of each region
+    When half of the capacity of cymru is evacuated
+    And another leader takes over in the next step
+    Then no later step moves more than 30 permille of a region's objects
--- a/features/steps/emulation_steps.py
+++ b/features/steps/emulation_steps.py
@@ -8,6 +8,7 @@
 from standins.emulation import BASELINES
 from standins.emulation.deployments import MILLISECONDS
 from standins.emulation import Emulator
+from standins.emulation import Evacuation
 from standins.emulation import EXAMPLES
 from standins.emulation import Span
 from standins.emulation.tallies import WINDOW_MS
@@ -35,6 +36,13 @@
     )
 
 
+@given('an evacuation of {domain} from {start:g} to {end:g} s')
+def step_evacuation(context, domain, start, end):
+    context.plan = replace(
+        context.plan, evacuations=(Evacuation(domain, start, end),)
+    )
+
+
 @given('gateways without a view from {start:g} to {end:g} s')
 def step_blind(context, start, end):
     context.plan = replace(context.plan, blind=(Span(start, end, 1.0),))
@@ -86,6 +94,15 @@
     assert present >= without, (present, without)
 
 
+@then('fewer requests end refused than without')
+def step_fewer_refused_at_all(context):
+    present, without = (
+        sum(each.tallies.total.refused for each in emulators)
+        for emulators in (context.present, context.without)
+    )
+    assert present < without, (present, without)
+
+
 @then('each kind is served at a quarter of the common rate or more')
 def step_no_starving(context):
     common = _served([each.tallies.total for each in context.present])
--- a/features/steps/shift_steps.py
+++ b/features/steps/shift_steps.py
@@ -15,24 +15,46 @@
 OBJECTS = 10_000
 # Each of the three shares is rounded to a whole permille.
 ROUNDING_PERMILLE = 3
+SETTLING_STEPS = 60
 
 
 class ShiftFixture:
     """The leader's shares, and the region of each object under them."""
 
     def __init__(self, cap_permille):
-        self.balancer = ShareBalancer(cap_permille / 1000)
+        self._cap = cap_permille / 1000
+        self.balancer = ShareBalancer(self._cap)
         self.shares = ()
         self.largest_step_permille = 0.0
+        self.usable = dict.fromkeys(CAPACITY_SLOTS, 1.0)
+        self.evacuated = frozenset()
+
+    def change_leader(self):
+        """Continue with the balancer of another leader."""
+        self.balancer = ShareBalancer(self._cap)
+
+    def evacuate(self, region, usable):
+        """Evacuate a domain; a part of the capacity of its region remains."""
+        self.usable[region] = usable
+        self.evacuated = frozenset({f'{region}-a'})
+
+    def end_evacuation(self):
+        """End the evacuation."""
+        self.usable = dict.fromkeys(CAPACITY_SLOTS, 1.0)
+        self.evacuated = frozenset()
 
     def step(self, demand_slots):
         """Compute the next shares and record how many objects they move."""
         loads = [
-            ServiceRegionLoad(region, demand_slots[region], slots)
+            ServiceRegionLoad(
+                region, demand_slots[region], slots * self.usable[region]
+            )
             for region, slots in CAPACITY_SLOTS.items()
         ]
         before = self.regions() if self.shares else None
-        self.shares = self.balancer.next_shares(SERVICE, loads, self.shares)
+        self.shares = self.balancer.next_shares(
+            SERVICE, loads, self.shares, self.evacuated
+        )
         if before is None:
             return
         for home, regions in self.regions().items():
@@ -118,3 +140,65 @@
     regions = context.shift.regions()['iwerddon']
     away = sum(region != 'iwerddon' for region in regions) / len(regions)
     assert 0.5 < away < 0.7, away
+
+
+@given('a demand of {fraction:g} of the capacity of each region')
+def given_demand(context, fraction):
+    """Set the demand and let the shares settle."""
+    context.demand = {
+        region: slots * fraction for region, slots in CAPACITY_SLOTS.items()
+    }
+    for _ in range(SETTLING_STEPS):
+        context.shift.step(context.demand)
+
+
+@when('half of the capacity of cymru is evacuated')
+def when_evacuated(context):
+    context.before = context.shift.regions()
+    context.shift.evacuate('cymru', 0.5)
+
+
+@when('the evacuation ends after {count:d} steps')
+def when_evacuation_ends(context, count):
+    for _ in range(count):
+        context.shift.step(context.demand)
+    context.shift.end_evacuation()
+    context.shift.largest_step_permille = 0.0
+
+
+@when('another leader takes over in the next step')
+def when_leader_changes(context):
+    context.shift.change_leader()
+
+
+@then(
+    'within 1 step between {least:d} and {most:d} permille of its objects are'
+    ' elsewhere'
+)
+def then_excess_moved(context, least, most):
+    context.shift.step(context.demand)
+    regions = context.shift.regions()['cymru']
+    away = sum(region != 'cymru' for region in regions)
+    away_permille = 1000 * away / len(regions)
+    assert least <= away_permille <= most, away_permille
+
+
+@then('objects of the other regions are where they were')
+def then_others_stay(context):
+    regions = context.shift.regions()
+    for home in ('iwerddon', 'lloegr'):
+        assert regions[home] == context.before[home], home
+
+
+@then("no later step moves more than {most:d} permille of a region's objects")
+def then_later_capped(context, most):
+    for _ in range(SETTLING_STEPS):
+        context.shift.step(context.demand)
+    then_capped(context, most)
+
+
+@then('after {count:d} steps every region serves its own requests')
+def then_local_again(context, count):
+    for _ in range(count):
+        context.shift.step(context.demand)
+    then_local(context)
--- a/fuchsiacart/control/region_share_tasks.py
+++ b/fuchsiacart/control/region_share_tasks.py
@@ -87,7 +87,11 @@
             balancer = self._balancer
             if not self._is_measured(service):
                 balancer = self._initial_balancer
-            shares.extend(balancer.next_shares(service, loads, current))
+            shares.extend(
+                balancer.next_shares(
+                    service, loads, current, frozenset(routes.evacuated)
+                )
+            )
         if not differ_enough(routes.shares, shares):
             return
         try:
--- a/fuchsiacart/control/region_shares.py
+++ b/fuchsiacart/control/region_shares.py
@@ -3,7 +3,9 @@
 Requests are served in the region where they arrive up to the capacity of
 its backend servers.  The excess is distributed over the spare capacity of
 the other regions.  The fraction of requests that move to another region in
-one step is capped.
+one step is capped, as long as only the demand changes.  The evacuation of a
+failure domain takes a part of a region's capacity away at once: its excess
+moves in one step, as it would be refused until the steps had followed.
 """
 
 from collections import defaultdict
@@ -19,6 +21,8 @@
 PLANNED_UTILIZATION = 0.75
 # Smaller differences do not lead to a new set of shares.
 MIN_CHANGE_PERMILLE = 20
+# More objects than there are can't move; see _moved_fraction.
+UNLIMITED_STEP_CAP = float('inf')
 
 
 class RegionShare(Struct, frozen=True):
@@ -78,15 +82,20 @@
 
     def __init__(self, step_cap):
         self._step_cap = step_cap
+        self._evacuated = {}
 
-    def next_shares(self, service, loads, current):
+    def next_shares(self, service, loads, current, evacuated=frozenset()):
         """Return the shares of one service after one step.
 
         :param service: the service.
         :param loads: a :class:`ServiceRegionLoad` for each region.
         :param current: the current shares of this service.
+        :param evacuated: the evacuated failure domains.
         :return: a tuple of :class:`RegionShare`.
         """
+        step_cap = self._step_cap
+        if self._has_new_evacuation(service, evacuated):
+            step_cap = UNLIMITED_STEP_CAP
         plan = plan_shares(loads)
         if not plan:
             return tuple(current)
@@ -98,25 +107,37 @@
         rows = []
         for home in loads:
             target = _normalize(plan, home, loads)
-            row = self._limit_change(
-                home.region, target, current_rows.get(home.region)
+            row = _limit_change(
+                home.region, target, current_rows.get(home.region), step_cap
             )
             rows.extend(_make_shares(service, home.region, row))
         return tuple(rows)
 
-    def _limit_change(self, home, target, current):
-        if not current:
-            return target
-        names = order_regions(home, set(target) | set(current))
-        moved = _moved_fraction(names, current, target)
-        if moved <= self._step_cap:
-            return target
-        fraction = self._step_cap / moved
-        return {
-            name: current.get(name, 0.0)
-            + fraction * (target.get(name, 0.0) - current.get(name, 0.0))
-            for name in names
-        }
+    def _has_new_evacuation(self, service, evacuated):
+        """Return True if a domain was evacuated since the last step.
+
+        In the first step it is not known since when domains are evacuated.
+        """
+        evacuated = frozenset(evacuated)
+        before = self._evacuated.get(service, evacuated)
+        self._evacuated[service] = evacuated
+        return not evacuated <= before
+
+
+def _limit_change(home, target, current, step_cap):
+    """Return the shares of a home after one step towards its target."""
+    if not current:
+        return target
+    names = order_regions(home, set(target) | set(current))
+    moved = _moved_fraction(names, current, target)
+    if moved <= step_cap:
+        return target
+    fraction = step_cap / moved
+    return {
+        name: current.get(name, 0.0)
+        + fraction * (target.get(name, 0.0) - current.get(name, 0.0))
+        for name in names
+    }
 
 
 def order_regions(home, regions):
--- a/standins/emulation/__init__.py
+++ b/standins/emulation/__init__.py
@@ -1,6 +1,5 @@
 """Emulated deployments of gateways and backend servers in simulated time."""
 
-from standins.emulation.baselines import BASELINES
 from standins.emulation.deployments import Deployment
 from standins.emulation.deployments import Evacuation
 from standins.emulation.deployments import Kind
@@ -10,6 +9,8 @@
 from standins.emulation.deployments import Wave
 from standins.emulation.emulator import Emulator
 from standins.emulation.examples import EXAMPLES
+from standins.emulation.policies import BASELINES
+from standins.emulation.policies import PRESENT
 from standins.emulation.tallies import Tally
 
 __all__ = (
@@ -20,6 +21,7 @@
     'Evacuation',
     'Kind',
     'Noise',
+    'PRESENT',
     'Region',
     'Span',
     'Tally',
--- a/standins/emulation/emulator.py
+++ b/standins/emulation/emulator.py
@@ -28,8 +28,8 @@
 from fuchsiacart.models import HostId
 from fuchsiacart.servers import ServerRecord
 from standins.emulation.deployments import MILLISECONDS
-from standins.emulation.gateways import EmulatedGateway
 from standins.emulation.gateways import SERVICE
+from standins.emulation.policies import PRESENT
 from standins.emulation.servers import EmulatedServer
 from standins.emulation.servers import Visit
 from standins.emulation.tallies import Ending
@@ -54,10 +54,10 @@
     """Plays a deployment.
 
     :param plan: the :class:`Deployment`.
-    :param make_gateway: makes a gateway from the emulator and a :class:`Host`.
+    :param policy: the :class:`Policy` of its hosts.
     """
 
-    def __init__(self, plan, make_gateway=EmulatedGateway):
+    def __init__(self, plan, policy=PRESENT):
         self.plan = plan
         self.now_ms = 0.0
         self.tallies = Tallies()
@@ -72,7 +72,7 @@
         self._demand = {}
         self._servers = {}
         self._view = RouteView()
-        self._balancer = ShareBalancer(SHARE_STEP_CAP)
+        self._balancer = policy.make_balancer(SHARE_STEP_CAP)
         terms = ServiceTerms(SERVICE, '/', 1000, 0.0, 0.0)
         item = Item(ItemId('services', SERVICE), terms, b'')
         self._view.configuration = Configuration(1, (item,))
@@ -80,7 +80,7 @@
             self._add_servers(region)
         self._gateways = {
             region.name: [
-                make_gateway(self, _make_host(region.name, index))
+                policy.make_gateway(self, _make_host(region.name, index))
                 for index in range(region.gateways)
             ]
             for region in plan.regions
@@ -276,7 +276,7 @@
                 )
             )
         self._view.shares = self._balancer.next_shares(
-            SERVICE, loads, self._view.shares
+            SERVICE, loads, self._view.shares, evacuated
         )
         self._view.evacuated = evacuated
         self._apply_view()
