Plan the step after an evacuation for a higher utilization

Cause: the step after an evacuation was planned like all others, for servers that are busy to three quarters. It moved more objects than had to move; each is cold where it arrives, and returns with 3 in 100 a second only.

Change: that step moves what the remaining servers can't do at 0.9.

--- a/fuchsiacart/control/region_shares.py
+++ b/fuchsiacart/control/region_shares.py
@@ -21,6 +21,9 @@
 PLANNED_UTILIZATION = 0.75
 # Smaller differences do not lead to a new set of shares.
 MIN_CHANGE_PERMILLE = 20
+# Utilization for which the step after an evacuation is planned.  It moves what
+# the remaining servers can't do; further objects would only be cold elsewhere.
+EVACUATED_UTILIZATION = 0.9
 # More objects than there are can't move; see _moved_fraction.
 UNLIMITED_STEP_CAP = float('inf')
 
@@ -46,17 +49,19 @@
     capacity_slots: float
 
 
-def plan_shares(loads):
+def plan_shares(loads, planned_utilization=PLANNED_UTILIZATION):
     """Assign the demand of each home region to target regions.
 
     :param loads: a :class:`ServiceRegionLoad` for each region.
+    :param planned_utilization: part of a region's slots that its own
+        requests may keep busy, unless all regions together need more.
     :return: a dict from (home, target) to slots; empty without capacity.
     """
     demand = sum(load.demand_slots for load in loads)
     capacity = sum(load.capacity_slots for load in loads)
     if capacity <= 0:
         return {}
-    utilization = max(PLANNED_UTILIZATION, demand / capacity)
+    utilization = max(planned_utilization, demand / capacity)
     plan = {}
     spare = {}
     for load in loads:
@@ -93,10 +98,11 @@
         :param evacuated: the evacuated failure domains.
         :return: a tuple of :class:`RegionShare`.
         """
-        step_cap = self._step_cap
+        step_cap, utilization = self._step_cap, PLANNED_UTILIZATION
         if self._has_new_evacuation(service, evacuated):
             step_cap = UNLIMITED_STEP_CAP
-        plan = plan_shares(loads)
+            utilization = EVACUATED_UTILIZATION
+        plan = plan_shares(loads, utilization)
         if not plan:
             return tuple(current)
         current_rows = defaultdict(dict)
