Read the demand of regions in a class that the emulator uses too

The leader's task and the emulator each had a moving average of their own.

Tried and not kept: a weight of 0.6 for the newest reading instead of 0.3.

--- a/fuchsiacart/control/region_share_tasks.py
+++ b/fuchsiacart/control/region_share_tasks.py
@@ -6,6 +6,7 @@
 
 from fuchsiacart.clocks import wall_ms
 from fuchsiacart.control.commands import SetShares
+from fuchsiacart.control.region_demands import RegionDemands
 from fuchsiacart.control.region_shares import differ_enough
 from fuchsiacart.control.region_shares import ServiceRegionLoad
 from fuchsiacart.control.region_shares import ShareBalancer
@@ -21,8 +22,6 @@
 # Time in which a new leader receives the demand from all gateways, with the
 # first renewals of their leases.
 SETTLE_S = 2.0
-# Weight of the newest reading in the moving average of a region's demand.
-READING_WEIGHT = 0.3
 # Utilization that is assumed before any demand is measured.
 INITIAL_UTILIZATION = 0.6
 # Before the first request, all objects of a region may move in one step.
@@ -45,33 +44,27 @@
             settings.routes.shift_cap * STEP_CAP_FRACTION
         )
         self._initial_balancer = ShareBalancer(INITIAL_STEP_CAP)
-        self._demand = {}
+        self._demands = RegionDemands()
 
     async def run(self):
         """Compute the shares every ``STEP_S`` and commit changed ones."""
         while True:
             await sleep(STEP_S)
             if not self._replica.is_leader:
-                self._demand = {}
+                self._demands.clear()
                 continue
             if monotonic() - self._replica.led_since_s < SETTLE_S:
                 continue
-            self._update_demand()
+            self._read_demands()
             await self._set_shares()
 
-    def _update_demand(self):
+    def _read_demands(self):
         readings = defaultdict(float)
         for report in self._service.fresh_reports():
             region = report.host.region
             for demand in report.demands_slots:
                 readings[demand.service, region] += demand.slots
-        for key in set(self._demand) | set(readings):
-            mean = self._demand.get(key)
-            reading = readings.get(key, 0.0)
-            if mean is None:
-                self._demand[key] = reading
-                continue
-            self._demand[key] = mean + READING_WEIGHT * (reading - mean)
+        self._demands.record(readings)
 
     async def _set_shares(self):
         routes = self._replica.replicated_state.stored.routes
@@ -85,7 +78,7 @@
             ]
             loads = self._service_loads(service, routes)
             balancer = self._balancer
-            if not self._is_measured(service):
+            if not self._demands.is_measured(service):
                 balancer = self._initial_balancer
             shares.extend(
                 balancer.next_shares(
@@ -101,14 +94,6 @@
             return
         log_event('shares_set', shares=','.join(map(_format_share, shares)))
 
-    def _is_measured(self, service):
-        """Return True if any request for a service has been measured."""
-        return any(
-            slots
-            for (name, _), slots in self._demand.items()
-            if name == service
-        )
-
     def _service_loads(self, service, routes):
         regions = self._settings.routes.regions
         capacity = dict.fromkeys(regions.values(), 0.0)
@@ -123,14 +108,14 @@
             if region is not None:
                 capacity[region] += record.slots
         assumed_slots = 0.0
-        if not self._is_measured(service):
+        if not self._demands.is_measured(service):
             assumed_slots = (
                 sum(capacity.values()) * INITIAL_UTILIZATION / len(capacity)
             )
         return [
             ServiceRegionLoad(
                 region,
-                self._demand.get((service, region), 0.0) + assumed_slots,
+                self._demands.slots(service, region) + assumed_slots,
                 slots,
             )
             for region, slots in sorted(capacity.items())
--- a/standins/emulation/emulator.py
+++ b/standins/emulation/emulator.py
@@ -16,6 +16,7 @@
 from fuchsiacart.configurations import Item
 from fuchsiacart.configurations import ItemId
 from fuchsiacart.configurations import ServiceTerms
+from fuchsiacart.control.region_demands import RegionDemands
 from fuchsiacart.control import region_share_tasks
 from fuchsiacart.control.region_shares import ServiceRegionLoad
 from fuchsiacart.control.region_shares import ShareBalancer
@@ -41,7 +42,6 @@
 SHARE_STEP_MS = 1000.0
 RENEWAL_MS = 500.0
 SHARE_STEP_CAP = 0.03
-DEMAND_WEIGHT = 0.3
 # Tries of a caller, of which all but the first follow a refusal.
 CALLER_TRIES = 2
 # Popularity of the objects of a kind by rank.
@@ -69,7 +69,7 @@
         self._random = Random(plan.seed)
         self._events = []
         self._order = count()
-        self._demand = {}
+        self._demands = RegionDemands()
         self._servers = {}
         self._view = RouteView()
         self._balancer = policy.make_balancer(SHARE_STEP_CAP)
@@ -253,16 +253,9 @@
 
     def _update_view(self):
         evacuated = self.plan.evacuated(self.now_ms)
+        self._read_demands()
         loads = []
         for region in self.plan.regions:
-            slots = sum(
-                each.demands.flush(SHARE_STEP_MS / MILLISECONDS).get(
-                    SERVICE, 0.0
-                )
-                for each in self._gateways[region.name]
-            )
-            mean = self._demand.get(region.name, slots)
-            self._demand[region.name] = mean + DEMAND_WEIGHT * (slots - mean)
             usable = sum(
                 record.failure_domain not in evacuated
                 for record in self._view.servers.values()
@@ -271,7 +264,7 @@
             loads.append(
                 ServiceRegionLoad(
                     region.name,
-                    self._demand[region.name],
+                    self._demands.slots(SERVICE, region.name),
                     usable * self.plan.slots,
                 )
             )
@@ -283,6 +276,18 @@
         if self.now_ms < self._end_ms:
             self.after(SHARE_STEP_MS, self._update_view)
 
+    def _read_demands(self):
+        span_s = SHARE_STEP_MS / MILLISECONDS
+        self._demands.record(
+            {
+                (SERVICE, region): sum(
+                    each.demands.flush(span_s).get(SERVICE, 0.0)
+                    for each in gateways
+                )
+                for region, gateways in self._gateways.items()
+            }
+        )
+
     def _apply_view(self):
         table = RouteTable(self._view.configuration)
         for gateways in self._gateways.values():
