Spread callers over all gateways of a large failure domain

Cause: a look-up names 64 gateways at most, and named the first 64 in a fixed order.

Change: of too many, a caller is told 64 by rendezvous hashing of its IP address: the same each time, since callers close connections to gateways that are named no longer, and all but one the same when a gateway leaves.

Before: nothing tested the choice; with 300 gateways 236 were never named. Domains of up to 64 gateways are answered as before.

--- a/fuchsiacart/control/route_control.py
+++ b/fuchsiacart/control/route_control.py
@@ -11,6 +11,7 @@
 from fuchsiacart.control.commands import ForgetServer
 from fuchsiacart.control.commands import RecordServer
 from fuchsiacart.control.commands import SetEvacuation
+from fuchsiacart.control.directory import find_gateways
 from fuchsiacart.control.states import is_live
 from fuchsiacart.exceptions import ChangeError
 from fuchsiacart.exceptions import ErrorKind
@@ -34,9 +35,6 @@
 MISSED_HEARTBEATS = 5
 # A leader that was paused for longer may have missed reports of heartbeats.
 MAX_PAUSE_MS = 2000.0
-# With fewer gateways a caller has no alternative when one of them fails.
-MIN_GATEWAYS = 2
-MAX_GATEWAYS = 64
 
 
 class RouteControl:
@@ -154,18 +152,19 @@
         )
         log_event('server_left', server=name, revision=outcome.revision)
 
-    def find_gateways(self, region, domain):
+    def find_gateways(self, region, domain, caller):
         """Return the addresses of the live gateways nearest to a caller.
 
         :param region: region of the caller.
         :param domain: failure domain of the caller.
+        :param caller: IP address of the caller.
         """
         hosts = [
             host
             for host in self._replica.replicated_state.stored.hosts.values()
             if is_live(host)
         ]
-        return nearest_gateways(hosts, region, domain)
+        return find_gateways(hosts, region, domain, caller)
 
     async def run(self):
         """Report heartbeats to the leader, or expire servers while leading."""
@@ -259,21 +258,3 @@
                     raise
                 detail = error.detail
             await sleep(RETRY_PAUSE_S)
-
-
-def nearest_gateways(hosts, region, domain):
-    """Return the addresses of the gateways that are nearest to a caller.
-
-    Those of the caller's failure domain are preferred, then those of its
-    region.
-
-    :param hosts: gateways that accept new callers.
-    :param region: region of the caller.
-    :param domain: failure domain of the caller.
-    """
-    near = [host for host in hosts if host.failure_domain == domain]
-    if len(near) < MIN_GATEWAYS:
-        near = [host for host in hosts if host.region == region]
-    if not near:
-        near = list(hosts)
-    return tuple(host.http_address for host in near[:MAX_GATEWAYS])
--- a/fuchsiacart/platform/calls.py
+++ b/fuchsiacart/platform/calls.py
@@ -133,6 +133,7 @@
         addresses = self.control.find_gateways(
             self.get_query_argument('region', ''),
             self.get_query_argument('zone', ''),
+            self.request.remote_ip,
         )
         if not addresses:
             self.set_status(HTTP_UNAVAILABLE)
