--- a/standins/emulation/__main__.py
+++ b/standins/emulation/__main__.py
@@ -1,80 +1,81 @@
-"""Plays an example deployment and prints what its callers got.
+"""Plays emulated deployments and shows what their callers got.
 
-The present policy is compared with earlier ones, which lack a part of it.
+The present policy is compared with others, which lack a part of it.
 
 Usage:
-  emulation [--load=X] [--burst=X] [--shed=X] [--evacuate=DOMAIN]
-            [--seeds=N] [--example=NAME]
+  emulation [--example=NAME] [--trouble=NAME] [--loads=LIST]
+            [--policies=LIST] [--seeds=N] [--jobs=N] [--plots=FOLDER]
 
-  --load=X        factor of the load [default: 1]
-  --burst=X       factor of the load from 8 to 12 s [default: 1]
-  --shed=X        share that servers reject from 10 to 18 s [default: 0]
-  --evacuate=DOMAIN  failure domain that is evacuated from 8 to 20 s
-  --seeds=N       seeds to play [default: 2]
-  --example=NAME  "few servers" or "hundreds of servers"
-                  [default: few servers]
+  --example=NAME   "few servers" or "hundreds of servers"
+                   [default: few servers]
+  --trouble=NAME   burst, shed, blind or evacuation
+  --loads=LIST     factors of the load, by commas [default: 1]
+  --policies=LIST  numbers of policies, by commas; 0 is the present one, the
+                   others lack a part of it [default: 0,1,2,3,4]
+  --seeds=N        seeds to play [default: 2]
+  --jobs=N         processes to use [default: 2]
+  --plots=FOLDER   folder for plots of the credit over load and over time
 """
 
+from pathlib import Path
+
 from docopt import docopt
-from msgspec.structs import replace
 
-from standins.emulation.deployments import Evacuation
-from standins.emulation.deployments import Span
-from standins.emulation.emulator import Emulator
 from standins.emulation.examples import EXAMPLES
-from standins.emulation.policies import BASELINES
-from standins.emulation.policies import PRESENT
+from standins.emulation.experiments import make_grid
+from standins.emulation.experiments import play_grid
+from standins.emulation.experiments import POLICIES
+from standins.emulation.plots import plot_loads
+from standins.emulation.plots import plot_windows
 
-POLICIES = {'present': PRESENT} | {
-    f'without {part}': policy for part, policy in BASELINES.items()
-}
-BURST_S = (8.0, 12.0)
-SHED_S = (10.0, 18.0)
-EVACUATED_S = (8.0, 20.0)
 HEADER = (
-    'policy                seed credit region window '
+    'policy                          load seed credit region window '
     'refused failed sends  windows'
 )
 BAR = '▁▂▃▄▅▆▇█'
 
 
 def main():
-    """Play the deployment with each policy."""
+    """Play a grid; print a row for each play, and plot it if asked to."""
     options = docopt(__doc__)
-    plan = replace(
+    names = tuple(POLICIES)
+    loads = [float(each) for each in options['--loads'].split(',')]
+    cells = make_grid(
         EXAMPLES[options['--example']],
-        load=float(options['--load']),
-        bursts=(Span(*BURST_S, float(options['--burst'])),),
-        shedding=(Span(*SHED_S, float(options['--shed'])),),
-        evacuations=_read_evacuations(options['--evacuate']),
+        [names[int(each)] for each in options['--policies'].split(',')],
+        loads,
+        range(1, int(options['--seeds']) + 1),
+        options['--trouble'] or '',
     )
     print(HEADER)
-    for name, policy in POLICIES.items():
-        for seed in range(1, int(options['--seeds']) + 1):
-            emulator = Emulator(replace(plan, seed=seed), policy)
-            _print_row(name, seed, emulator)
+    results = []
+    for result in play_grid(cells, int(options['--jobs'])):
+        results.append(result)
+        _print_row(result)
+    if options['--plots']:
+        _plot(results, loads, Path(options['--plots']))
 
 
-def _read_evacuations(domain):
-    return (Evacuation(domain, *EVACUATED_S),) if domain else ()
+def _plot(results, loads, folder):
+    folder.mkdir(parents=True, exist_ok=True)
+    plot_loads(results, folder / 'loads.png')
+    for load in loads:
+        plot_windows(results, load, folder / f'windows-{load:g}.png')
 
 
-def _print_row(policy, seed, emulator):
-    tallies = emulator.play()
-    total = tallies.total
+def _print_row(result):
     windows = ''.join(
-        BAR[int(tally.credit * (len(BAR) - 1))]
-        for _, tally in sorted(tallies.by_window.items())
+        BAR[int(credit * (len(BAR) - 1))] for credit in result.by_window
     )
     print(
-        f'{policy:21} {seed:4} {total.credit:6.3f} '
-        f'{tallies.worst_region():6.3f} {tallies.worst_windows():6.3f} '
-        f'{total.refused / total.count:7.3f} '
-        f'{total.failed / total.count:6.3f} '
-        f'{emulator.sends / total.count:5.2f}  {windows}'
+        f'{result.policy:30} {result.load:5.2f} {result.seed:4} '
+        f'{result.credit:6.3f} {result.worst_region:6.3f} '
+        f'{result.worst_windows:6.3f} {result.refused:7.3f} '
+        f'{result.failed:6.3f} {result.sends:5.2f}  {windows}',
+        flush=True,
     )
-    for name, tally in sorted(tallies.by_kind.items()):
-        print(f'  {name:12} {tally.credit:6.3f}')
+    for name, credit in sorted(result.by_kind.items()):
+        print(f'  {name:12} {credit:6.3f}')
 
 
 if __name__ == '__main__':
--- a/standins/emulation/examples.py
+++ b/standins/emulation/examples.py
@@ -1,9 +1,11 @@
 """Example deployments: a service of few servers and one of hundreds."""
 
 from standins.emulation.deployments import Deployment
+from standins.emulation.deployments import Evacuation
 from standins.emulation.deployments import Kind
 from standins.emulation.deployments import Noise
 from standins.emulation.deployments import Region
+from standins.emulation.deployments import Span
 from standins.emulation.deployments import Wave
 
 # A service whose machines are shared: some of its work takes far longer.
@@ -88,3 +90,12 @@
     'few servers': FEW_SERVERS,
     'hundreds of servers': HUNDREDS_OF_SERVERS,
 }
+# Fields of a deployment that make a trouble.  The evacuated domain belongs to
+# "few servers".
+TROUBLES = {
+    '': {},
+    'burst': {'bursts': (Span(8.0, 12.0, 1.7),)},
+    'shed': {'shedding': (Span(10.0, 18.0, 0.5),)},
+    'blind': {'blind': (Span(15.0, 16.8, 1.0),)},
+    'evacuation': {'evacuations': (Evacuation('noa-a', 8.0, 20.0),)},
+}
