--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -358,22 +358,22 @@
         return decode((self.folder / f'{name}.ports').read_bytes())
 
     def _wait_for_ports(self, names):
-        def all_listen():
-            for name in names:
-                self._check_running(name)
-            return all(
-                (self.folder / f'{name}.ports').exists() for name in names
-            )
-
-        self.wait_until(all_listen)
+        try:
+            self.wait_until(lambda: all(map(self._listens, names)))
+        except TimeoutError as error:
+            words = '\n'.join(map(self._last_words, names))
+            raise TimeoutError(words) from error
 
-    def _check_running(self, name):
+    def _listens(self, name):
         process = self.processes[name]
         if process.has_ended:
             raise ChildProcessError(
-                f'{name} ended with exit code {process.exit_code}:'
-                f' {process.last_lines()}'
+                f'exit code {process.exit_code} of {self._last_words(name)}'
             )
+        return (self.folder / f'{name}.ports').exists()
+
+    def _last_words(self, name):
+        return f'{name}: {self.processes[name].last_lines()}'
 
     def _all_leases_held(self):
         try:
