--- a/features/steps/route_control_steps.py
+++ b/features/steps/route_control_steps.py
@@ -23,7 +23,8 @@
 from fuchsiacart.exceptions import Run
 from fuchsiacart.messages import ProposeReply
 
-NEVER_S = 3600.0
+# Longer than callers of a control host wait for any answer.
+NEVER_S = 4.0
 
 
 class StandInReplica:
--- /dev/null
+++ b/tools/seeded_faults/__init__.py
@@ -0,0 +1,16 @@
+"""Faults that features and soak seeds must detect, by part of the product."""
+
+from tools.seeded_faults.common import COMMON_FAULTS
+from tools.seeded_faults.control import CONTROL_FAULTS
+from tools.seeded_faults.entry import ENTRY_FAULTS
+from tools.seeded_faults.faults import Edit
+from tools.seeded_faults.faults import Fault
+from tools.seeded_faults.gateway import GATEWAY_FAULTS
+
+FAULTS = COMMON_FAULTS + CONTROL_FAULTS + ENTRY_FAULTS + GATEWAY_FAULTS
+
+__all__ = (
+    'Edit',
+    'FAULTS',
+    'Fault',
+)
--- /dev/null
+++ b/tools/seeded_faults/common.py
@@ -0,0 +1,104 @@
+"""Faults of modules that several roles use."""
+
+from tools.seeded_faults.faults import Fault
+
+COMMON_FAULTS = (
+    Fault(
+        'a region drain takes effect before its blocks have moved',
+        'drains.py',
+        'if drain.scope is not DrainScope.REGION or drain.name not in in_use',
+        'if True',
+        'steering',
+    ),
+    Fault(
+        'a stale snapshot is restored',
+        'views.py',
+        'if snapshot.revision <= self._revision:',
+        'if False:',
+        'agreement',
+    ),
+    Fault(
+        'a delta is applied after a gap',
+        'views.py',
+        'if delta.revision != self._revision + 1:',
+        'if delta.revision <= self._revision:',
+        'agreement',
+    ),
+    Fault(
+        'a lease outlasts its time since the request was sent',
+        'leases.py',
+        'self._pending_until_ms, sent_ms + lease_ms',
+        'self._pending_until_ms, sent_ms + 2 * lease_ms',
+        'agreement',
+    ),
+    Fault(
+        'a lease is held before its revision is reached',
+        'leases.py',
+        'if revision >= self._needed_revision:',
+        'if True:',
+        'agreement',
+    ),
+    Fault(
+        'a previous owner is not asked',
+        'ownership.py',
+        'owners[owner.name] = present[owner.name]',
+        'pass',
+        'owners',
+    ),
+    Fault(
+        'a request that may have run is retried',
+        'retries.py',
+        'if failure.run is not Run.NO and not failure.repeatable:\n'
+        '            return False\n        if failure.attempt >=',
+        'if failure.attempt >=',
+        'outcomes',
+    ),
+    Fault(
+        'retries have no budget',
+        'retries.py',
+        'failure.left_ms <= 0:\n            return False\n'
+        '        if self._tokens < 1.0:\n            return False\n'
+        '        self._tokens -= 1.0',
+        'failure.left_ms <= 0:\n            return False\n'
+        '        if self._tokens < 1.0:\n            return False\n'
+        '        pass',
+        'outcomes',
+    ),
+    Fault(
+        'a bad request is never quarantined',
+        'quarantine.py',
+        'return existing is not None and len(existing.broken) >= BROKEN_LIMIT',
+        'return False',
+        'outcomes',
+    ),
+    Fault(
+        'the counts of silent gateways are kept',
+        'load_boards.py',
+        'if now_ms - each.received_ms >= MAX_COUNT_AGE_MS',
+        'if False',
+        'load_boards',
+    ),
+    Fault(
+        'each host of a region pulls from another region',
+        'leases.py',
+        'return members[(position - self._roots) // self._fan_out]',
+        'return self._regions[region - 1][\n'
+        '                (position - self._roots) // self._fan_out\n'
+        '            ]',
+        'agreement',
+    ),
+    Fault(
+        'a change of the configuration is sent with all its items',
+        'configurations.py',
+        'if values.get(item.id) != item.value',
+        'if True',
+        'routes',
+    ),
+    Fault(
+        'a pull is never given more time',
+        'host_tasks.py',
+        'PULL_TIMEOUT_S * (1 + rounds)',
+        'PULL_TIMEOUT_S',
+        'gateway_starts',
+    ),
+)
--- /dev/null
+++ b/tools/seeded_faults/gateway.py
@@ -0,0 +1,128 @@
+"""Faults of gateways."""
+
+from tools.seeded_faults.faults import Fault
+
+GATEWAY_FAULTS = (
+    Fault(
+        'every gateway sends requests to a cold server',
+        'gateway/placements.py',
+        'if not self.is_warmup_owner(server):',
+        'if False:',
+        'placements',
+    ),
+    Fault(
+        'servers of an evacuated domain are used',
+        'gateway/placements.py',
+        'if domain in self._evacuated:',
+        'if False:',
+        'placements',
+    ),
+    Fault(
+        'an answer to another request is accepted',
+        'gateway/exchanges.py',
+        'if is_own_response(\n'
+        '                request.request_id, answered_id, self._is_reused\n'
+        '            ):',
+        'if True:',
+        'exchanges',
+    ),
+    Fault(
+        'an answer counts as sent before it is written',
+        'gateway/caller_connections.py',
+        'await shield(written)',
+        'pass',
+        'callers',
+    ),
+    Fault(
+        'a request that may have run is sent to another server',
+        'gateway/attempts.py',
+        'if self.may_have_run and not self.route.is_idempotent:',
+        'if False:',
+        'soak',
+        soak_seeds=('2', '3', '4'),
+    ),
+    Fault(
+        'a response that names no request is accepted on a used connection',
+        'gateway/response_checks.py',
+        'return not is_reused',
+        'return True',
+        'exchanges',
+    ),
+    Fault(
+        'a refusal that names no request counts as its promise',
+        'gateway/response_checks.py',
+        '"""\n    return answered_id == request_id',
+        '"""\n    return True',
+        'forwarding',
+    ),
+    Fault(
+        'a planned stop resets the connections that wait to be accepted',
+        'gateway/callers.py',
+        'for _ in range(ACCEPT_ITERATIONS):',
+        'for _ in range(0):',
+        'callers',
+    ),
+    Fault(
+        'a gateway that starts serves by any view',
+        'gateway/hosts.py',
+        'if not self._lease.has_confirmed_view:',
+        'if False:',
+        'gateway_starts',
+    ),
+    Fault(
+        'an answer that breaks off counts as whole',
+        'gateway/exchanges.py',
+        'if not reader.finished:',
+        'if reader.headers is None:',
+        'exchanges',
+    ),
+    Fault(
+        'a request is sent after its deadline',
+        'gateway/connection_pools.py',
+        'if monotonic() >= deadline_s:',
+        'if False:',
+        'exchanges',
+    ),
+    Fault(
+        'a gateway that was paused serves by its old view',
+        'gateway/forwarding.py',
+        'elif self.freshness.needs_wait(steady_ms()):',
+        'elif False:',
+        'forwarding',
+    ),
+    Fault(
+        'bodies in flight have no common limit',
+        'gateway/body_budgets.py',
+        'while self._total_bytes > self._limit_bytes:',
+        'while False:',
+        'body_budgets',
+    ),
+    Fault(
+        'all ranks have the same room',
+        'gateway/admissions.py',
+        'MOST_URGENT_FACTOR = 4 / 3',
+        'MOST_URGENT_FACTOR = 5 / 6',
+        'admissions',
+    ),
+    Fault(
+        'an earlier count replaces what the server said',
+        'gateway/tracked_servers.py',
+        'if counted_ms <= self.reported_ms:',
+        'if False:',
+        'load_boards',
+    ),
+    Fault(
+        'loads are read in the order of another view',
+        'gateway/placements.py',
+        'if load_map.index_id != self._index.id:',
+        'if False:',
+        'load_boards',
+    ),
+    Fault(
+        'requests before the first view are refused at once',
+        'gateway/forwarding.py',
+        'if not self.version:\n            await',
+        'if not self.version:\n            0 and await',
+        'gateway_starts',
+    ),
+)
