Move objects at an evacuation only for the regions that use what it took

Cause, found in reading the diff: the step after an evacuation had no cap for any region. One that took no server of a service, or a region with no part in it, moved whatever its shares lagged behind at that time; and a host that led again took an evacuation that began under another leader for a new one.

Change: the step is for homes with a share at a region whose capacity has fallen with a new evacuation; a leader that loses its role forgets what it knew of evacuations.

--- a/features/shifts.feature
+++ b/features/shifts.feature
@@ -41,3 +41,24 @@
     When half of the capacity of cymru is evacuated
     And another leader takes over in the next step
     Then no later step moves more than 30 permille of a region's objects
+
+  Scenario: a leader that leads again does not take an evacuation for a new one
+    Given three regions with uneven capacity and a cap of 30 permille a step
+    And a demand of 0.7 of the capacity of each region
+    When half of the capacity of cymru is evacuated
+    And its leader had lost its role before and leads again
+    Then no later step moves more than 30 permille of a region's objects
+
+  Scenario: an evacuation that takes no server of a service moves no objects at once
+    Given three regions with uneven capacity and a cap of 30 permille a step
+    And a demand of 0.7 of the capacity of each region
+    When a domain of cymru without servers of the service is evacuated
+    And the demand of iwerddon doubles
+    Then no later step moves more than 30 permille of a region's objects
+
+  Scenario: regions without a part in an evacuation move step by step
+    Given three regions with uneven capacity and a cap of 30 permille a step
+    And a demand of 0.7 of the capacity of each region
+    When half of the capacity of lloegr is evacuated
+    And the demand of iwerddon doubles
+    Then within 1 step at most 33 permille of the objects of iwerddon move
--- a/features/steps/shift_steps.py
+++ b/features/steps/shift_steps.py
@@ -152,10 +152,27 @@
         context.shift.step(context.demand)
 
 
-@when('half of the capacity of cymru is evacuated')
-def when_evacuated(context):
+@when('half of the capacity of {region} is evacuated')
+def when_evacuated(context, region):
     context.before = context.shift.regions()
-    context.shift.evacuate('cymru', 0.5)
+    context.shift.evacuate(region, 0.5)
+
+
+@when('a domain of cymru without servers of the service is evacuated')
+def when_empty_evacuated(context):
+    context.shift.largest_step_permille = 0.0
+    context.shift.evacuate('cymru', 1.0)
+
+
+@when('the demand of iwerddon doubles')
+def when_demand_doubles(context):
+    context.demand['iwerddon'] *= 2
+
+
+@when('its leader had lost its role before and leads again')
+def when_leads_again(context):
+    context.shift.balancer.forget_evacuations()
+    context.shift.largest_step_permille = 0.0
 
 
 @when('the evacuation ends after {count:d} steps')
@@ -183,6 +200,17 @@
     assert least <= away_permille <= most, away_permille
 
 
+@then(
+    'within 1 step at most {most:d} permille of the objects of iwerddon move'
+)
+def then_few_moved(context, most):
+    context.shift.step(context.demand)
+    before = context.before['iwerddon']
+    after = context.shift.regions()['iwerddon']
+    moved = sum(a != b for a, b in zip(before, after))
+    assert 1000 * moved / len(before) <= most, moved
+
+
 @then('objects of the other regions are where they were')
 def then_others_stay(context):
     regions = context.shift.regions()
--- a/fuchsiacart/control/region_share_tasks.py
+++ b/fuchsiacart/control/region_share_tasks.py
@@ -52,6 +52,7 @@
             await sleep(STEP_S)
             if not self._replica.is_leader:
                 self._demands.clear()
+                self._balancer.forget_evacuations()
                 continue
             if monotonic() - self._replica.led_since_s < SETTLE_S:
                 continue
--- a/fuchsiacart/control/region_shares.py
+++ b/fuchsiacart/control/region_shares.py
@@ -4,8 +4,9 @@
 its backend servers.  The excess is distributed over the spare capacity of
 the other regions.  The fraction of requests that move to another region in
 one step is capped, as long as only the demand changes.  The evacuation of a
-failure domain takes a part of a region's capacity away at once: its excess
-moves in one step, as it would be refused until the steps had followed.
+failure domain takes a part of a region's capacity away at once: the excess of
+the homes that use the region moves in one step, as it would be refused until
+the steps had followed.
 """
 
 from collections import defaultdict
@@ -24,8 +25,6 @@
 # Utilization for which the step after an evacuation is planned.  It moves what
 # the remaining servers can't do; further objects would only be cold elsewhere.
 EVACUATED_UTILIZATION = 0.9
-# More objects than there are can't move; see _moved_fraction.
-UNLIMITED_STEP_CAP = float('inf')
 
 
 class RegionShare(Struct, frozen=True):
@@ -88,6 +87,14 @@
     def __init__(self, step_cap):
         self._step_cap = step_cap
         self._evacuated = {}
+        self._capacities_slots = {}
+
+    def forget_evacuations(self):
+        """Forget since when failure domains are evacuated.
+
+        Called while another host leads and computes the shares.
+        """
+        self._evacuated = {}
 
     def next_shares(self, service, loads, current, evacuated=frozenset()):
         """Return the shares of one service after one step.
@@ -98,11 +105,9 @@
         :param evacuated: the evacuated failure domains.
         :return: a tuple of :class:`RegionShare`.
         """
-        step_cap, utilization = self._step_cap, PLANNED_UTILIZATION
-        if self._has_new_evacuation(service, evacuated):
-            step_cap = UNLIMITED_STEP_CAP
-            utilization = EVACUATED_UTILIZATION
-        plan = plan_shares(loads, utilization)
+        lost_regions = self._find_lost_regions(service, loads, evacuated)
+        plan = plan_shares(loads)
+        evacuation_plan = plan_shares(loads, EVACUATED_UTILIZATION)
         if not plan:
             return tuple(current)
         current_rows = defaultdict(dict)
@@ -112,22 +117,33 @@
             )
         rows = []
         for home in loads:
-            target = _normalize(plan, home, loads)
-            row = _limit_change(
-                home.region, target, current_rows.get(home.region), step_cap
-            )
+            row = current_rows.get(home.region, {})
+            if lost_regions & set(row):
+                row = _normalize(evacuation_plan, home, loads)
+            else:
+                target = _normalize(plan, home, loads)
+                row = _limit_change(home.region, target, row, self._step_cap)
             rows.extend(_make_shares(service, home.region, row))
         return tuple(rows)
 
-    def _has_new_evacuation(self, service, evacuated):
-        """Return True if a domain was evacuated since the last step.
+    def _find_lost_regions(self, service, loads, evacuated):
+        """Return the regions that an evacuation has just taken servers from.
 
         In the first step it is not known since when domains are evacuated.
         """
         evacuated = frozenset(evacuated)
-        before = self._evacuated.get(service, evacuated)
+        capacities_slots = {load.region: load.capacity_slots for load in loads}
+        is_new = not evacuated <= self._evacuated.get(service, evacuated)
+        before_slots = self._capacities_slots.get(service, {})
         self._evacuated[service] = evacuated
-        return not evacuated <= before
+        self._capacities_slots[service] = capacities_slots
+        if not is_new:
+            return frozenset()
+        return frozenset(
+            region
+            for region, slots in capacities_slots.items()
+            if slots < before_slots.get(region, slots)
+        )
 
 
 def _limit_change(home, target, current, step_cap):
--- a/tools/seeded_faults/control.py
+++ b/tools/seeded_faults/control.py
@@ -218,16 +218,23 @@
     Fault(
         'the excess of an evacuated region moves in capped steps',
         'control/region_shares.py',
-        'return not evacuated <= before',
-        'return False',
+        'if not is_new:',
+        'if True:',
         'shifts',
     ),
     Fault(
         'objects return in one step when an evacuation ends',
         'control/region_shares.py',
-        'return not evacuated <= before',
-        'return evacuated != before',
+        'is_new = not evacuated <= self',
+        'is_new = evacuated != self',
         'shifts',
+        (
+            Edit(
+                'control/region_shares.py',
+                'if slots < before_slots',
+                'if slots != before_slots',
+            ),
+        ),
     ),
     Fault(
         'a new leader takes an evacuation for a new one',
@@ -236,6 +243,13 @@
         'self._evacuated.get(service, frozenset())',
         'shifts',
     ),
+    Fault(
+        'an evacuation moves the objects of all regions at once',
+        'control/region_shares.py',
+        'if lost_regions & set(row):',
+        'if lost_regions:',
+        'shifts',
+    ),
     Fault(
         'a look-up names the first gateways',
         'control/directory.py',
