--- a/fuchsiacart/control/region_shares.py
+++ b/fuchsiacart/control/region_shares.py
@@ -100,7 +100,7 @@
         :param evacuated: the evacuated failure domains.
         :return: a tuple of :class:`RegionShare`.
         """
-        lost_regions = self._find_lost_regions(service, loads, evacuated)
+        reduced_regions = self._find_reduced_regions(service, loads, evacuated)
         plan = plan_shares(loads)
         if not plan:
             return tuple(current)
@@ -113,7 +113,7 @@
         for home in loads:
             target = _normalize(plan, home, loads)
             before = current_rows.get(home.region, {})
-            row = _leave(lost_regions, before, target)
+            row = _move_excess(reduced_regions, before, target)
             if row == before:
                 row = _limit_change(
                     home.region, target, before, self._step_cap
@@ -121,7 +121,7 @@
             rows.extend(_make_shares(service, home.region, row))
         return tuple(rows)
 
-    def _find_lost_regions(self, service, loads, evacuated):
+    def _find_reduced_regions(self, service, loads, evacuated):
         """Return the regions that an evacuation has just taken servers from.
 
         In the first step it is not known since when domains are evacuated.
@@ -141,31 +141,36 @@
         )
 
 
-def _leave(lost_regions, current, target):
-    """Return the shares of a home without the excess at some regions.
+def _move_excess(reduced_regions, current, target):
+    """Return the shares of a home without its excess at reduced regions.
 
     The excess is what is above the target.  It goes to the regions whose
     shares are below their target; other shares stay, as each object that
     moves is cold where it arrives.
+
+    :param reduced_regions: regions that have just lost servers.
+    :param current: dict of the present shares by region.
+    :param target: dict of the planned shares by region.
+    :return: dict of the shares after the step.
     """
     excess = sum(
         max(0.0, current[name] - target.get(name, 0.0))
-        for name in lost_regions & set(current)
+        for name in reduced_regions & set(current)
     )
     room = {
         name: share - current.get(name, 0.0)
         for name, share in target.items()
-        if name not in lost_regions and share > current.get(name, 0.0)
+        if name not in reduced_regions and share > current.get(name, 0.0)
     }
     total_room = sum(room.values())
     if not excess or not total_room:
         return current
-    left = dict(current)
-    for name in lost_regions & set(current):
-        left[name] = min(current[name], target.get(name, 0.0))
+    row = dict(current)
+    for name in reduced_regions & set(current):
+        row[name] = min(current[name], target.get(name, 0.0))
     for name, share in room.items():
-        left[name] = left.get(name, 0.0) + excess * share / total_room
-    return left
+        row[name] = row.get(name, 0.0) + excess * share / total_room
+    return row
 
 
 def _limit_change(home, target, current, step_cap):
--- a/tools/seeded_faults/control.py
+++ b/tools/seeded_faults/control.py
@@ -225,7 +225,7 @@
     Fault(
         'objects return in one step when an evacuation ends',
         'control/region_shares.py',
-        'row = _leave(lost_regions, before, target)',
+        'row = _move_excess(reduced_regions, before, target)',
         'row = before if evacuated else target',
         'shifts',
     ),
@@ -239,8 +239,8 @@
     Fault(
         'an evacuation moves the objects of all regions at once',
         'control/region_shares.py',
-        'row = _leave(lost_regions, before, target)',
-        'row = target if lost_regions else before',
+        'row = _move_excess(reduced_regions, before, target)',
+        'row = target if reduced_regions else before',
         'shifts',
     ),
     Fault(
