--- a/standins/emulation/plots.py
+++ b/standins/emulation/plots.py
@@ -2,16 +2,11 @@
 
 from collections import defaultdict
 
-from matplotlib import use
+from matplotlib.figure import Figure
 
+from standins.emulation.deployments import MILLISECONDS
 from standins.emulation.tallies import WINDOW_MS
 
-# Draws into files, without a screen.
-use('Agg')
-
-from matplotlib.pyplot import close  # noqa: E402
-from matplotlib.pyplot import subplots  # noqa: E402
-
 SIZE_INCHES = (7.0, 4.2)
 BAND_ALPHA = 0.2
 
@@ -25,7 +20,7 @@
     credits = defaultdict(lambda: defaultdict(list))
     for result in results:
         credits[result.policy][result.load].append(result.credit)
-    figure, axes = subplots(figsize=SIZE_INCHES)
+    figure, axes = _make_axes()
     for policy, by_load in credits.items():
         loads = sorted(by_load)
         _plot_band(axes, policy, loads, [by_load[load] for load in loads])
@@ -44,15 +39,22 @@
     for result in results:
         if result.load == load:
             windows[result.policy].append(result.by_window)
-    figure, axes = subplots(figsize=SIZE_INCHES)
+    figure, axes = _make_axes()
     for policy, rows in windows.items():
         columns = list(zip(*rows))
-        starts_s = [index * WINDOW_MS / 1000 for index in range(len(columns))]
+        starts_s = [
+            index * WINDOW_MS / MILLISECONDS for index in range(len(columns))
+        ]
         _plot_band(axes, policy, starts_s, columns)
     axes.set_xlabel('sent at, s')
     _save(figure, axes, path)
 
 
+def _make_axes():
+    figure = Figure(figsize=SIZE_INCHES)
+    return figure, figure.subplots()
+
+
 def _plot_band(axes, label, positions, samples):
     """Plot the mean of samples as a line, and their range as a band."""
     means = [sum(each) / len(each) for each in samples]
@@ -72,4 +74,3 @@
     axes.legend()
     figure.tight_layout()
     figure.savefig(path)
-    close(figure)
