--- a/features/gateway_starts.feature
+++ b/features/gateway_starts.feature
@@ -31,3 +31,35 @@
     Given a host that follows 2 parents
     When each reply takes 1500 ms
     Then it has its first view after 4 pulls at most
+
+  Scenario: a gateway that lacks the newest view does not deny a request
+    Given a gateway that starts while its first control host is behind
+    When the leader grants its lease at revision 5
+    And it has pulled a view of revision 5 with a server that left at revision 9
+    And the leader grants its lease at revision 9
+    And a request with 600 ms left arrives
+    Then it is refused as not run and told when to return
+
+  Scenario: a gateway without a lease does not deny a request
+    Given a gateway that starts while its first control host is behind
+    When the leader grants its lease at revision 5
+    And it has pulled a view of revision 5 with a server that left at revision 9
+    And its lease runs out
+    And a request with 600 ms left arrives
+    Then it is refused as not run and told when to return
+
+  Scenario: a request on a new route waits for the view that has the route
+    Given a gateway that starts while its first control host is behind
+    When the leader grants its lease at revision 5
+    And it has pulled a view of revision 5 with a server that left at revision 9
+    And the leader grants its lease at revision 9
+    And a request with 6000 ms left arrives
+    And it has pulled the changes up to revision 9, the last of which adds its route
+    Then the request is not denied
+
+  Scenario: a request on no route is denied at once by the newest view
+    Given a gateway that starts while its first control host is behind
+    When the leader grants its lease at revision 5
+    And it has pulled a view of revision 5 with a server that left at revision 9
+    And a request with 6000 ms left arrives
+    Then the request is handled by the view
--- a/features/steps/gateway_start_steps.py
+++ b/features/steps/gateway_start_steps.py
@@ -14,11 +14,17 @@
 from features.steps.forwarding_steps import PlainDialect
 from fuchsiacart.adapters import Method
 from fuchsiacart.adapters import PeerAdapter
+from fuchsiacart.clocks import steady_ms
 from fuchsiacart.configurations import Configuration
+from fuchsiacart.configurations import ConfigurationOrder
 from fuchsiacart.configurations import Item
 from fuchsiacart.configurations import ItemId
+from fuchsiacart.configurations import PathRoute
+from fuchsiacart.configurations import RequestKind
+from fuchsiacart.configurations import RouteTarget
 from fuchsiacart.configurations import ServiceTerms
 from fuchsiacart.control.pulls import pack_view
+from fuchsiacart.control.route_states import ConfigurationChanged
 from fuchsiacart.control.route_states import RouteSnapshot
 from fuchsiacart.control.route_states import ServerGone
 from fuchsiacart.control.states import Delta
@@ -196,6 +202,48 @@
     context.start.pull(PullReply(deltas))
 
 
+@when('its lease runs out')
+def step_lease_over(context):
+    lease = context.start.gateway._lease._lease
+    lease._until_ms = lease._pending_until_ms = steady_ms()
+
+
+@when(
+    'it has pulled the changes up to revision 9, '
+    'the last of which adds its route'
+)
+def step_changes_with_route(context):
+    route = PathRoute(
+        'new',
+        'none.example',
+        '/none/',
+        RequestKind.IDEMPOTENT,
+        5000.0,
+        1000.0,
+        0,
+        (RouteTarget('stock'),),
+        1,
+    )
+    item = Item(ItemId('routes', 'new'), route, b'')
+    order = ConfigurationOrder(2, 1, '', False, (item,))
+    bodies = [ServerGone(LEFT)] * 3 + [ConfigurationChanged(order)]
+    deltas = tuple(map(Delta, range(6, 10), bodies))
+    context.start.pull(PullReply(deltas))
+
+
+@then('the request is not denied')
+def step_not_denied(context):
+    error = _request_error(context)
+    assert error.kind is ErrorKind.OVERLOADED, error
+
+
+@then('it is refused as not run and told when to return')
+def step_refused_with_time(context):
+    error = _request_error(context)
+    assert error.kind is ErrorKind.STALE and error.run is Run.NO, error
+    assert error.retry_after_ms > 0
+
+
 @then('it is not ready and uses no server')
 def step_not_ready(context):
     assert not context.start.gateway.is_ready
