Deny a request only by a view as new as the leader's

Callers saw: 404 for proper requests on routes that had just been added, at many gateways at once. A caller does not send a request again after a 404.

Cause: a gateway looked for the route in whatever configuration it had. It knew that this was outdated: its last renewal had named a revision that its view lacked, or its lease had run out. Class of fault: a final answer from state that is known to be stale.

Why this works: the gateway waits for the changes that it lacks, as long as a caller would before its next try, and looks again; while its view is not as new as the leader's it refuses with 503 and a time to return, and the caller tries again, at another gateway too. A request on a known route is served as before, so one that keeps its lease is as fast; a wrong request is still denied at once by a current view.

Ruled out: asking the leader at each unknown route (a flood of wrong requests would load it).

--- a/features/gateway_starts.feature
+++ b/features/gateway_starts.feature
@@ -42,7 +42,7 @@
 
   Scenario: a gateway without a lease does not deny a request
     Given a gateway that starts while its first control host is behind
-    When the leader grants its lease at revision 5
+    When the leader grants a lease of 20 ms at revision 5
     And it has pulled a view of revision 5 with a server that left at revision 9
     And its lease runs out
     And a request with 600 ms left arrives
--- a/features/steps/gateway_start_steps.py
+++ b/features/steps/gateway_start_steps.py
@@ -14,6 +14,7 @@
 from features.steps.forwarding_steps import PlainDialect
 from fuchsiacart.adapters import Method
 from fuchsiacart.adapters import PeerAdapter
+from fuchsiacart.clocks import MILLISECONDS
 from fuchsiacart.clocks import steady_ms
 from fuchsiacart.configurations import Configuration
 from fuchsiacart.configurations import ConfigurationOrder
@@ -143,6 +144,13 @@
     context.start.renew()
 
 
+@when('the leader grants a lease of {lease_ms:d} ms at revision {revision:d}')
+def step_short_lease(context, lease_ms, revision):
+    reply = KeepAliveReply(lease_ms, revision)
+    context.start.adapter.replies[Method.KEEP_ALIVE] = reply
+    context.start.renew()
+
+
 @when('a request with {left_ms:d} ms left arrives')
 def step_request(context, left_ms):
     fixture = context.start
@@ -204,8 +212,8 @@
 
 @when('its lease runs out')
 def step_lease_over(context):
-    lease = context.start.gateway._lease._lease
-    lease._until_ms = lease._pending_until_ms = steady_ms()
+    until_ms = context.start.gateway._lease.until_ms
+    context.start.run(sleep((until_ms - steady_ms()) / MILLISECONDS))
 
 
 @when(
--- a/fuchsiacart/gateway/forwarding.py
+++ b/fuchsiacart/gateway/forwarding.py
@@ -100,7 +100,7 @@
             await self.freshness.wait_for_first(request.retry_after_ms)
         elif self.freshness.needs_wait(steady_ms()):
             await self.freshness.wait(steady_ms())
-        route = self._find_route(request)
+        route = await self._find_route(request)
         service = self._splitter.choose(route)
         self._check_quarantine(request, service)
         now_ms = steady_ms()
@@ -121,17 +121,32 @@
             ):
                 raise attempts.make_error(self._time_to_room_ms(attempts))
 
-    def _find_route(self, request):
-        if not self.version:
+    async def _find_route(self, request):
+        """Return the route of a request.
+
+        :raises RequestError: if there is none, or if that is not certain.
+        """
+        route = self._look_up_route(request)
+        if route is None and not self._may_deny():
+            await self.freshness.wait_until_caught_up(request.retry_after_ms)
+            route = self._look_up_route(request)
+        if route is not None:
+            return route
+        if not self._may_deny():
             raise RequestError(
-                'no configuration is known yet',
+                'the newest configuration is not known',
                 ErrorKind.STALE,
                 retry_after_ms=request.retry_after_ms,
             )
-        route = self.route_table.find(request.host_name, request.path)
-        if route is None:
-            raise RequestError(request.path, ErrorKind.NOT_FOUND)
-        return route
+        raise RequestError(request.path, ErrorKind.NOT_FOUND)
+
+    def _may_deny(self):
+        return bool(self.version) and self.freshness.is_current(steady_ms())
+
+    def _look_up_route(self, request):
+        if not self.version:
+            return None
+        return self.route_table.find(request.host_name, request.path)
 
     def _check_quarantine(self, request, service):
         if self.suspects.is_quarantined(request, service):
--- a/fuchsiacart/gateway/hosts.py
+++ b/fuchsiacart/gateway/hosts.py
@@ -62,7 +62,7 @@
         # that each new view clears.
         self._warmup_owned = {}
         self._is_view_confirmed = False
-        self._views.on_change(self._apply_view)
+        self._views.on_change(self._update_view)
         self._lease.on_renewal(self._confirm_view)
         self.forwarder.suspects.on_suspect(self._lease.renew_soon)
 
@@ -196,6 +196,16 @@
     def _confirm_view(self):
         if not self._is_view_confirmed:
             self._apply_view()
+        self._record_lease()
+
+    def _update_view(self):
+        self._apply_view()
+        self._record_lease()
+
+    def _record_lease(self):
+        self.forwarder.freshness.record_lease(
+            self._lease.until_ms, self._lease.is_behind
+        )
 
     def _apply_view(self):
         """Serve by the present view, once the leader has confirmed one.
--- a/fuchsiacart/gateway/view_freshness.py
+++ b/fuchsiacart/gateway/view_freshness.py
@@ -6,6 +6,9 @@
 Answers also the requests that arrive while a gateway starts, as after a loss
 of power of all hosts: its view is a second away, and callers that were told
 to return would lose that second and their next try.
+
+A caller does not repeat a request that was denied, so that is decided only by
+a view as new as the leader's.
 """
 
 from asyncio import Event
@@ -22,13 +25,16 @@
 
 
 class ViewFreshness:
-    """Knows when the view was last confirmed by an answer to a pull."""
+    """Knows when the view was confirmed by pulls and by renewals."""
 
     def __init__(self):
         self._confirmed_ms = None
         self._has_waited = False
         self._confirmed = Event()
         self._in_use = Event()
+        self._current_until_ms = 0.0
+        self._caught_up = Event()
+        self._caught_up.set()
 
     def record_use(self):
         """Record that the gateway serves by a view."""
@@ -53,6 +59,36 @@
         self._has_waited = False
         self._confirmed.set()
 
+    def record_lease(self, until_ms, is_behind):
+        """Record the last renewal of the lease, or a change of the view.
+
+        :param until_ms: end of the lease, of a steady clock.
+        :param is_behind: True if the view lacks changes that the renewal
+            has named.
+        """
+        self._current_until_ms = until_ms
+        if is_behind:
+            self._caught_up.clear()
+        else:
+            self._caught_up.set()
+
+    def is_current(self, now_ms):
+        """Return True if the view is as new as the leader's.
+
+        :param now_ms: the current time.
+        """
+        return self._caught_up.is_set() and now_ms < self._current_until_ms
+
+    async def wait_until_caught_up(self, limit_ms):
+        """Wait for the changes that the last renewal has named.
+
+        :param limit_ms: milliseconds to wait at most.
+        """
+        try:
+            await wait_for(self._caught_up.wait(), limit_ms / MILLISECONDS)
+        except TimeoutError:
+            log_event('view_behind', waited_ms=int(limit_ms))
+
     def needs_wait(self, now_ms):
         """Return True if a request should wait for a newer view.
 
--- a/fuchsiacart/host_tasks.py
+++ b/fuchsiacart/host_tasks.py
@@ -207,6 +207,16 @@
         """Return True once the view was as new as the leader's state."""
         return self._lease.was_held
 
+    @property
+    def is_behind(self):
+        """Return True if the view lacks what the last renewal named."""
+        return self._lease.is_behind
+
+    @property
+    def until_ms(self):
+        """Return the end of the lease, a time of the steady clock."""
+        return self._lease.until_ms
+
     def holds(self):
         """Return True if this host holds a valid lease."""
         return self._lease.holds(steady_ms())
--- a/fuchsiacart/leases.py
+++ b/fuchsiacart/leases.py
@@ -101,6 +101,7 @@
         self._until_ms = 0.0
         self._pending_until_ms = 0.0
         self._needed_revision = 0
+        self._revision = 0
 
     def renew(self, sent_ms, lease_ms, needed_revision, revision):
         """Apply the reply to a renewal request.
@@ -121,13 +122,24 @@
 
         :param revision: the revision of the host's view.
         """
-        if revision >= self._needed_revision:
+        self._revision = revision
+        if not self.is_behind:
             self._until_ms = self._pending_until_ms
 
     def holds(self, now_ms):
         """Return True if the lease is valid."""
         return now_ms < self._until_ms
 
+    @property
+    def is_behind(self):
+        """Return True if the view lacks the needed revision."""
+        return self._revision < self._needed_revision
+
+    @property
+    def until_ms(self):
+        """Return the time at which the lease ends, 0 before the first."""
+        return self._until_ms
+
     @property
     def was_held(self):
         """Return True once the lease has been valid."""
--- a/tools/seeded_faults/gateway.py
+++ b/tools/seeded_faults/gateway.py
@@ -125,4 +125,18 @@
         'if not self.version:\n            0 and await',
         'gateway_starts',
     ),
+    Fault(
+        'a gateway whose view is outdated denies requests',
+        'gateway/forwarding.py',
+        'if not self._may_deny():',
+        'if not self.version:',
+        'gateway_starts',
+    ),
+    Fault(
+        'a request on a new route does not wait for the view',
+        'gateway/forwarding.py',
+        'if route is None and not self._may_deny():',
+        'if not self.version:',
+        'gateway_starts',
+    ),
 )
