Let tests cut a process off from all backend servers

soak/launch.py already runs a platform process with a faulty clock and disk. It now follows three forms of cuts as well: packets of the servers are dropped by a socket filter, so that connections hang; open connections are reset and new ones refused; new ones are refused while open ones live on. Callers, other gateways and control hosts still reach the process. No root is needed.

--- a/soak/launch.py
+++ b/soak/launch.py
@@ -1,7 +1,8 @@
-"""Runs a platform process with a skewed clock and a slow or failing disk.
+"""Runs a platform process with a faulty clock, disk or network.
 
 The environment variable ``SOAK_CONDITIONS`` names the file that holds the
-current conditions.  Only ``time.time`` and ``os.fsync`` are replaced.
+current conditions.  Only ``time.time``, ``os.fsync`` and ``socket.connect``
+are replaced.
 """
 
 from contextlib import suppress
@@ -15,16 +16,26 @@
 from msgspec.json import decode
 from msgspec import Struct
 
+from soak.server_cuts import ServerCut
+from soak.server_cuts import ServerNetwork
+
 CONDITIONS_VARIABLE = 'SOAK_CONDITIONS'
 REREAD_INTERVAL_S = 0.05
 
 
 class Conditions(Struct, frozen=True):
-    """Faults of the clock and of the disk of one process."""
+    """Faults of the clock, the disk and the network of one process.
+
+    Addresses of backend servers begin with ``server_prefix``.  Connections to
+    them come from ``source_address`` if that is set.
+    """
 
     clock_offset_s: float = 0.0
     sync_delay_s: float = 0.0
     sync_fails: bool = False
+    server_prefix: str = ''
+    server_cut: ServerCut = ServerCut.NONE
+    source_address: str = ''
 
 
 class ConditionsFile:
@@ -79,7 +90,9 @@
 
 def main():
     """Run the entry point of the platform under the conditions."""
-    patch_clock_and_fsync(ConditionsFile(environ[CONDITIONS_VARIABLE]))
+    conditions = ConditionsFile(environ[CONDITIONS_VARIABLE])
+    patch_clock_and_fsync(conditions)
+    ServerNetwork(conditions).patch()
     from fuchsiacart.platform.__main__ import main as run_platform
 
     run_platform()
