--- a/features/steps/platform_path_steps.py
+++ b/features/steps/platform_path_steps.py
@@ -94,6 +94,9 @@
 class Instance:
     """An instance that answers requests and sends heartbeats."""
 
+    address = '127.0.0.1'
+    handler = InstanceHandler
+
     def __init__(self, name, fixture):
         self.name = name
         self.served = []
@@ -103,9 +106,9 @@
         self._fixture = fixture
         self._born_ms = int(time() * 1000)
         self._sequence = 0
-        application = Application([('.*', InstanceHandler)], instance=self)
+        application = Application([('.*', self.handler)], instance=self)
         self._server = HTTPServer(application)
-        sockets = bind_sockets(0, '127.0.0.1')
+        sockets = bind_sockets(0, self.address)
         self._server.add_sockets(sockets)
         self.port = sockets[0].getsockname()[1]
 
@@ -125,7 +128,7 @@
         self._sequence += 1
         body = {
             'service': 'stock',
-            'address': f'127.0.0.1:{self.port}',
+            'address': f'{self.address}:{self.port}',
             'zone': 'cymru-a',
             'slots': 4,
             'state': self.state,
@@ -143,6 +146,8 @@
 class PlatformFixture:
     """Control hosts and gateways in processes of their own."""
 
+    program = 'fuchsiacart.platform'
+
     def __init__(self):
         self.loop = new_event_loop()
         self.folder = Path(mkdtemp(prefix='fuchsiacart-platform-'))
@@ -189,12 +194,20 @@
         path.write_text(text)
         with open(self.folder / f'{ip}.log', 'ab') as log:
             self.processes[ip] = Popen(
-                [executable, '-m', 'fuchsiacart.platform'],
-                env=environ | {'FUCHSIACART_SETTINGS': str(path)},
+                [executable, '-m', self.program],
+                env=environ | self.environment(ip, path),
                 stdout=log,
                 stderr=log,
             )
 
+    def environment(self, ip, path):
+        """Return the environment variables of a process.
+
+        :param ip: its IP address.
+        :param path: path of its settings.
+        """
+        return {'FUCHSIACART_SETTINGS': str(path)}
+
     def close(self):
         """Kill all processes and remove the folder."""
         for process in self.processes.values():
--- a/tools/check.py
+++ b/tools/check.py
@@ -28,7 +28,13 @@
 CONCURRENT_FEATURES = 3
 # These take longest and start first: they start many processes, one scenario
 # after the other.
-LONG_FEATURES = ('failures', 'chaos', 'platform_path', 'control_group')
+LONG_FEATURES = (
+    'failures',
+    'chaos',
+    'platform_path',
+    'control_group',
+    'isolation',
+)
 KNOWN_RED = Path('KNOWN-RED.txt')
 LINT_COMMANDS = (
     ('isort', '--check-only', '--quiet', *SOURCES),
