Relay requests through other gateways while no backend server is reached

Cause: a gateway knew only its own way to the servers and put each failure down to the server; look-ups went on naming it, as its lease holds. Class of fault: a failure on the observer's side is taken for one of what it observes.

Now a gateway tells from several servers that fail in a row without a sign of life of any (reachability), and by attempts to connect (probes), that it is isolated itself. Then it relays to other gateways over HTTP (relays), of its region first (gateway_selectors), and says so with its lease: look-ups name it only if no other is in its region, and no other gateway relays to it. A request takes one hop; a gateway that is isolated too refuses it as not run. A request that broke on the hop counts as one that may have run.

Ruled out: withdrawing from look-ups alone (callers keep addresses for three times the time to live, and all gateways of a domain may be cut off).

--- a/features/steps/forwarding_steps.py
+++ b/features/steps/forwarding_steps.py
@@ -67,6 +67,7 @@
     host: HostSettings
     routes: RouteSettings
     entry: EntrySettings = EntrySettings()
+    seed: int = 0
 
 
 class PlainDialect(Dialect):
@@ -80,6 +81,10 @@
         """See :meth:`Dialect.write_metadata`."""
         headers[ID_HEADER] = REQUEST_ID
 
+    def write_deadline(self, headers, left_ms):
+        """See :meth:`Dialect.write_deadline`."""
+        headers[ID_HEADER] = REQUEST_ID
+
     def read_request_id(self, headers):
         """See :meth:`Dialect.read_request_id`."""
         return headers.get(ID_HEADER, '')
--- a/fuchsiacart/control/directory.py
+++ b/fuchsiacart/control/directory.py
@@ -4,6 +4,8 @@
 name: each caller is told some of them, and all of them get callers.
 """
 
+from fuchsiacart.control.states import is_live
+from fuchsiacart.models import HostState
 from fuchsiacart.ownership import rendezvous_order
 
 # With fewer gateways a caller has no alternative when one of them fails.
@@ -15,19 +17,25 @@
     """Return the addresses of the gateways that are nearest to a caller.
 
     Those of the caller's failure domain are preferred, then those of its
-    region.  Of too many, a caller is told the same each time, by rendezvous
-    hashing, as it closes its connections to the others.
+    region.  Gateways that reach no backend server are named only if no other
+    is in the region; they relay what they get.  Of too many, a caller is told
+    the same each time, by rendezvous hashing, as it closes its connections to
+    the others.
 
-    :param hosts: gateways that accept new callers.
+    :param hosts: all gateways.
     :param region: region of the caller.
     :param domain: failure domain of the caller.
     :param caller: IP address of the caller.
     """
-    near = [host for host in hosts if host.failure_domain == domain]
+    live = [host for host in hosts if is_live(host)]
+    isolated = [host for host in hosts if host.state is HostState.ISOLATED]
+    near = [host for host in live if host.failure_domain == domain]
     if len(near) < MIN_GATEWAYS:
-        near = [host for host in hosts if host.region == region]
+        near = [host for host in live if host.region == region]
     if not near:
-        near = list(hosts)
+        near = [host for host in isolated if host.region == region]
+    if not near:
+        near = live or isolated
     if len(near) > MAX_GATEWAYS:
         near = rendezvous_order(caller, near)[:MAX_GATEWAYS]
     return tuple(host.http_address for host in near)
--- a/fuchsiacart/control/route_control.py
+++ b/fuchsiacart/control/route_control.py
@@ -12,7 +12,6 @@
 from fuchsiacart.control.commands import RecordServer
 from fuchsiacart.control.commands import SetEvacuation
 from fuchsiacart.control.directory import find_gateways
-from fuchsiacart.control.states import is_live
 from fuchsiacart.exceptions import ChangeError
 from fuchsiacart.exceptions import ErrorKind
 from fuchsiacart.exceptions import FuchsiacartError
@@ -153,17 +152,13 @@
         log_event('server_left', server=name, revision=outcome.revision)
 
     def find_gateways(self, region, domain, caller):
-        """Return the addresses of the live gateways nearest to a caller.
+        """Return the addresses of the gateways nearest to a caller.
 
         :param region: region of the caller.
         :param domain: failure domain of the caller.
         :param caller: IP address of the caller.
         """
-        hosts = [
-            host
-            for host in self._replica.replicated_state.stored.hosts.values()
-            if is_live(host)
-        ]
+        hosts = self._replica.replicated_state.stored.hosts.values()
         return find_gateways(hosts, region, domain, caller)
 
     async def run(self):
--- a/fuchsiacart/exceptions.py
+++ b/fuchsiacart/exceptions.py
@@ -22,6 +22,7 @@
     RATE_LIMITED = 'rate_limited'
     OVERLOADED = 'overloaded'
     NO_BACKEND = 'no_backend'
+    ISOLATED = 'isolated'
     STALE = 'stale'
     DRAINING = 'draining'
     DEADLINE = 'deadline'
@@ -80,6 +81,9 @@
     ErrorKind.NO_BACKEND: Answer(
         503, 7, 'No backend server of the service can be used'
     ),
+    ErrorKind.ISOLATED: Answer(
+        503, 7, 'This gateway reaches no backend server'
+    ),
     ErrorKind.STALE: Answer(
         503, 7, 'This entry host cannot show that its contracts are current'
     ),
--- a/fuchsiacart/gateway/attempts.py
+++ b/fuchsiacart/gateway/attempts.py
@@ -20,6 +20,7 @@
 
 # Failed connections after which a request that was not sent yet fails.
 MAX_UNREACHABLE_SERVERS = 4
+BODILESS_METHODS = ('GET', 'HEAD')
 
 
 class InboundRequest(Struct, frozen=True):
@@ -27,6 +28,7 @@
 
     ``target`` is the path with the query, ``received_s`` a time of the
     monotonic clock and ``caller`` the IP address of the caller.
+    If another gateway relayed it, ``relayed_for`` is whom it names as caller.
     """
 
     method: str
@@ -37,12 +39,23 @@
     metadata: RequestMetadata
     received_s: float
     caller: str = ''
+    relayed_for: str = ''
 
     @property
     def path(self):
         """The path without the query."""
         return self.target.partition('?')[0]
 
+    @property
+    def is_relayed(self):
+        """True if another gateway relayed the request."""
+        return bool(self.relayed_for)
+
+    @property
+    def has_length(self):
+        """True if the request states the length of its body."""
+        return bool(self.body) or self.method not in BODILESS_METHODS
+
     @property
     def retry_after_ms(self):
         """Longest time in milliseconds after which the caller returns.
@@ -144,6 +157,19 @@
             ),
         )
 
+    def make_isolated_error(self):
+        """Return the error of a request for which no server is reached.
+
+        :return: the :class:`RequestError`.
+        """
+        if self.may_have_run:
+            return self.make_error(None)
+        return RequestError(
+            self.last_failure or 'no backend server is reached',
+            ErrorKind.ISOLATED,
+            retry_after_ms=self.request.retry_after_ms,
+        )
+
     def make_deadline_error(self):
         """Return the error of a request whose deadline has passed.
 
--- a/fuchsiacart/gateway/callers.py
+++ b/fuchsiacart/gateway/callers.py
@@ -21,6 +21,8 @@
 from fuchsiacart.gateway.caller_connections import CallerConnection
 from fuchsiacart.gateway.caller_connections import close_idle_connections
 from fuchsiacart.gateway.hop_headers import end_to_end_headers
+from fuchsiacart.gateway.hop_headers import RELAYED_FOR
+from fuchsiacart.gateway.hop_headers import RELAYED_ID
 from fuchsiacart.logs import log_error
 from fuchsiacart.logs import log_event
 from fuchsiacart.metrics import GATEWAY_LATENCY
@@ -135,6 +137,7 @@
             self._dialect.read_request(exchange.headers),
             exchange.received_s,
             exchange.connection.remote_ip,
+            exchange.headers.get(RELAYED_FOR, ''),
         )
         outcome = 'failed'
         try:
@@ -154,7 +157,7 @@
             response = await self._forwarder.serve(request)
         except FuchsiacartError as error:
             exchange.answered_s = monotonic()
-            await _send_error(exchange, error)
+            await _send_error(exchange, request, error)
             return f'{error.kind.value}: {error.detail}'
         except (OSError, ValueError, KeyError, TypeError) as error:
             log_error(
@@ -164,11 +167,13 @@
             )
             await _send_error(
                 exchange,
+                request,
                 RequestError(repr(error), ErrorKind.INTERNAL, Run.UNKNOWN),
             )
             return 'internal'
         exchange.answered_s = monotonic()
         headers = end_to_end_headers(response.headers)
+        _name_request(headers, request)
         await exchange.send(
             response.status, response.reason, headers, response.body
         )
@@ -194,9 +199,16 @@
         )
 
 
-async def _send_error(exchange, error):
+def _name_request(headers, request):
+    """Let the gateway that relayed a request recognize the response."""
+    if request.is_relayed and request.metadata.request_id:
+        headers[RELAYED_ID] = request.metadata.request_id
+
+
+async def _send_error(exchange, request, error):
     """Send the problem document of an error."""
     headers = HTTPHeaders({'Content-Type': PROBLEM_TYPE})
+    _name_request(headers, request)
     if error.retry_after_ms:
         seconds = error.retry_after_ms / MILLISECONDS
         headers['Retry-After'] = f'{seconds:g}'
--- a/fuchsiacart/gateway/connection_pools.py
+++ b/fuchsiacart/gateway/connection_pools.py
@@ -8,6 +8,7 @@
 from fuchsiacart.gateway.body_budgets import BodyBudget
 from fuchsiacart.gateway.exchanges import ExchangeResult
 from fuchsiacart.gateway.exchanges import ServerConnection
+from fuchsiacart.gateway.reachability import ServerReachability
 from fuchsiacart.logs import log_event
 
 # Extra time for the response of a server that works up to the deadline.
@@ -19,9 +20,13 @@
 
     They are pooled by server name rather than by address, so that no
     connection outlives its server.
+
+    :param reachability: the :class:`ServerReachability` that is told which
+        connections could be opened.
     """
 
-    def __init__(self):
+    def __init__(self, reachability=None):
+        self._reachability = reachability or ServerReachability()
         self._idle = defaultdict(list)
         self._budget = BodyBudget()
 
@@ -46,8 +51,10 @@
         try:
             if not is_reused:
                 await connection.connect(record.address, limits.connect_s)
+                self._reachability.record_connected()
         except (OSError, TimeoutError, ValueError) as error:
             connection.close()
+            self._reachability.record_unconnected(record.name)
             return ExchangeResult(
                 failure=FailureKind.NOT_CONNECTED, detail=repr(error)
             )
@@ -89,7 +96,9 @@
             log_event(
                 'server_not_reached', server=record.name, detail=repr(error)
             )
+            self._reachability.record_unconnected(record.name)
             return False
+        self._reachability.record_connected()
         self._idle[record.name].append(connection)
         return True
 
--- a/fuchsiacart/gateway/dialects.py
+++ b/fuchsiacart/gateway/dialects.py
@@ -68,6 +68,14 @@
         :param left_ms: milliseconds left until the deadline.
         """
 
+    @abstractmethod
+    def write_deadline(self, headers, left_ms):
+        """Set the deadline of a request for another gateway.
+
+        :param headers: headers of the relayed request, changed in place.
+        :param left_ms: milliseconds left until the deadline.
+        """
+
     @abstractmethod
     def read_request_id(self, headers):
         """Return the id of the request that a response belongs to, or ''.
--- a/fuchsiacart/gateway/forwarding.py
+++ b/fuchsiacart/gateway/forwarding.py
@@ -17,9 +17,12 @@
 from fuchsiacart.gateway.exchanges import ExchangeLimits
 from fuchsiacart.gateway.exchanges import OutboundRequest
 from fuchsiacart.gateway.exchanges import request_line
+from fuchsiacart.gateway.gateway_selectors import GatewaySelector
 from fuchsiacart.gateway.hop_headers import end_to_end_headers
 from fuchsiacart.gateway.placements import PlacementRequest
 from fuchsiacart.gateway.placements import ServerSelector
+from fuchsiacart.gateway.reachability import ServerReachability
+from fuchsiacart.gateway.relays import Relay
 from fuchsiacart.gateway.response_checks import is_promise
 from fuchsiacart.gateway.retry_budgets import SharedRetryBudget
 from fuchsiacart.gateway.route_tables import RouteTable
@@ -28,6 +31,7 @@
 from fuchsiacart.gateway.view_freshness import ViewFreshness
 from fuchsiacart.logs import log_event
 from fuchsiacart.metrics import GATEWAY_ATTEMPTS
+from fuchsiacart.randomness import make_random
 
 # A lost SYN is retransmitted only after a second, so another server is tried
 # before that.
@@ -49,7 +53,8 @@
         self._settings = settings
         self._dialect = dialect
         self._splitter = TargetSplitter()
-        self._pool = ConnectionPool()
+        self.reachability = ServerReachability()
+        self._pool = ConnectionPool(self.reachability)
         self._retry_budgets = {}
         self._started_ms = steady_ms()
         self._gateway_count = 1
@@ -57,6 +62,8 @@
         self.selector = ServerSelector(
             settings.host.region, settings.routes.regions
         )
+        random = make_random(settings.seed, settings.host.name)
+        self.relay = Relay(GatewaySelector(settings.host, random), dialect)
         self._admission = RankedAdmission()
         self.freshness = ViewFreshness()
         self.demands = DemandMeter()
@@ -85,6 +92,7 @@
         self._gateway_count = max(1, gateway_count)
         self.selector.apply_view(view, self.route_table, steady_ms())
         self._pool.retain(view.servers)
+        self.reachability.apply_view(len(view.servers))
         if self.version:
             self.freshness.record_use()
 
@@ -101,17 +109,13 @@
         elif self.freshness.needs_wait(steady_ms()):
             await self.freshness.wait(steady_ms())
         route = await self._find_route(request)
-        service = self._splitter.choose(route)
-        self._check_quarantine(request, service)
-        now_ms = steady_ms()
-        self._admission.record_arrival(service, route.rank, now_ms)
-        urgency = self._admission.urgency(service, route.rank, now_ms)
-        attempts = Attempts(request, route, service, urgency)
-        self._retry_budget(service).record_request(now_ms)
-        self.demands.record_arrival(service)
+        attempts = self._start_attempts(self.relay.read(request), route)
         while True:
-            server = self._choose_server(attempts)
-            response = await self._make_attempt(attempts, server)
+            if self.reachability.is_isolated:
+                response = await self.relay.make_attempt(attempts)
+            else:
+                server = self._choose_server(attempts)
+                response = await self._make_attempt(attempts, server)
             if response is not None:
                 return response
             if attempts.left_s <= 0:
@@ -121,6 +125,34 @@
             ):
                 raise attempts.make_error(self._time_to_room_ms(attempts))
 
+    async def can_connect(self, record, timeout_s):
+        """See :meth:`ConnectionPool.can_connect`."""
+        return await self._pool.can_connect(record, timeout_s)
+
+    def apply_isolation(self):
+        """Act on a change of ``reachability``.
+
+        Connections opened before may be dead without a sign of it, and what
+        failed meanwhile says nothing about the servers.
+        """
+        if self.reachability.is_isolated:
+            self._pool.retain(())
+        else:
+            self.selector.end_suspensions()
+
+    def _start_attempts(self, request, route):
+        service = self._splitter.choose(route)
+        self._check_quarantine(request, service)
+        if self.reachability.is_isolated:
+            # The gateway that sends it to a server counts it.
+            return Attempts(request, route, service)
+        now_ms = steady_ms()
+        self._admission.record_arrival(service, route.rank, now_ms)
+        urgency = self._admission.urgency(service, route.rank, now_ms)
+        self._retry_budget(service).record_request(now_ms)
+        self.demands.record_arrival(service)
+        return Attempts(request, route, service, urgency)
+
     async def _find_route(self, request):
         """Return the route of a request.
 
@@ -239,6 +271,7 @@
     def _handle_response(self, attempts, server, result, taken_s):
         """Record a response and return it, or None if it is not accepted."""
         attempts.sent += 1
+        self.reachability.record_response()
         response = result.response
         metadata = self._dialect.read_response(
             response.status, response.headers
@@ -294,6 +327,7 @@
         else:
             attempts.sent += 1
             attempts.may_have_run = True
+            self._record_sign_of_life(server, result)
         if result.failure is FailureKind.BROKEN and not result.has_headers:
             self.suspects.check_server(attempts.request, server.record)
         if result.failure is not FailureKind.TOO_LATE:
@@ -302,11 +336,17 @@
             # A shorter wait says nothing about the server.
             self.evidence.record_failure(server.record)
 
+    def _record_sign_of_life(self, server, result):
+        if result.has_headers:
+            self.reachability.record_response()
+        else:
+            self.reachability.record_silent(server.name)
+
     def _make_headers(self, request, record, left_ms):
         """Return the headers of a forwarded request."""
         headers = end_to_end_headers(request.headers)
         self._dialect.write_metadata(headers, record.name, left_ms)
-        if request.body or request.method not in ('GET', 'HEAD'):
+        if request.has_length:
             headers['Content-Length'] = str(len(request.body))
         return headers
 
--- a/fuchsiacart/gateway/hop_headers.py
+++ b/fuchsiacart/gateway/hop_headers.py
@@ -1,12 +1,18 @@
-"""Hop-by-hop headers (RFC 9110, section 7.6.1)."""
+"""Hop-by-hop headers (RFC 9110, section 7.6.1), and those between gateways."""
 
 from tornado.httputil import HTTPHeaders
 
+# The caller for which a gateway relays a request.
+RELAYED_FOR = 'Fuchsiacart-Relayed-For'
+# The id of the relayed request that a response belongs to.
+RELAYED_ID = 'Fuchsiacart-Relayed-Id'
 HOP_HEADERS = frozenset(
     (
         'connection',
         'content-length',
         'expect',
+        RELAYED_FOR.lower(),
+        RELAYED_ID.lower(),
         'keep-alive',
         'proxy-authenticate',
         'proxy-authorization',
--- a/fuchsiacart/gateway/hosts.py
+++ b/fuchsiacart/gateway/hosts.py
@@ -14,6 +14,7 @@
 from fuchsiacart.entry.limits import ContractLimiter
 from fuchsiacart.gateway.callers import CallerServer
 from fuchsiacart.gateway.forwarding import Forwarder
+from fuchsiacart.gateway.probes import ReachabilityProber
 from fuchsiacart.host_tasks import LeaseClient
 from fuchsiacart.host_tasks import ViewReplicator
 from fuchsiacart.load_boards import count_in_flight
@@ -22,6 +23,7 @@
 from fuchsiacart.models import Host
 from fuchsiacart.models import HostId
 from fuchsiacart.ownership import find_owner
+from fuchsiacart.randomness import make_random
 from fuchsiacart.supervisors import Supervisor
 
 STOP_POLL_S = 0.05
@@ -65,6 +67,11 @@
         self._views.on_change(self._update_view)
         self._lease.on_renewal(self._confirm_view)
         self.forwarder.suspects.on_suspect(self._lease.renew_soon)
+        self._prober = ReachabilityProber(
+            self.forwarder,
+            make_random(settings.seed, settings.host.name),
+            self._record_isolation,
+        )
 
     @property
     def is_ready(self):
@@ -111,6 +118,7 @@
         tree = Supervisor('gateway')
         tree.add('lease', self._lease.run)
         tree.add('view', self._run_view)
+        tree.add('prober', self._prober.run)
         return tree
 
     def loads(self):
@@ -193,6 +201,12 @@
     async def _run_view(self):
         await self._views.run(self._lease.needed_revision)
 
+    def _record_isolation(self):
+        is_isolated = self.forwarder.reachability.is_isolated
+        log_event('isolation', is_isolated=is_isolated)
+        self.forwarder.apply_isolation()
+        self._lease.set_isolated(is_isolated)
+
     def _confirm_view(self):
         if not self._is_view_confirmed:
             self._apply_view()
@@ -220,6 +234,7 @@
         self._gateways = tuple(host for host in view.hosts if is_live(host))
         self._warmup_owned = {}
         self.forwarder.apply_view(view.routes, len(self._gateways))
+        self.forwarder.relay.apply_view(view.hosts)
         self.forwarder.selector.is_warmup_owner = self._is_warmup_owner
         if self._limits_listener is not None:
             self._limits_listener(self.forwarder.route_table.limits)
--- a/fuchsiacart/gateway/placements.py
+++ b/fuchsiacart/gateway/placements.py
@@ -113,6 +113,11 @@
         """Return the :class:`TrackedServer` of a server, or None."""
         return self._servers.get(name)
 
+    def end_suspensions(self):
+        """Use all servers again, whatever has failed so far."""
+        for server in self._servers.values():
+            server.end_suspension()
+
     def record_loads(self, load_map, counted_ms):
         """Record what other gateways have in flight at each server.
 
--- /dev/null
+++ b/fuchsiacart/gateway/relays.py
@@ -0,0 +1,177 @@
+"""Relays requests through other gateways while no backend server is reached.
+
+A request takes one hop at most: a gateway that is isolated itself refuses
+what another one relays, as not run, and a further gateway is asked.
+"""
+
+from time import monotonic
+
+from msgspec.json import decode
+from msgspec import MsgspecError
+from msgspec import Struct
+from msgspec.structs import replace
+
+from fuchsiacart.clocks import MILLISECONDS
+from fuchsiacart.clocks import steady_ms
+from fuchsiacart.exceptions import ErrorKind
+from fuchsiacart.failure_kinds import FailureKind
+from fuchsiacart.gateway.connection_pools import ConnectionPool
+from fuchsiacart.gateway.exchanges import ExchangeLimits
+from fuchsiacart.gateway.exchanges import OutboundRequest
+from fuchsiacart.gateway.exchanges import request_line
+from fuchsiacart.gateway.hop_headers import end_to_end_headers
+from fuchsiacart.gateway.hop_headers import RELAYED_FOR
+from fuchsiacart.gateway.hop_headers import RELAYED_ID
+from fuchsiacart.logs import log_event
+from fuchsiacart.metrics import GATEWAY_RELAYS
+from fuchsiacart.problems import Problem
+from fuchsiacart.problems import PROBLEM_TYPE
+
+CONNECT_TIMEOUT_S = 0.3
+
+
+class RelayTarget(Struct, frozen=True):
+    """Name and caller address of another gateway."""
+
+    name: str
+    address: str
+
+
+class Relay:
+    """Sends requests to other gateways.
+
+    :param selector: the :class:`GatewaySelector`.
+    :param dialect: the :class:`Dialect` of callers and backend servers.
+    """
+
+    def __init__(self, selector, dialect):
+        self.selector = selector
+        self._dialect = dialect
+        self._pool = ConnectionPool()
+
+    def apply_view(self, hosts):
+        """Apply a new view.
+
+        :param hosts: each :class:`Host` of the view.
+        """
+        self.selector.apply_view(hosts)
+        self._pool.retain(self.selector.names)
+
+    def read(self, request):
+        """Return a request with the caller for whom it was relayed.
+
+        Only other gateways are believed.
+
+        :param request: the :class:`InboundRequest`.
+        """
+        if request.is_relayed and self.selector.is_gateway(request.caller):
+            return replace(request, caller=request.relayed_for)
+        return request
+
+    async def make_attempt(self, attempts):
+        """Send a request to another gateway.
+
+        :param attempts: the :class:`Attempts` of the request.
+        :return: the :class:`ServerResponse`, or None if the attempt failed.
+        :raises RequestError: if no gateway is left, or the request was
+            relayed already.
+        """
+        if attempts.request.is_relayed:
+            raise attempts.make_isolated_error()
+        host = self.selector.choose(
+            attempts.route.home_regions, attempts.excluded, steady_ms()
+        )
+        if host is None:
+            raise attempts.make_isolated_error()
+        attempts.excluded |= {host.name}
+        left_s = attempts.left_s
+        if left_s <= 0:
+            raise attempts.make_deadline_error()
+        started_s = monotonic()
+        self.selector.in_flight[host.name] += 1
+        try:
+            result = await self._pool.exchange(
+                RelayTarget(host.name, host.http_address),
+                self._make_request(attempts.request),
+                ExchangeLimits(
+                    min(CONNECT_TIMEOUT_S, left_s), attempts.deadline_s
+                ),
+            )
+        finally:
+            self.selector.in_flight[host.name] -= 1
+        response = self._record(attempts, host, result)
+        self._log(attempts, host, result, monotonic() - started_s)
+        return response
+
+    def _make_request(self, request):
+        return OutboundRequest(
+            request_line(request.method, request.target),
+            lambda left_ms: self._make_headers(request, left_ms),
+            request.body or None,
+            request.metadata.request_id,
+            self._read_id,
+        )
+
+    def _make_headers(self, request, left_ms):
+        headers = end_to_end_headers(request.headers)
+        self._dialect.write_deadline(headers, left_ms)
+        headers[RELAYED_FOR] = request.caller
+        if request.has_length:
+            headers['Content-Length'] = str(len(request.body))
+        return headers
+
+    def _read_id(self, headers):
+        return headers.get(RELAYED_ID, '')
+
+    def _record(self, attempts, host, result):
+        """Record a result and return its response, None if it has none."""
+        response = result.response
+        if response is not None and not self._is_isolated(response):
+            return response
+        if response is not None:
+            attempts.last_failure = f'{host.name} reaches no server either'
+            attempts.unreachable += 1
+            self.selector.avoid(host.name, steady_ms())
+            return None
+        attempts.last_failure = f'{host.name}: {result.failure.value}'
+        if result.failure is FailureKind.NOT_SENT:
+            return None
+        if result.failure is FailureKind.NOT_CONNECTED:
+            attempts.unreachable += 1
+            self.selector.avoid(host.name, steady_ms())
+            return None
+        attempts.sent += 1
+        attempts.may_have_run = True
+        return None
+
+    def _is_isolated(self, response):
+        """Return True if the gateway refused since it is isolated too."""
+        if response.headers.get('Content-Type') != PROBLEM_TYPE:
+            return False
+        metadata = self._dialect.read_response(
+            response.status, response.headers
+        )
+        if metadata.is_authentic:
+            return False
+        try:
+            problem = decode(response.body, type=Problem)
+        except MsgspecError as error:
+            log_event('problem_not_read', detail=str(error))
+            return False
+        return problem.kind is ErrorKind.ISOLATED
+
+    def _log(self, attempts, host, result, taken_s):
+        outcome = (
+            str(result.response.status)
+            if result.response
+            else result.failure.value
+        )
+        GATEWAY_RELAYS.labels(outcome).inc()
+        log_event(
+            'relay',
+            request=attempts.request.metadata.request_id,
+            gateway=host.name,
+            result=outcome,
+            taken_ms=int(taken_s * MILLISECONDS),
+            detail=result.detail,
+        )
--- a/fuchsiacart/gateway/tracked_servers.py
+++ b/fuchsiacart/gateway/tracked_servers.py
@@ -97,6 +97,11 @@
         """Reset the count of failures after a response."""
         self.failures = 0
 
+    def end_suspension(self):
+        """Use the server again, as its failures were not its own."""
+        self.failures = 0
+        self.suspended_until_ms = 0.0
+
     def record_failure(self, now_ms):
         """Suspend the server after a failure, with exponential backoff.
 
--- a/fuchsiacart/host_tasks.py
+++ b/fuchsiacart/host_tasks.py
@@ -229,6 +229,17 @@
         """Remove this host from look-up answers with the next renewal."""
         self.host = with_state(self.host, HostState.LEAVING)
 
+    def set_isolated(self, is_isolated):
+        """Tell other hosts whether this host reaches no backend server.
+
+        :param is_isolated: True if it reaches none.
+        """
+        if self.host.state is HostState.LEAVING:
+            return
+        state = HostState.ISOLATED if is_isolated else HostState.LIVE
+        self.host = with_state(self.host, state)
+        self.renew_soon()
+
     async def run(self):
         """Renew the lease until cancelled.
 
--- a/fuchsiacart/metrics.py
+++ b/fuchsiacart/metrics.py
@@ -49,6 +49,11 @@
     'Sends to backend servers, by service and result',
     ['service', 'result'],
 )
+GATEWAY_RELAYS = Counter(
+    'fuchsiacart_gateway_relays_total',
+    'Requests relayed to other gateways, by result',
+    ['result'],
+)
 LOOKUPS = Counter('fuchsiacart_lookups_total', 'Look-ups answered')
 REVISION = Gauge('fuchsiacart_revision', 'Revision in force at this process')
 LEASE_LEFT = Gauge(
--- a/fuchsiacart/models.py
+++ b/fuchsiacart/models.py
@@ -175,9 +175,13 @@
 
 @unique
 class HostState(Enum):
-    """Whether an entry host is in service."""
+    """Whether an entry host is in service.
+
+    ``ISOLATED``: it reaches no backend server and relays its requests.
+    """
 
     LIVE = 'live'
+    ISOLATED = 'isolated'
     LEAVING = 'leaving'
 
 
--- a/fuchsiacart/platform/headers.py
+++ b/fuchsiacart/platform/headers.py
@@ -37,9 +37,13 @@
 
     def write_metadata(self, headers: HTTPHeaders, server_name, left_ms):
         """See :meth:`Dialect.write_metadata`."""
-        headers[DEADLINE_MS] = str(max(1, int(left_ms)))
+        self.write_deadline(headers, left_ms)
         headers[EXPECTED_INSTANCE] = server_name
 
+    def write_deadline(self, headers: HTTPHeaders, left_ms):
+        """See :meth:`Dialect.write_deadline`."""
+        headers[DEADLINE_MS] = str(max(1, int(left_ms)))
+
     def read_request_id(self, headers):
         """See :meth:`Dialect.read_request_id`."""
         return headers.get(ATTEMPT_ID, '')
