--- a/features/directory.feature
+++ b/features/directory.feature
@@ -29,3 +29,28 @@
     Given a failure domain with 5 gateways
     When a caller of another region looks up gateways
     Then it is told all gateways
+
+  Scenario: gateways that reach no backend server are not named beside others
+    Given a failure domain with 5 gateways
+    When 2 gateways of it reach no backend server
+    And a caller of it looks up gateways
+    Then it is told the 3 other gateways of its failure domain
+
+  Scenario: a failure domain whose gateways reach no server is not named
+    Given a failure domain with 5 gateways
+    When 5 gateways of it reach no backend server
+    And a caller of it looks up gateways
+    Then it is told the gateways of its region that reach servers
+
+  Scenario: callers are not sent away from a region whose gateways all relay
+    Given a failure domain with 5 gateways
+    And a distant region with gateways
+    When all gateways of the region reach no backend server
+    And a caller of it looks up gateways
+    Then it is told the gateways of its region
+
+  Scenario: a gateway that leaves is not named
+    Given a failure domain with 5 gateways
+    When 2 gateways of it leave
+    And a caller of it looks up gateways
+    Then it is told the 3 other gateways of its failure domain
--- a/features/steps/directory_steps.py
+++ b/features/steps/directory_steps.py
@@ -5,9 +5,12 @@
 from behave import given
 from behave import then
 from behave import when
+from msgspec.structs import replace
 
 from fuchsiacart.control.directory import find_gateways
 from fuchsiacart.models import Host
+from fuchsiacart.models import HostState
+from fuchsiacart.views import with_state
 
 REGION = 'cymru'
 DOMAIN = 'cymru-a'
@@ -69,6 +72,59 @@
     ]
 
 
+@given('a distant region with gateways')
+def given_distant(context):
+    hosts = make_hosts('lloegr-a', NEIGHBOURS)
+    context.distant = [replace(host, region='lloegr') for host in hosts]
+
+
+@when('{count:d} gateways of it reach no backend server')
+def when_isolated(context, count):
+    set_state(context, context.near[:count], HostState.ISOLATED)
+
+
+@when('all gateways of the region reach no backend server')
+def when_all_isolated(context):
+    set_state(context, context.hosts, HostState.ISOLATED)
+    context.hosts = context.hosts + context.distant
+
+
+@when('{count:d} gateways of it leave')
+def when_some_leave(context, count):
+    set_state(context, context.near[:count], HostState.LEAVING)
+
+
+def set_state(context, changed, state):
+    """Put some of the hosts into a state."""
+    context.changed = {host.http_address for host in changed}
+    context.hosts_told = [
+        host
+        for host in context.hosts
+        if host.http_address not in context.changed
+    ]
+    context.hosts = [
+        (
+            with_state(host, state)
+            if host.http_address in context.changed
+            else host
+        )
+        for host in context.hosts
+    ]
+
+
+@then('it is told the {count:d} other gateways of its failure domain')
+def then_told_others(context, count):
+    near = {host.http_address for host in context.near}
+    assert set(context.answer) == near - context.changed
+    assert len(context.answer) == count
+
+
+@then('it is told the gateways of its region that reach servers')
+def then_told_reaching(context):
+    addresses = {host.http_address for host in context.hosts_told}
+    assert set(context.answer) == addresses
+
+
 @then('each of them is told {count:d} gateways of its failure domain')
 def then_told(context, count):
     near = {host.http_address for host in context.near}
@@ -107,6 +163,11 @@
 
 
 @then('it is told the gateways of its region')
+def then_all_of_region(context):
+    hosts = [host for host in context.hosts if host.region == REGION]
+    assert set(context.answer) == {host.http_address for host in hosts}
+
+
 @then('it is told all gateways')
 def then_all(context):
     assert set(context.answer) == {host.http_address for host in context.hosts}
--- /dev/null
+++ b/features/steps/reachability_steps.py
@@ -0,0 +1,105 @@
+"""Steps for whether a gateway reaches backend servers, without a network."""
+
+from behave import given
+from behave import then
+from behave import when
+
+from fuchsiacart.gateway.placements import ServerSelector
+from fuchsiacart.gateway.reachability import Reach
+from fuchsiacart.gateway.reachability import ServerReachability
+from fuchsiacart.gateway.tracked_servers import TrackedServer
+from fuchsiacart.servers import ServerRecord
+
+NOW_MS = 1000.0
+
+
+@given('a gateway that sees {count:d} servers')
+def given_gateway(context, count):
+    context.reachability = ServerReachability()
+    context.reachability.apply_view(count)
+    context.told = []
+
+
+@when('server {index:d} takes no connection {times:d} times in a row')
+def when_one_fails(context, index, times):
+    for _ in range(times):
+        context.reachability.record_unconnected(f'server-{index}')
+
+
+@when('{count:d} servers in a row take no connection')
+def when_unconnected(context, count):
+    for index in range(count):
+        context.reachability.record_unconnected(f'server-{index}')
+
+
+@when('{count:d} servers in a row give no answer')
+def when_silent(context, count):
+    for index in range(count):
+        context.reachability.record_silent(f'server-{index}')
+
+
+@when('a server answers')
+def when_answered(context):
+    context.reachability.record_response()
+
+
+@when('a probe finds a server')
+def when_found(context):
+    context.told.append(context.reachability.record_probe(True))
+
+
+@when('a probe finds no server')
+def when_not_found(context):
+    context.told.append(context.reachability.record_probe(False))
+
+
+@then('the gateway takes the servers for reached')
+def then_reached(context):
+    assert context.reachability.reach is Reach.REACHED
+
+
+@then('the gateway suspects that it is cut off')
+def then_suspected(context):
+    assert context.reachability.reach is Reach.SUSPECTED
+
+
+@then('nobody is told')
+def then_not_told(context):
+    assert not context.told[-1]
+
+
+@then('others are told')
+def then_told(context):
+    assert context.told[-1]
+
+
+@then('the gateway is isolated, and others are told')
+def then_isolated(context):
+    assert context.reachability.is_isolated and context.told[-1]
+
+
+@then('the gateway is still isolated')
+def then_still_isolated(context):
+    assert context.reachability.is_isolated
+
+
+@given('a gateway that has suspended a server for failures')
+def given_suspended(context):
+    record = ServerRecord('server', 1, 1, 'stock', 'server', 'cymru-a', 4)
+    context.server = TrackedServer(record, 'cymru')
+    context.selector = ServerSelector('cymru', {'cymru-a': 'cymru'})
+    context.selector.servers['server'] = context.server
+    for _ in range(3):
+        context.server.record_failure(NOW_MS)
+    assert context.server.suspended_until_ms > NOW_MS
+
+
+@when('the gateway reaches servers again')
+def when_reached_again(context):
+    context.selector.end_suspensions()
+
+
+@then('it may use the server at once')
+def then_usable(context):
+    assert context.server.suspended_until_ms <= NOW_MS
+    assert not context.server.failures
--- a/tools/seeded_faults/gateway.py
+++ b/tools/seeded_faults/gateway.py
@@ -139,4 +139,52 @@
         'if not self.version:',
         'gateway_starts',
     ),
+    Fault(
+        'a gateway that reaches no server goes on by itself',
+        'gateway/forwarding.py',
+        'if self.reachability.is_isolated:\n'
+        '                response = await',
+        'if False:\n                response = await',
+        'isolation',
+    ),
+    Fault(
+        'answers on open connections hide that no new one can be opened',
+        'gateway/reachability.py',
+        """        self._silent.clear()
+
+    def record_unconnected""",
+        """        self._silent.clear()
+        self._unconnected.clear()
+
+    def record_unconnected""",
+        'reachability',
+    ),
+    Fault(
+        'a gateway believes that it is isolated without a probe',
+        'gateway/reachability.py',
+        'self.reach = Reach.SUSPECTED',
+        'self.reach = Reach.ISOLATED',
+        'reachability',
+    ),
+    Fault(
+        'requests are relayed to gateways that are isolated too',
+        'gateway/gateway_selectors.py',
+        'for host in others if is_live(host)',
+        'for host in others',
+        'relays',
+    ),
+    Fault(
+        'any caller may name another one as its own caller',
+        'gateway/relays.py',
+        'request.is_relayed and self.selector.is_gateway(request.caller)',
+        'request.is_relayed',
+        'relays',
+    ),
+    Fault(
+        'look-ups name gateways that reach no server',
+        'control/directory.py',
+        'live = [host for host in hosts if is_live(host)]',
+        'live = list(hosts)',
+        'directory',
+    ),
 )
