Refuse odd heartbeats, departures and configurations at the boundary

Another writer may leave an entry with a list 100,000 deep, a number beyond 64 bits or a port out of range. Callers got a 500 in place of a 400 for deep nesting, also in fields that nobody reads (RecursionError), and for versions of 5,000 digits (ValueError). Integers beyond 64 bits were taken and could then not be encoded by the replica; ports 0 and above 65535, addresses that no host has, names that no header can carry, and items of an unknown type were taken too. An item of an unknown type could be encoded but not decoded again, on any replica. A server's load header of 30 or 400 digits was taken.

Bounds of numbers, names and addresses are now in one place, bounds.py, and the readers of the platform use them.

--- /dev/null
+++ b/features/odd_entries.feature
@@ -0,0 +1,100 @@
+Feature: odd entries of other writers end no process
+
+  Scenario Outline: an odd heartbeat is refused and names no server
+    Given a heartbeat as an instance sends it
+    When another writer sets its <field> to <oddity>
+    Then the entry is refused as malformed
+
+    Examples:
+      | field       | oddity                     |
+      | colour      | a list 100000 deep         |
+      | slots       | a list 100000 deep         |
+      | slots       | a number of 20 digits      |
+      | slots       | a number of 5000 digits    |
+      | slots       | 9223372036854775808        |
+      | slots       | 65536                      |
+      | seq         | 9223372036854775808        |
+      | seq         | a number of 30 digits      |
+      | born        | a number of 30 digits      |
+      | cold_left_s | 1e308                      |
+      | cold_left_s | a number of 400 digits     |
+      | address     | "10.0.0.1:0"               |
+      | address     | "10.0.0.1:65536"           |
+      | address     | "10.0.0.999:80"            |
+      | address     | "0.0.0.0:80"               |
+      | address     | "10.0.0.1:80\n"            |
+      | service     | a text of 100000 letters   |
+      | zone        | a text of 100000 letters   |
+
+  Scenario Outline: a heartbeat under a name that no header can carry is refused
+    Given a heartbeat as an instance sends it
+    When another writer sends it under <name>
+    Then the entry is refused as malformed
+
+    Examples:
+      | name                     |
+      | "a\r\nb"                 |
+      | "a b"                    |
+      | "\u4e2d"                 |
+      | a text of 100000 letters |
+
+  Scenario Outline: an odd departure is refused
+    Given a departure as an instance sends it
+    When another writer sets its <field> to <oddity>
+    Then the entry is refused as malformed
+
+    Examples:
+      | field  | oddity                  |
+      | colour | a list 100000 deep      |
+      | born   | a list 100000 deep      |
+      | born   | a number of 30 digits   |
+      | born   | a number of 5000 digits |
+
+  Scenario Outline: an odd configuration is refused before it reaches the log
+    Given a configuration as an operator puts it
+    When another writer sets its <field> to <oddity>
+    Then the entry is refused as malformed
+
+    Examples:
+      | field                            | oddity                   |
+      | colour                           | a list 100000 deep       |
+      | version                          | a text of 5000 digits    |
+      | version                          | a text of 30 digits      |
+      | base_version                     | a number of 30 digits    |
+      | base_version                     | a text of 5000 digits    |
+      | resources.0.colour               | a list 100000 deep       |
+      | resources.0.type                 | "colours"                |
+      | resources.0.metadata             | a list 100000 deep       |
+      | resources.0.spec.colour          | a list 100000 deep       |
+      | resources.0.spec.priority        | a number of 30 digits    |
+      | resources.0.spec.priority        | a number of 5000 digits  |
+      | resources.0.spec.max_attempts    | 9223372036854775808      |
+      | resources.0.spec.timeout_s       | 1e308                    |
+      | resources.0.spec.split.0.weight  | 1e308                    |
+      | resources.1.spec.max_conns       | a number of 30 digits    |
+      | resources.1.spec.cold_start_s    | 1e308                    |
+      | resources.3.spec.idle_timeout_s  | 1e308                    |
+      | resources.3.spec.max_body_bytes  | a number of 30 digits    |
+
+  Scenario Outline: the largest proper numbers can be stored
+    Given a heartbeat as an instance sends it
+    When another writer sets its <field> to <value>
+    Then it is stored as a command and read again
+
+    Examples:
+      | field       | value               |
+      | slots       | 65535               |
+      | seq         | 9223372036854775807 |
+      | born        | 9223372036854775807 |
+      | cold_left_s | 9007199254740992    |
+      | address     | "10.0.0.1:65535"    |
+
+  Scenario Outline: an odd load in a server's answer is read as none
+    When a server answers 200 with a load of <oddity>
+    Then its answer is read as no load
+
+    Examples:
+      | oddity                           |
+      | a number of 400 digits running   |
+      | a number of 30 digits running    |
+      | 65536 running                    |
--- a/fuchsiacart/platform/documents.py
+++ b/fuchsiacart/platform/documents.py
@@ -1,18 +1,21 @@
 """JSON documents in which operators send and read configurations."""
 
 from hashlib import sha256
-from typing import Annotated
 from typing import Literal
 
 from msgspec import convert
 from msgspec import field
 from msgspec.json import decode
 from msgspec.json import encode
-from msgspec import Meta
 from msgspec import MsgspecError
 from msgspec import Raw
 from msgspec import Struct
 
+from fuchsiacart.bounds import Amount
+from fuchsiacart.bounds import Count
+from fuchsiacart.bounds import Integer
+from fuchsiacart.bounds import MAX_NAME_LENGTH
+from fuchsiacart.bounds import parse_count
 from fuchsiacart.clocks import MILLISECONDS
 from fuchsiacart.configurations import CallerLimits
 from fuchsiacart.configurations import ConfigurationOrder
@@ -26,8 +29,7 @@
 from fuchsiacart.exceptions import ErrorKind
 
 VERSION_PREFIX = 'r'
-Seconds = Annotated[float, Meta(ge=0)]
-Count = Annotated[int, Meta(ge=0)]
+Seconds = Amount
 
 
 class Metadata(Struct):
@@ -48,7 +50,7 @@
     """A service and its weight in a route with several services."""
 
     service: str
-    weight: Annotated[float, Meta(ge=0)]
+    weight: Amount
 
 
 class RouteSpec(Struct):
@@ -63,7 +65,7 @@
     timeout_s: Seconds
     slo_s: Seconds
     max_attempts: Count
-    priority: int = 0
+    priority: Integer = 0
     service: str = ''
     split: list[Split] = field(default_factory=list)
     sticky: bool = False
@@ -80,7 +82,7 @@
     health_path: str = '/'
     max_conns: Count = 0
     cold_start_s: Seconds = 0.0
-    cold_per_s: Seconds = 0.0
+    cold_per_s: Amount = 0.0
 
 
 class LimitsSpec(Struct):
@@ -171,7 +173,7 @@
 def _decode(body, kind):
     try:
         return decode(body, type=kind)
-    except (MsgspecError, UnicodeDecodeError) as error:
+    except (MsgspecError, RecursionError, UnicodeDecodeError) as error:
         raise ChangeError(str(error), ErrorKind.BAD_REQUEST) from error
 
 
@@ -181,16 +183,19 @@
 
 def _read_version(text):
     digits = str(text).removeprefix(VERSION_PREFIX)
-    if not (digits.isascii() and digits.isdigit()):
-        raise ChangeError(f'version {text!r}', ErrorKind.BAD_REQUEST)
-    return int(digits)
+    try:
+        return parse_count(digits)
+    except ValueError as error:
+        raise ChangeError(
+            f'version: {error}', ErrorKind.BAD_REQUEST
+        ) from error
 
 
 def _read_item(raw):
     resource = _decode(raw, Resource)
     try:
         value = _read_value(resource)
-    except MsgspecError as error:
+    except (MsgspecError, RecursionError) as error:
         raise ChangeError(
             f'{resource.type} {resource.metadata.name}: {error}',
             ErrorKind.BAD_REQUEST,
@@ -208,7 +213,9 @@
         return _read_service(name, convert(spec, ServiceSpec))
     if resource.type == 'limits':
         return _read_limits(convert(spec, LimitsSpec))
-    return None
+    raise ChangeError(
+        f'type {resource.type[:MAX_NAME_LENGTH]!r}', ErrorKind.BAD_REQUEST
+    )
 
 
 def _read_route(name, spec):
--- a/fuchsiacart/platform/headers.py
+++ b/fuchsiacart/platform/headers.py
@@ -3,6 +3,7 @@
 from tornado.httputil import HTTPHeaders
 from tornado.httputil import parse_cookie
 
+from fuchsiacart.bounds import MAX_SLOTS
 from fuchsiacart.gateway.dialects import Dialect
 from fuchsiacart.gateway.dialects import ReportedLoad
 from fuchsiacart.gateway.dialects import RequestMetadata
@@ -78,7 +79,8 @@
         running, waiting, slots = (int(count) for count in counts)
     except ValueError:
         return None
-    if min(running, waiting, slots) < 0:
+    figures_used = (running, waiting, slots)
+    if min(figures_used) < 0 or max(figures_used) > MAX_SLOTS:
         return None
     percent = _read_number(''.join(figures[LOAD_COUNTS : LOAD_COUNTS + 1]))
     slowdown = percent / USUAL_PERCENT if percent else 1.0
--- a/fuchsiacart/platform/heartbeats.py
+++ b/fuchsiacart/platform/heartbeats.py
@@ -1,13 +1,18 @@
 """JSON documents of heartbeats and departures of instances."""
 
-from typing import Annotated
 from typing import Literal
 
 from msgspec.json import decode
-from msgspec import Meta
 from msgspec import MsgspecError
 from msgspec import Struct
 
+from fuchsiacart.bounds import Amount
+from fuchsiacart.bounds import Count
+from fuchsiacart.bounds import is_header_name
+from fuchsiacart.bounds import MAX_NAME_LENGTH
+from fuchsiacart.bounds import Name
+from fuchsiacart.bounds import Slots
+from fuchsiacart.bounds import split_address
 from fuchsiacart.clocks import MILLISECONDS
 from fuchsiacart.exceptions import ChangeError
 from fuchsiacart.exceptions import ErrorKind
@@ -18,7 +23,6 @@
 from fuchsiacart.servers import ServerRecord
 from fuchsiacart.servers import ServerState
 
-ADDRESS = r'^[0-9]{1,3}(\.[0-9]{1,3}){3}:[0-9]{1,5}$'
 STATES = {'ready': ServerState.READY, 'draining': ServerState.DRAINING}
 
 
@@ -30,20 +34,20 @@
     remaining time in which the instance is slow after its start.
     """
 
-    service: Annotated[str, Meta(min_length=1)]
-    address: Annotated[str, Meta(pattern=ADDRESS)]
-    zone: Annotated[str, Meta(min_length=1)]
-    slots: Annotated[int, Meta(gt=0)]
+    service: Name
+    address: str
+    zone: Name
+    slots: Slots
     state: Literal['ready', 'draining']
-    seq: Annotated[int, Meta(ge=0)]
-    cold_left_s: Annotated[float, Meta(ge=0)] = 0.0
-    born: Annotated[int, Meta(ge=0)] = 0
+    seq: Count
+    cold_left_s: Amount = 0.0
+    born: Count = 0
 
 
 class Departure(Struct):
     """Optional body of the call by which an instance leaves."""
 
-    born: Annotated[int, Meta(ge=0)] = 0
+    born: Count = 0
 
 
 def read_heartbeat(name, body):
@@ -52,15 +56,19 @@
     :param name: id of the instance, from the path of the call.
     :param body: body of the call as bytes.
     :return: the :class:`ServerRecord`.
-    :raises ChangeError: if the body is malformed.
+    :raises ChangeError: if the name or the body is malformed.
     """
+    if not is_header_name(name):
+        raise ChangeError(
+            f'name {name[:MAX_NAME_LENGTH]!r}', ErrorKind.BAD_REQUEST
+        )
     heartbeat = _decode(body, Heartbeat)
     return ServerRecord(
         BackendServerId(name),
         heartbeat.born,
         heartbeat.seq,
         ServiceId(heartbeat.service),
-        Address(heartbeat.address),
+        _read_address(heartbeat.address),
         FailureDomainId(heartbeat.zone),
         heartbeat.slots,
         STATES[heartbeat.state],
@@ -80,8 +88,16 @@
     return _decode(body, Departure).born
 
 
+def _read_address(text):
+    try:
+        ip, port = split_address(text)
+    except ValueError as error:
+        raise ChangeError(str(error), ErrorKind.BAD_REQUEST) from error
+    return Address(f'{ip}:{port}')
+
+
 def _decode(body, kind):
     try:
         return decode(body, type=kind)
-    except (MsgspecError, UnicodeDecodeError) as error:
+    except (MsgspecError, RecursionError, UnicodeDecodeError) as error:
         raise ChangeError(str(error), ErrorKind.BAD_REQUEST) from error
--- a/tools/seeded_faults/common.py
+++ b/tools/seeded_faults/common.py
@@ -1,5 +1,6 @@
 """Faults of modules that several roles use."""
 
+from tools.seeded_faults.faults import Edit
 from tools.seeded_faults.faults import Fault
 
 COMMON_FAULTS = (
@@ -101,4 +102,32 @@
         'PULL_TIMEOUT_S',
         'gateway_starts',
     ),
+    Fault(
+        'integers beyond 64 bits are taken',
+        'bounds.py',
+        'MAX_INTEGER = 2**63 - 1',
+        'MAX_INTEGER = 2**63 - 1\nCount = int',
+        'odd_entries',
+        more=(
+            Edit(
+                'bounds.py',
+                'Count = Annotated[int, Meta(ge=0, le=MAX_INTEGER)]\n',
+                '',
+            ),
+        ),
+    ),
+    Fault(
+        'a nested heartbeat ends its call with an error of its own',
+        'platform/heartbeats.py',
+        '(MsgspecError, RecursionError, UnicodeDecodeError)',
+        '(MsgspecError, UnicodeDecodeError)',
+        'odd_entries',
+    ),
+    Fault(
+        'any port is taken',
+        'bounds.py',
+        'or not 0 < port <= MAX_PORT',
+        'or False',
+        'odd_entries',
+    ),
 )
