Refuse a command that no log can hold before it enters the batch

A replica encoded commands inside its event loop: one that could not be encoded ended the task for the whole batch, so the orders beside it got no answer, and more than ten within half a minute passed the supervisor's limit, which ends the process. One that could be encoded but not decoded ended the task at each replica that applied it. A message that could not be encoded left a control host or a gateway with an error that its callers do not handle.

A command is now encoded, and decoded once, before its event is made; it is refused as a bad request, not run. A message is refused in the same way.

--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -98,3 +98,15 @@
       | a number of 400 digits running   |
       | a number of 30 digits running    |
       | 65536 running                    |
+
+  Scenario: an order that no log can hold is refused alone
+    Given 3 control hosts on a network that can be cut
+    And a leader has been elected
+    When 40 orders that no log can hold arrive among 5 changes
+    Then the 40 are refused as malformed and the 5 are accepted
+    And the leader has gone on all the time
+
+  Scenario: a message that cannot be encoded is refused before it is sent
+    Given a process that answers behind a proxy
+    When a command that cannot be encoded is sent to it
+    Then the call is refused as malformed and not run
--- a/fuchsiacart/adapters.py
+++ b/fuchsiacart/adapters.py
@@ -119,11 +119,12 @@
 
     async def call(self, address, method, message, timeout_s):
         """See :meth:`PeerAdapter.call`."""
+        body = _encode_message(message)
         channel = self._get_channel(address)
         stub_method = getattr(channel.stub, method.value)
         try:
             packet = await stub_method(
-                Packet(body=encode(message)),
+                Packet(body=body),
                 timeout=timeout_s,
                 metadata=self._metadata,
             )
@@ -168,6 +169,16 @@
         await channel.close()
 
 
+def _encode_message(message):
+    try:
+        return encode(message)
+    except (OverflowError, RecursionError, TypeError) as error:
+        raise FuchsiacartError(
+            f'{type(message).__name__} cannot be sent: {error}',
+            ErrorKind.BAD_REQUEST,
+        ) from error
+
+
 def _is_refused_connection(error):
     if error.code() is not StatusCode.UNAVAILABLE:
         return False
--- a/fuchsiacart/control/commands.py
+++ b/fuchsiacart/control/commands.py
@@ -5,10 +5,14 @@
 """
 
 from msgspec.msgpack import Decoder
+from msgspec.msgpack import encode
+from msgspec import MsgspecError
 from msgspec import Struct
 
 from fuchsiacart.configurations import ConfigurationOrder
 from fuchsiacart.control.region_shares import RegionShare
+from fuchsiacart.exceptions import ChangeError
+from fuchsiacart.exceptions import ErrorKind
 from fuchsiacart.models import BackendServerId
 from fuchsiacart.models import ChangeId
 from fuchsiacart.models import Contract
@@ -180,3 +184,21 @@
 )
 
 COMMANDS = Decoder(Command)
+
+
+def encode_command(command):
+    """Return a command as each replica will decode it.
+
+    :param command: the command.
+    :return: the command as bytes.
+    :raises ChangeError: if it cannot be encoded, or not be decoded again.
+    """
+    try:
+        body = encode(command)
+        COMMANDS.decode(body)
+    except (MsgspecError, OverflowError, RecursionError, TypeError) as error:
+        raise ChangeError(
+            f'{type(command).__name__} cannot be stored: {error}',
+            ErrorKind.BAD_REQUEST,
+        ) from error
+    return body
--- a/fuchsiacart/control/replica_events.py
+++ b/fuchsiacart/control/replica_events.py
@@ -4,7 +4,6 @@
 
 from msgspec import Struct
 
-from fuchsiacart.control.commands import Command
 from fuchsiacart.control.replica_messages import Message
 from fuchsiacart.control.replica_messages import RESPONSES
 from fuchsiacart.control.replica_states import Group
@@ -25,12 +24,12 @@
 
 
 class Proposal(Struct, frozen=True):
-    """A command to commit.
+    """A command to commit, as :func:`encode_command` returns it.
 
     ``future`` is resolved with its :class:`Outcome`.
     """
 
-    command: Command
+    body: bytes
     future: Future
 
 
--- a/fuchsiacart/control/replicas.py
+++ b/fuchsiacart/control/replicas.py
@@ -8,7 +8,6 @@
 from asyncio import wait_for
 from time import monotonic
 
-from msgspec.msgpack import encode
 from msgspec.structs import replace
 
 from fuchsiacart.clocks import steady_ms
@@ -17,6 +16,7 @@
 from fuchsiacart.control.addresses import host_of
 from fuchsiacart.control.addresses import make_address_book
 from fuchsiacart.control.commands import COMMANDS
+from fuchsiacart.control.commands import encode_command
 from fuchsiacart.control.election_rules import Step
 from fuchsiacart.control.journals import Journal
 from fuchsiacart.control.leadership_barriers import LeadershipBarriers
@@ -154,11 +154,12 @@
         :param command: the command.
         :param timeout_s: seconds to wait.
         :return: its :class:`Outcome`.
-        :raises ChangeError: if this replica does not lead (not run) or no
-            quorum answers in time (unknown).
+        :raises ChangeError: if the command cannot be stored or this replica
+            does not lead (not run), or no quorum answers in time (unknown).
         """
         future = get_running_loop().create_future()
-        return await self._submit(Proposal(command, future), future, timeout_s)
+        proposal = Proposal(encode_command(command), future)
+        return await self._submit(proposal, future, timeout_s)
 
     async def change_group(self, group, timeout_s=10.0):
         """Commit a membership change as the leader.
@@ -308,7 +309,7 @@
             for proposal in proposals:
                 set_error(proposal.future, 'this control host does not lead')
             return Step(state)
-        bodies = [encode(proposal.command) for proposal in proposals]
+        bodies = [proposal.body for proposal in proposals]
         step = self._steps.rules.propose(state, bodies)
         index = state.last_index
         for proposal in proposals:
--- a/tools/seeded_faults/control.py
+++ b/tools/seeded_faults/control.py
@@ -257,4 +257,25 @@
         'rendezvous_order(str(id(near)), near)',
         'directory',
     ),
+    Fault(
+        'a command that can not be decoded again enters the log',
+        'control/commands.py',
+        '        COMMANDS.decode(body)\n',
+        '',
+        'odd_entries',
+    ),
+    Fault(
+        'a command is encoded within its batch',
+        'control/replicas.py',
+        'Proposal(encode_command(command), future)',
+        'Proposal(command, future)',
+        'odd_entries',
+        more=(
+            Edit(
+                'control/replicas.py',
+                '[proposal.body for proposal in proposals]',
+                '[encode_command(each.body) for each in proposals]',
+            ),
+        ),
+    ),
 )
