Read a server's idle time of any length without losing its answer

Callers got a 500, or no answer at all, in place of a server's whole answer whose Keep-Alive header stated a time of 5,000 or 400 digits: the number could not be read (ValueError), or not be compared with a float (OverflowError). Nine digits are read now.

Before: both examples of the scenario ended with these errors; after: the request has its own answer.

--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -110,3 +110,13 @@
     Given a process that answers behind a proxy
     When a command that cannot be encoded is sent to it
     Then the call is refused as malformed and not run
+
+  Scenario Outline: an odd time to keep a connection spoils no answer
+    Given a server that keeps its connections for a time of <digits> digits
+    When a request is sent
+    Then it has its own answer
+
+    Examples:
+      | digits |
+      | 400    |
+      | 5000   |
--- a/features/steps/exchange_steps.py
+++ b/features/steps/exchange_steps.py
@@ -234,6 +234,18 @@
     await send_endless(writer, b'', b'HTTP/1.1 103 Early Hints\r\n\r\n' * 100)
 
 
+def keep_alive_of(digits):
+    """Return a fault that states an idle time of so many digits."""
+
+    async def answer_and_keep(server, writer, request_id):
+        """Send a whole answer with the idle time."""
+        line = f'\r\nKeep-Alive: timeout={"9" * digits}\r\n'.encode()
+        whole = answer(request_id, f'for {request_id}')
+        writer.write(whole.replace(b'\r\n', line, 1))
+
+    return answer_and_keep
+
+
 async def never_answer(server, writer, request_id):
     """Send nothing."""
 
@@ -260,6 +272,8 @@
     'sends chunks without end': send_endless_chunks,
     'sends a head without end': send_endless_head,
     'sends interim responses without end': send_endless_interim,
+    'keeps its connections for a time of 400 digits': keep_alive_of(400),
+    'keeps its connections for a time of 5000 digits': keep_alive_of(5000),
 }
 
 
--- a/fuchsiacart/gateway/exchanges.py
+++ b/fuchsiacart/gateway/exchanges.py
@@ -50,7 +50,8 @@
 # Limit of the responses read for one request; those that belong to other
 # requests are skipped.
 MAX_RESPONSES_READ = 3
-KEEP_ALIVE_TIMEOUT = compile_pattern(r'timeout=(\d+)')
+# Nine digits are far more than ``IDLE_LIMIT_S``.
+KEEP_ALIVE_TIMEOUT = compile_pattern(r'timeout=([0-9]{1,9})')
 CONNECTION_PARAMETERS = HTTP1ConnectionParameters(
     max_header_size=HEADER_LIMIT_BYTES,
     max_body_size=BODY_BUDGET_BYTES,
--- a/tools/seeded_faults/gateway.py
+++ b/tools/seeded_faults/gateway.py
@@ -125,4 +125,11 @@
         'if not self.version:\n            0 and await',
         'gateway_starts',
     ),
+    Fault(
+        'a time to keep a connection has any number of digits',
+        'gateway/exchanges.py',
+        "r'timeout=([0-9]{1,9})'",
+        "r'timeout=([0-9]+)'",
+        'odd_entries',
+    ),
 )
