Take an address that no host has for a server that is not reached

Callers got no answer where the view named a server at a port above 65535: the connect raised OverflowError, which no caller of it handles. A host name in place of an IP address was looked up inside the event loop. Both now count as a server that cannot be reached, and the request goes to the next one.

Before: the example with port 65536 ended with OverflowError, the other three passed; after: all four are answered 200 by the other server.

--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -111,6 +111,19 @@
     When a command that cannot be encoded is sent to it
     Then the call is refused as malformed and not run
 
+  Scenario Outline: an odd address in the view costs no request
+    Given a gateway with 2 servers, of which the first answers
+    When the view names <address> as the address of the first
+    And an idempotent request is served
+    Then the caller gets 200 after 1 attempts
+
+    Examples:
+      | address         |
+      | 127.0.0.1:0     |
+      | 127.0.0.1:65536 |
+      | nowhere:80      |
+      | 127.0.0.1:x     |
+
   Scenario Outline: an odd time to keep a connection spoils no answer
     Given a server that keeps its connections for a time of <digits> digits
     When a request is sent
--- a/fuchsiacart/gateway/exchanges.py
+++ b/fuchsiacart/gateway/exchanges.py
@@ -29,6 +29,7 @@
 from tornado.iostream import IOStream
 from tornado.iostream import StreamClosedError
 
+from fuchsiacart.bounds import split_address
 from fuchsiacart.clocks import MILLISECONDS
 from fuchsiacart.failure_kinds import FailureKind
 from fuchsiacart.gateway.body_budgets import BODY_BUDGET_BYTES
@@ -213,12 +214,12 @@
         :param timeout_s: seconds to wait.
         :raises OSError: if the server cannot be reached.
         :raises TimeoutError: if the connection is not open in time.
-        :raises ValueError: if the port is not a number.
+        :raises ValueError: if no host can be reached at the address.
         """
-        host, _, port = address.rpartition(':')
+        peer = split_address(address)
         started_s = monotonic()
         try:
-            await wait_for(self._stream.connect((host, int(port))), timeout_s)
+            await wait_for(self._stream.connect(peer), timeout_s)
         except StreamClosedError as error:
             raise OSError(repr(error.real_error)) from error
         self._round_trip_s = monotonic() - started_s
--- a/tools/seeded_faults/gateway.py
+++ b/tools/seeded_faults/gateway.py
@@ -132,4 +132,12 @@
         "r'timeout=([0-9]+)'",
         'odd_entries',
     ),
+    Fault(
+        'a connection is tried at any address',
+        'gateway/exchanges.py',
+        'peer = split_address(address)',
+        "host, _, port = address.rpartition(':')\n"
+        '        peer = host, int(port)',
+        'odd_entries',
+    ),
 )
