End an exchange at once whose request cannot be written

A request to a server whose name no header can carry was held until its deadline: the write failed in a task of its own, and the exchange waited for the response. It now closes the connection and logs the error.

--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -124,6 +124,11 @@
       | nowhere:80      |
       | 127.0.0.1:x     |
 
+  Scenario: a server whose name no header can carry costs no time
+    Given a server that answers each request
+    When a request is sent whose headers cannot be written
+    Then it fails within 200 ms
+
   Scenario Outline: an odd time to keep a connection spoils no answer
     Given a server that keeps its connections for a time of <digits> digits
     When a request is sent
--- a/fuchsiacart/gateway/exchanges.py
+++ b/fuchsiacart/gateway/exchanges.py
@@ -34,6 +34,7 @@
 from fuchsiacart.failure_kinds import FailureKind
 from fuchsiacart.gateway.body_budgets import BODY_BUDGET_BYTES
 from fuchsiacart.gateway.response_checks import is_own_response
+from fuchsiacart.logs import log_error
 from fuchsiacart.logs import log_event
 
 HEADER_LIMIT_BYTES = 65_536
@@ -246,7 +247,9 @@
         connection = HTTP1Connection(self._stream, True, CONNECTION_PARAMETERS)
         left_s = deadline_s - monotonic() - self._round_trip_s
         headers = request.make_headers(max(0.0, left_s) * MILLISECONDS)
-        sending = create_task(_write_request(connection, request, headers))
+        sending = create_task(
+            self._write_request(connection, request, headers)
+        )
         try:
             reader = await self._read_response(connection, request)
         except (StreamClosedError, HTTPInputError, ValueError) as error:
@@ -307,21 +310,29 @@
             self._is_reused = True
         return None
 
+    async def _write_request(self, connection, request, headers):
+        """Write a request to the connection.
 
-async def _write_request(connection, request, headers):
-    """Write a request to the connection.
-
-    Runs concurrently with the read, as a server may respond before it has
-    received the complete request.
-    """
-    try:
-        written = connection.write_headers(
-            request.start_line, headers, request.body
-        )
-        connection.finish()
-        await written
-    except StreamClosedError:
-        return
+        Runs concurrently with the read, as a server may respond before it
+        has received the complete request.
+        """
+        try:
+            written = connection.write_headers(
+                request.start_line, headers, request.body
+            )
+            connection.finish()
+            await written
+        except StreamClosedError:
+            return
+        except ValueError as error:
+            # No byte was written, and no response will come.
+            log_error(
+                'request_not_written',
+                request=request.request_id,
+                server=self.server_name,
+                error=repr(error),
+            )
+            self.close()
 
 
 def _idle_timeout_s(headers):
--- a/tools/seeded_faults/gateway.py
+++ b/tools/seeded_faults/gateway.py
@@ -140,4 +140,11 @@
         '        peer = host, int(port)',
         'odd_entries',
     ),
+    Fault(
+        'a request that cannot be written waits for its deadline',
+        'gateway/exchanges.py',
+        'error=repr(error),\n            )\n            self.close()',
+        'error=repr(error),\n            )',
+        'odd_entries',
+    ),
 )
