--- a/tools/seeded_faults/gateway.py
+++ b/tools/seeded_faults/gateway.py
@@ -147,4 +147,12 @@
         'error=repr(error),\n            )',
         'odd_entries',
     ),
+    Fault(
+        'a cut answer reaches its caller as whole',
+        'gateway/exchanges.py',
+        'finally:\n                self.budget.release(reader)',
+        'except StreamClosedError:\n'
+        '                reader.finished = reader.headers is not None',
+        'cut_answers',
+    ),
 )
