--- a/fuchsiacart/gateway/exchanges.py
+++ b/fuchsiacart/gateway/exchanges.py
@@ -29,10 +29,12 @@
 from tornado.iostream import IOStream
 from tornado.iostream import StreamClosedError
 
+from fuchsiacart.bounds import split_address
 from fuchsiacart.clocks import MILLISECONDS
 from fuchsiacart.failure_kinds import FailureKind
 from fuchsiacart.gateway.body_budgets import BODY_BUDGET_BYTES
 from fuchsiacart.gateway.response_checks import is_own_response
+from fuchsiacart.logs import log_error
 from fuchsiacart.logs import log_event
 
 HEADER_LIMIT_BYTES = 65_536
@@ -50,7 +52,8 @@
 # Limit of the responses read for one request; those that belong to other
 # requests are skipped.
 MAX_RESPONSES_READ = 3
-KEEP_ALIVE_TIMEOUT = compile_pattern(r'timeout=(\d+)')
+# Nine digits are far more than ``IDLE_LIMIT_S``.
+KEEP_ALIVE_TIMEOUT = compile_pattern(r'timeout=([0-9]{1,9})')
 CONNECTION_PARAMETERS = HTTP1ConnectionParameters(
     max_header_size=HEADER_LIMIT_BYTES,
     max_body_size=BODY_BUDGET_BYTES,
@@ -212,12 +215,12 @@
         :param timeout_s: seconds to wait.
         :raises OSError: if the server cannot be reached.
         :raises TimeoutError: if the connection is not open in time.
-        :raises ValueError: if the port is not a number.
+        :raises ValueError: if no host can be reached at the address.
         """
-        host, _, port = address.rpartition(':')
+        peer = split_address(address)
         started_s = monotonic()
         try:
-            await wait_for(self._stream.connect((host, int(port))), timeout_s)
+            await wait_for(self._stream.connect(peer), timeout_s)
         except StreamClosedError as error:
             raise OSError(repr(error.real_error)) from error
         self._round_trip_s = monotonic() - started_s
@@ -244,7 +247,9 @@
         connection = HTTP1Connection(self._stream, True, CONNECTION_PARAMETERS)
         left_s = deadline_s - monotonic() - self._round_trip_s
         headers = request.make_headers(max(0.0, left_s) * MILLISECONDS)
-        sending = create_task(_write_request(connection, request, headers))
+        sending = create_task(
+            self._write_request(connection, request, headers)
+        )
         try:
             reader = await self._read_response(connection, request)
         except (StreamClosedError, HTTPInputError, ValueError) as error:
@@ -305,21 +310,29 @@
             self._is_reused = True
         return None
 
+    async def _write_request(self, connection, request, headers):
+        """Write a request to the connection.
 
-async def _write_request(connection, request, headers):
-    """Write a request to the connection.
-
-    Runs concurrently with the read, as a server may respond before it has
-    received the complete request.
-    """
-    try:
-        written = connection.write_headers(
-            request.start_line, headers, request.body
-        )
-        connection.finish()
-        await written
-    except StreamClosedError:
-        return
+        Runs concurrently with the read, as a server may respond before it
+        has received the complete request.
+        """
+        try:
+            written = connection.write_headers(
+                request.start_line, headers, request.body
+            )
+            connection.finish()
+            await written
+        except StreamClosedError:
+            return
+        except ValueError as error:
+            # No byte was written, and no response will come.
+            log_error(
+                'request_not_written',
+                request=request.request_id,
+                server=self.server_name,
+                error=repr(error),
+            )
+            self.close()
 
 
 def _idle_timeout_s(headers):
--- a/tools/seeded_faults/gateway.py
+++ b/tools/seeded_faults/gateway.py
@@ -187,4 +187,34 @@
         'live = list(hosts)',
         'directory',
     ),
+    Fault(
+        'a time to keep a connection has any number of digits',
+        'gateway/exchanges.py',
+        "r'timeout=([0-9]{1,9})'",
+        "r'timeout=([0-9]+)'",
+        'odd_entries',
+    ),
+    Fault(
+        'a connection is tried at any address',
+        'gateway/exchanges.py',
+        'peer = split_address(address)',
+        "host, _, port = address.rpartition(':')\n"
+        '        peer = host, int(port)',
+        'odd_entries',
+    ),
+    Fault(
+        'a request that cannot be written waits for its deadline',
+        'gateway/exchanges.py',
+        'error=repr(error),\n            )\n            self.close()',
+        'error=repr(error),\n            )',
+        'odd_entries',
+    ),
+    Fault(
+        'a cut answer reaches its caller as whole',
+        'gateway/exchanges.py',
+        'finally:\n                self.budget.release(reader)',
+        'except StreamClosedError:\n'
+        '                reader.finished = reader.headers is not None',
+        'cut_answers',
+    ),
 )
