The soak cuts gateways off from all backend servers

Each run has two more faults on top of its plan: one to three gateways are cut off for 6 to 9 s, first among the other faults, then after those of gateways, so that undisturbed gateways stand beside them. Four further callers use all gateways whatever the directory names, and servers close a tenth of their connections after a response.

The new promise: from 3 s after the cut on, callers at such gateways are served two thirds as often as elsewhere, or fewer than 10 + 1 in 50 of all requests fail there.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -29,9 +29,11 @@
 
     :param soak: the :class:`Soak` run that the caller belongs to.
     :param number: number of the caller, unique within the run.
+    :param fixed_addresses: gateways of a caller that asks no directory; it
+        sends each request over a new connection to any of them.
     """
 
-    def __init__(self, soak, number):
+    def __init__(self, soak, number, fixed_addresses=()):
         self._soak = soak
         self._number = number
         self._sequence = 0
@@ -39,7 +41,8 @@
         self._is_new_connection = False
         self._gateway = ''
         self._addresses_expire_s = 0.0
-        self._addresses = ()
+        self._fixed_addresses = fixed_addresses
+        self._addresses = fixed_addresses
 
     async def run(self):
         """Send requests until the run is finished."""
@@ -90,7 +93,7 @@
         if response.status == 200:
             self._check_body(sent, response)
         self._soak.ledger.record_response(sent, response.status)
-        if not self._connection.is_reusable:
+        if self._fixed_addresses or not self._connection.is_reusable:
             self._close_connection()
 
     def _check_body(self, sent, response):
@@ -150,7 +153,7 @@
 
     async def _refresh_addresses(self):
         now_s = monotonic()
-        if now_s < self._addresses_expire_s:
+        if self._fixed_addresses or now_s < self._addresses_expire_s:
             return
         query = '/api/resolve?name=shop.example&region=north&zone=north-a'
         for process in self._soak.shuffled_control():
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -11,9 +11,11 @@
 from msgspec import Struct
 
 from soak.launch import Conditions
+from soak.ledger import GatewayCut
 from soak.ledger import PlannedStop
 from soak.ledger import RECONNECT_LIMIT_S
 from soak.proxies import LinkState
+from soak.server_cuts import ServerCut
 from soak.servers import ServerMode
 
 FAULT_PHASE_S = 20.0
@@ -31,11 +33,17 @@
 # server divides it among its restarts.
 ADDRESS_REUSE_DELAY_S = 2.0
 FLAP_COUNT = 3
+# Starts and spans of the two cuts of each run.  The second begins when faults
+# of gateways are over, so that the gateways beside it are undisturbed.
+SERVER_CUT_STARTS_S = ((0.0, 8.0), (21.0, 23.0))
+SERVER_CUT_SPAN_RANGE_S = (6.0, 9.0)
+# Other faults during the second cut.
+LATE_FAULTS = 4
 
 
 @unique
 class FaultKind(Enum):
-    """Kinds of faults; each is drawn with the same probability."""
+    """Kinds of faults."""
 
     GATEWAY_KILL = 'gateway_kill'
     GATEWAY_PAUSE = 'gateway_pause'
@@ -58,9 +66,23 @@
     SERVER_CRASH = 'server_crash'
     SERVER_LEAVE = 'server_leave'
     SERVER_FLAP = 'server_flap'
-
-
+    CUT_FROM_SERVERS = 'cut_from_servers'
+
+
+# Each of these is drawn with the same probability.  A change alters the plans
+# of all seeds.
+DRAWN_KINDS = tuple(
+    kind for kind in FaultKind if kind is not FaultKind.CUT_FROM_SERVERS
+)
+# Faults that leave the gateways in contact with the control group.
+LATE_KINDS = tuple(
+    kind
+    for kind in DRAWN_KINDS
+    if not kind.value.startswith('gateway')
+    and kind is not FaultKind.CONTROL_KILL_ALL
+)
 CUT_STATES = (LinkState.SILENT, LinkState.ONE_WAY, LinkState.REFUSING)
+SERVER_CUTS = (ServerCut.SILENT, ServerCut.RESET, ServerCut.REFUSING)
 
 
 class PlannedFault(Struct, frozen=True):
@@ -90,15 +112,48 @@
         at_s += random.expovariate(1 / MEAN_FAULT_INTERVAL_S)
         if at_s >= FAULT_PHASE_S:
             return tuple(plan)
-        plan.append(
-            PlannedFault(
-                round(at_s, 2),
-                random.choice(tuple(FaultKind)),
-                random.randrange(100),
-                random.randrange(100),
-                round(random.uniform(*FAULT_SPAN_RANGE_S), 2),
-            )
+        plan.append(_draw_fault(random, at_s, DRAWN_KINDS, FAULT_SPAN_RANGE_S))
+
+
+def draw_server_cuts(random):
+    """Draw the cuts between gateways and all servers in one run.
+
+    They come on top of those of :func:`draw_plan`, and overlap with them.
+
+    :param random: random number generator of its own, seeded with the run's
+        seed.
+    :return: a tuple of :class:`PlannedFault`.
+    """
+    cuts = [
+        _draw_fault(
+            random,
+            random.uniform(*starts_s),
+            (FaultKind.CUT_FROM_SERVERS,),
+            SERVER_CUT_SPAN_RANGE_S,
         )
+        for starts_s in SERVER_CUT_STARTS_S
+    ]
+    last = cuts[-1]
+    late = [
+        _draw_fault(
+            random,
+            last.at_s + random.uniform(0, last.span_s),
+            LATE_KINDS,
+            FAULT_SPAN_RANGE_S,
+        )
+        for _ in range(LATE_FAULTS)
+    ]
+    return tuple(cuts + late)
+
+
+def _draw_fault(random, at_s, kinds, span_range_s):
+    return PlannedFault(
+        round(at_s, 2),
+        random.choice(kinds),
+        random.randrange(100),
+        random.randrange(100),
+        round(random.uniform(*span_range_s), 2),
+    )
 
 
 class FaultInjector:
@@ -134,6 +189,8 @@
             await self._inject_server_fault(fault)
         elif kind.startswith('gateway'):
             await self._inject_gateway_fault(fault)
+        elif fault.kind is FaultKind.CUT_FROM_SERVERS:
+            await self._cut_from_servers(fault)
         else:
             await self._inject_control_fault(fault)
 
@@ -202,6 +259,24 @@
         else:
             await self._delay(gateway, fault)
 
+    async def _cut_from_servers(self, fault):
+        """Cut gateways off from all servers, whatever else disturbs them."""
+        self.injected.append(fault)
+        gateways = self._soak.gateways
+        # One bit for each gateway; at least one is set.
+        mask = 1 + fault.target % (2 ** len(gateways) - 1)
+        cut_off = [each for at, each in enumerate(gateways) if mask >> at & 1]
+        form = SERVER_CUTS[fault.variant % len(SERVER_CUTS)]
+        start_s = monotonic()
+        for gateway in cut_off:
+            gateway.set_server_cut(form)
+        await sleep(fault.span_s)
+        addresses = frozenset(each.address('caller') for each in cut_off)
+        cut = GatewayCut(addresses, start_s, monotonic())
+        self._soak.ledger.cuts.append(cut)
+        for gateway in cut_off:
+            gateway.set_server_cut(ServerCut.NONE)
+
     async def _restart_gateway(self, gateway):
         asked_s = monotonic()
         if not await gateway.stop():
--- a/soak/ledger.py
+++ b/soak/ledger.py
@@ -16,6 +16,12 @@
 EVACUATION_LIMIT_S = 5.0
 RECONNECT_LIMIT_S = 4.0
 RESPONSE_SLACK_S = 0.5
+# Gateways that are cut off from all servers serve their callers again after
+# this time, at least this often compared with the others.
+CUT_OFF_LIMIT_S = 3.0
+CUT_OFF_RATIO = 2 / 3
+CUT_OFF_SLACK = 10
+CUT_OFF_SLACK_SHARE = 1 / 50
 RETRY_RATIO = 0.2
 RETRY_SLACK = 50
 RETRY_WINDOW_S = 10.0
@@ -79,6 +85,14 @@
     ended_s: float
 
 
+class GatewayCut(Struct, frozen=True):
+    """A span in which gateways were cut off from all backend servers."""
+
+    gateways: frozenset[str]
+    start_s: float
+    end_s: float
+
+
 class LoopStall(Struct, frozen=True):
     """A span in which the event loop of the soak was blocked."""
 
@@ -108,6 +122,7 @@
         self.evacuations = []
         self.reads = []
         self.stops = []
+        self.cuts = []
         self.stalls = []
         self.drains_acked_s = {}
         self.violations = []
@@ -176,6 +191,8 @@
             for sent in self.requests.values():
                 self._check_request(sent)
             self._check_retry_budget()
+            for cut in self.cuts:
+                self._check_cut(cut)
         for stop in self.stops:
             self._check_stop(stop)
         return self.violations
@@ -271,6 +288,39 @@
             and not order.refused
         }
 
+    def _check_cut(self, cut):
+        """Check that callers at gateways that were cut off were served.
+
+        Requests at gateways that another fault disturbed don't count.
+        """
+        tries = [
+            sent
+            for sent in self.requests.values()
+            if cut.start_s + CUT_OFF_LIMIT_S <= sent.sent_s < cut.end_s
+            and not self._was_disturbed(
+                sent.gateway,
+                sent.sent_s,
+                min(sent.ended_s, sent.sent_s + sent.timeout_s),
+            )
+        ]
+        cut_off = [sent for sent in tries if sent.gateway in cut.gateways]
+        others = len(tries) - len(cut_off)
+        if not cut_off or not others:
+            return
+        served = sum(sent.status == 200 for sent in cut_off)
+        served_others = sum(sent.status == 200 for sent in tries) - served
+        slack = CUT_OFF_SLACK + CUT_OFF_SLACK_SHARE * len(tries)
+        share = served / len(cut_off)
+        if (
+            share < CUT_OFF_RATIO * served_others / others
+            and len(cut_off) - served > slack
+        ):
+            self.record_violation(
+                'CUT_OFF',
+                f'{served} of {len(cut_off)} served at {sorted(cut.gateways)},'
+                f' {served_others} of {others} at the others',
+            )
+
     def _check_stop(self, stop):
         """Check that the stop lost no request that had begun to run."""
         for sent in self.requests.values():
--- a/soak/processes.py
+++ b/soak/processes.py
@@ -19,10 +19,12 @@
 
 from msgspec.json import encode
 from msgspec import Struct
+from msgspec.structs import replace
 
 from soak.launch import Conditions
 from soak.launch import CONDITIONS_VARIABLE
 from soak.proxies import LinkProxy
+from soak.server_cuts import ServerCut
 
 DOMAINS = ('north-a', 'north-b', 'south-a')
 REGIONS = {domain: domain[:-2] for domain in DOMAINS}
@@ -115,7 +117,12 @@
 
     def server_address(self, index):
         """Return the IP address of a backend server."""
-        return f'127.{self.number}.3.{index}'
+        return f'{self.server_prefix}{index}'
+
+    @property
+    def server_prefix(self):
+        """What all addresses of backend servers begin with."""
+        return f'127.{self.number}.3.'
 
 
 def has_exited(process_id):
@@ -173,6 +180,7 @@
         self._soak = soak
         self._process = None
         self._should_run = False
+        self._server_cut = ServerCut.NONE
         names = ('peer', *LISTENERS[role])
         self.links = {
             name: LinkProxy(
@@ -221,10 +229,23 @@
 
     def set_conditions(self, conditions):
         """Set the faults of the clock and the disk of the process."""
+        conditions = replace(
+            conditions,
+            server_prefix=self._soak.network.server_prefix,
+            server_cut=self._server_cut,
+        )
         draft = self.folder / 'conditions.draft'
         draft.write_bytes(encode(conditions))
         draft.rename(self.folder / 'conditions.json')
 
+    def set_server_cut(self, cut):
+        """Set how the process is cut off from the backend servers.
+
+        That lasts over a restart.  The clock and the disk become sound.
+        """
+        self._server_cut = cut
+        self.set_conditions(Conditions())
+
     def send_signal(self, number):
         """Send a signal to the process if it is running."""
         if self.is_running:
--- a/soak/runs.py
+++ b/soak/runs.py
@@ -23,6 +23,7 @@
 
 from soak.callers import Caller
 from soak.faults import draw_plan
+from soak.faults import draw_server_cuts
 from soak.faults import FaultInjector
 from soak.ledger import Ledger
 from soak.ledger import LoopStall
@@ -39,6 +40,8 @@
 GATEWAYS = 3
 FIRST_GATEWAY_INDEX = 11
 CALLERS = 8
+# Further callers, which use all gateways whatever a directory names.
+FIXED_CALLERS = 4
 SERVERS_PER_SERVICE = 2
 START_TIMEOUT_S = 30.0
 RECOVERY_TIMEOUT_S = 15.0
@@ -60,7 +63,11 @@
 
     def __init__(self, seed, slot):
         self.random = Random(f'traffic {seed}')
-        self.plan = draw_plan(Random(seed))
+        self.plan = sorted(
+            draw_plan(Random(seed))
+            + draw_server_cuts(Random(f'server cuts {seed}')),
+            key=lambda fault: fault.at_s,
+        )
         self.network = Network(slot)
         self.ports = Ports.find_free(self.network.private_address(1))
         self.folder = Path(mkdtemp(prefix=f'fuchsiacart-soak-{seed}-'))
@@ -161,6 +168,11 @@
 
     def _start_callers(self):
         callers = [Caller(self, number) for number in range(CALLERS)]
+        addresses = tuple(each.address('caller') for each in self.gateways)
+        callers += [
+            Caller(self, CALLERS + number, addresses)
+            for number in range(FIXED_CALLERS)
+        ]
         return [create_task(caller.run()) for caller in callers]
 
     async def _record_loop_stalls(self):
--- a/soak/servers.py
+++ b/soak/servers.py
@@ -20,6 +20,8 @@
 SLOW_FACTOR = 8.0
 HANG_DURATION_S = 5.0
 SLOTS = 4
+# Share of the responses after which a server closes the connection.
+CLOSE_SHARE = 0.1
 # Time for which a leaving server still serves after its drain is acknowledged.
 LEAVE_DELAY_S = 3.5
 
@@ -66,6 +68,8 @@
         if server.mode is ServerMode.DISCONNECTING:
             self.request.connection.stream.close()
             return
+        if server.closes_connection():
+            self.set_header('Connection', 'close')
         self.set_header('X-Server-Stamp', server.name)
         if server.mode is ServerMode.FAILING:
             self.set_status(500)
@@ -115,6 +119,10 @@
         )
         self._soak.ledger.record_run(request_id, run)
 
+    def closes_connection(self):
+        """Return True if the server closes a connection after a response."""
+        return self._soak.random.random() < CLOSE_SHARE
+
     async def simulate_work(self):
         """Wait for the duration of a request in the current mode."""
         work_s = self._soak.random.uniform(*WORK_RANGE_S)
