Refuse in a planned stop what its end would cut off

In a planned stop, requests that came late were passed on and cut with no answer at the end of the grace, also those that must not be repeated: a gateway started each request that reached it, whatever time was left to it.

A gateway that stops now starts an attempt only if the deadline of the request, or while callers are still accepted eight usual service times, lie before its end. Others are refused with 503 and Retry-After as not run (draining), on which callers may repeat any request at another gateway; an attempt after one that may have run is not made, and 502 is the answer. A gateway that stops and has no view yet refuses at once. The decision is a class without I/O.

Before (check taken out, three ways for a non-idempotent request to come 2 s into a stop of 4 s, server at work for 2.5 s): the server got each, the callers no answer; a second attempt was made; a request before the first view was held. After: 503 and the server got none; a request with a deadline before the end, and one whose like take 20 ms, are answered 200.

--- a/fuchsiacart/gateway/forwarding.py
+++ b/fuchsiacart/gateway/forwarding.py
@@ -7,6 +7,8 @@
 from fuchsiacart.exceptions import ErrorKind
 from fuchsiacart.exceptions import RequestError
 from fuchsiacart.failure_kinds import FailureKind
+from fuchsiacart.gateway.admissions import choose_retry_after_ms
+from fuchsiacart.gateway.admissions import MIN_RETRY_AFTER_MS
 from fuchsiacart.gateway.admissions import RankedAdmission
 from fuchsiacart.gateway.admissions import scale_room
 from fuchsiacart.gateway.attempts import Attempts
@@ -20,6 +22,7 @@
 from fuchsiacart.gateway.hop_headers import end_to_end_headers
 from fuchsiacart.gateway.placements import PlacementRequest
 from fuchsiacart.gateway.placements import ServerSelector
+from fuchsiacart.gateway.planned_stops import PlannedStop
 from fuchsiacart.gateway.response_checks import is_promise
 from fuchsiacart.gateway.retry_budgets import SharedRetryBudget
 from fuchsiacart.gateway.route_tables import RouteTable
@@ -59,6 +62,7 @@
         )
         self._admission = RankedAdmission()
         self.freshness = ViewFreshness()
+        self.planned_stop = PlannedStop()
         self.demands = DemandMeter()
         self.evidence = EvidenceMeter()
         self.suspects = SuspectTracker(
@@ -96,6 +100,8 @@
         :raises RequestError: if the request is refused or all attempts
             failed.
         """
+        if not self.version and self.planned_stop.has_begun:
+            raise _make_stop_error(request)
         if not self.version:
             await self.freshness.wait_for_first(request.retry_after_ms)
         elif self.freshness.needs_wait(steady_ms()):
@@ -110,6 +116,7 @@
         self._retry_budget(service).record_request(now_ms)
         self.demands.record_arrival(service)
         while True:
+            self._check_stop(attempts)
             server = self._choose_server(attempts)
             response = await self._make_attempt(attempts, server)
             if response is not None:
@@ -141,6 +148,17 @@
                 retry_after_ms=request.retry_after_ms,
             )
 
+    def _check_stop(self, attempts):
+        """Start no attempt that the end of this gateway may cut off."""
+        usual_ms = self.demands.mean_service_ms(attempts.service)
+        if self.planned_stop.may_start(
+            monotonic(), attempts.deadline_s, usual_ms / MILLISECONDS
+        ):
+            return
+        if attempts.may_have_run:
+            raise attempts.make_error(None)
+        raise _make_stop_error(attempts.request)
+
     def _retry_budget(self, service):
         if service not in self._retry_budgets:
             self._retry_budgets[service] = SharedRetryBudget(
@@ -311,6 +329,17 @@
         )
 
 
+def _make_stop_error(request):
+    """Return the refusal of a request that another gateway can take."""
+    return RequestError(
+        'this gateway stops',
+        ErrorKind.DRAINING,
+        retry_after_ms=int(
+            choose_retry_after_ms(MIN_RETRY_AFTER_MS, request.retry_after_ms)
+        ),
+    )
+
+
 def _is_foreign(response, metadata):
     """Return True if a response does not come from the backend server.
 
--- a/fuchsiacart/gateway/hosts.py
+++ b/fuchsiacart/gateway/hosts.py
@@ -162,21 +162,22 @@
         """Shut down gracefully within the stop time of the settings.
 
         Withdraws from look-ups, accepts connections until callers have
-        learned of the stop, waits for the requests in flight and releases
-        the lease.
+        learned of the stop, refuses requests that may outlast it, waits for
+        those in flight and releases the lease.
 
         :param edge: the :class:`Edge` with the listeners for callers.
         """
         started_s = monotonic()
+        accepts_until_s = started_s + ACCEPT_AFTER_STOP_S
+        end_s = started_s + self._settings.routes.stop_s - CLOSE_MARGIN_S
         self.is_stopping = True
+        self.forwarder.planned_stop.begin(accepts_until_s, end_s)
         edge.close_after_responses()
         self._lease.withdraw_from_lookups()
         await self._lease.renew()
-        left_s = started_s + ACCEPT_AFTER_STOP_S - monotonic()
-        await sleep(max(0.0, left_s))
+        await sleep(max(0.0, accepts_until_s - monotonic()))
         await edge.stop_accepting()
         await self.caller_server.close_idle()
-        end_s = started_s + self._settings.routes.stop_s - CLOSE_MARGIN_S
         try:
             await wait_for(
                 self._wait_until_idle(), max(0.0, end_s - monotonic())
--- a/tools/seeded_faults/gateway.py
+++ b/tools/seeded_faults/gateway.py
@@ -155,4 +155,18 @@
         '                reader.finished = reader.headers is not None',
         'cut_answers',
     ),
+    Fault(
+        'a stopping gateway starts requests that its end cuts off',
+        'gateway/forwarding.py',
+        'self._check_stop(attempts)\n            server',
+        'server',
+        'planned_stops',
+    ),
+    Fault(
+        'a stopping gateway refuses all that have a long timeout',
+        'gateway/planned_stops.py',
+        'return now_s + USUAL_TIMES * usual_s <= self._ends_s',
+        'return False',
+        'planned_stops',
+    ),
 )
