Wait in a planned stop for requests that are still being received

A gateway that had no request in flight 3 s after the signal closed all of its connections, also one on which the body of a request was arriving, and the caller got no answer. It now waits for these too, within its stop time.

Before: a request whose body ended 3.3 s into a stop of 4 s got no answer; after: it is answered, here refused as not run.

--- a/features/planned_stops.feature
+++ b/features/planned_stops.feature
@@ -36,6 +36,7 @@
       | way                                   |
       | on a kept connection                  |
       | on a new connection                   |
+      | with a body that ends late            |
       | on a new connection, with one behind it |
 
   Scenario: a request that is answered in time is served until the end of a planned stop
--- a/fuchsiacart/gateway/callers.py
+++ b/fuchsiacart/gateway/callers.py
@@ -66,6 +66,14 @@
         """Number of requests in flight."""
         return len(self._tasks)
 
+    @property
+    def is_busy(self):
+        """True while a request is received, served or answered."""
+        return bool(self._tasks) or any(
+            connection.is_busy and not connection.is_closed
+            for connection in self._connections
+        )
+
     def set_limits(self, header_bytes, body_bytes, idle_timeout_s):
         """Set the limits of requests that are read from now on.
 
--- a/fuchsiacart/gateway/hosts.py
+++ b/fuchsiacart/gateway/hosts.py
@@ -187,7 +187,7 @@
         await self._lease.leave()
 
     async def _wait_until_idle(self):
-        while self.caller_server.in_flight:
+        while self.caller_server.is_busy:
             await sleep(STOP_POLL_S)
             await self.caller_server.close_idle()
 
--- a/tools/seeded_faults/gateway.py
+++ b/tools/seeded_faults/gateway.py
@@ -169,4 +169,11 @@
         'return False',
         'planned_stops',
     ),
+    Fault(
+        'a planned stop does not wait for a request that is received',
+        'gateway/hosts.py',
+        'while self.caller_server.is_busy:',
+        'while self.caller_server.in_flight:',
+        'planned_stops',
+    ),
 )
