Answer a request that ends with an unforeseen error

Such an error, as the OverflowError of an odd port, ended the task of the request: its caller got no answer and kept waiting on an open connection. Any error is now logged and answered with 500, run unknown.

Before: no answer within a second; after: 500 for it, and for the next request on the connection.

--- a/features/callers.feature
+++ b/features/callers.feature
@@ -48,3 +48,7 @@
     Given a gateway whose answers have 10 bytes
     When 50 callers connect and send while the gateway is busy, and it stops
     Then all 50 callers got an answer
+
+  Scenario: a request that ends with an unforeseen error leaves no caller without an answer
+    Given a gateway in which a request ends with an unforeseen error
+    Then its caller gets 500, and the next one on the connection too
--- a/features/steps/caller_steps.py
+++ b/features/steps/caller_steps.py
@@ -197,6 +197,40 @@
     context.resources.callback(context.caller.close)
 
 
+@given('a gateway in which a request ends with an unforeseen error')
+def given_failing(context):
+    """Let it be one that no caller of the forwarder handles."""
+    context.caller = CallerFixture(0)
+    context.resources.callback(context.caller.close)
+
+    async def fail(request):
+        context.caller.forwarder.served += 1
+        raise OverflowError('unforeseen')
+
+    context.caller.forwarder.serve = fail
+
+
+@then('its caller gets {status:d}, and the next one on the connection too')
+def then_unforeseen(context, status):
+    """Send two requests on one connection."""
+    fixture = context.caller
+
+    async def ask_twice():
+        reader, writer = await open_connection(*fixture.address)
+        fixture.idle_connections.append((reader, writer))
+        heads = []
+        for _ in range(2):
+            writer.write(REQUEST)
+            head = (await reader.readuntil(b'\r\n\r\n')).decode()
+            _, _, rest = head.partition('Content-Length: ')
+            await reader.readexactly(int(rest.split('\r\n')[0]))
+            heads.append(head)
+        return heads
+
+    heads = fixture.run(wait_for(ask_twice(), 1.0))
+    assert all(head.split()[1] == str(status) for head in heads), heads
+
+
 @given('a caller that sends a request and reads nothing yet')
 def given_slow_caller(context):
     context.caller.run(context.caller.send())
--- a/fuchsiacart/gateway/callers.py
+++ b/fuchsiacart/gateway/callers.py
@@ -164,7 +164,7 @@
             exchange.answered_s = monotonic()
             await _send_error(exchange, error)
             return f'{error.kind.value}: {error.detail}'
-        except (OSError, ValueError, KeyError, TypeError) as error:
+        except Exception as error:
             log_error(
                 'request_failed',
                 request=request.metadata.request_id,
--- a/tools/seeded_faults/gateway.py
+++ b/tools/seeded_faults/gateway.py
@@ -176,4 +176,11 @@
         'while self.caller_server.in_flight:',
         'planned_stops',
     ),
+    Fault(
+        'a request with an unforeseen error gets no answer',
+        'gateway/callers.py',
+        'except Exception as error:',
+        'except (OSError, ValueError, KeyError, TypeError) as error:',
+        'callers',
+    ),
 )
