--- a/tools/seeded_faults/gateway.py
+++ b/tools/seeded_faults/gateway.py
@@ -217,4 +217,32 @@
         '                reader.finished = reader.headers is not None',
         'cut_answers',
     ),
+    Fault(
+        'a stopping gateway starts requests that its end cuts off',
+        'gateway/forwarding.py',
+        'self._check_stop(attempts)\n            if',
+        'if',
+        'planned_stops',
+    ),
+    Fault(
+        'a stopping gateway refuses all that have a long timeout',
+        'gateway/planned_stops.py',
+        'return now_s + USUAL_TIMES * usual_s <= self._ends_s',
+        'return False',
+        'planned_stops',
+    ),
+    Fault(
+        'a planned stop does not wait for a request that is received',
+        'gateway/hosts.py',
+        'while self.caller_server.is_busy:',
+        'while self.caller_server.in_flight:',
+        'planned_stops',
+    ),
+    Fault(
+        'a request with an unforeseen error gets no answer',
+        'gateway/callers.py',
+        'except Exception as error:',
+        'except (OSError, ValueError, KeyError, TypeError) as error:',
+        'callers',
+    ),
 )
