--- a/soak/server_cuts.py
+++ b/soak/server_cuts.py
@@ -11,6 +11,7 @@
 from enum import Enum
 from enum import unique
 from socket import AF_INET
+from socket import SO_REUSEADDR
 from socket import socket
 from socket import SOL_SOCKET
 from struct import pack
@@ -77,6 +78,8 @@
             if not is_server or not address[0].startswith(prefix):
                 return real_connect(own_socket, address)
             if current.source_address:
+                # Listeners may have this port once the connection has ended.
+                own_socket.setsockopt(SOL_SOCKET, SO_REUSEADDR, 1)
                 own_socket.bind((current.source_address, 0))
             with self._lock:
                 self._sockets.add(own_socket)
