--- a/features/relays.feature
+++ b/features/relays.feature
@@ -37,3 +37,8 @@
     Given an isolated gateway with others near and far
     Then a relay from near-0 for 10.9.0.9 counts as one of 10.9.0.9
     And a relay from 10.8.0.8 for 10.9.0.9 counts as one of 10.8.0.8
+
+  Scenario: a caller is told that a request did not run that broke at a server before another gateway refused it
+    Given an isolated gateway with others near and far
+    When the gateway loses a server that runs a request, and near-0 refuses it
+    Then the caller is told that the outcome is unknown
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -1,20 +1,35 @@
 """Steps for the choice of gateways that relay, without a network."""
 
+from asyncio import create_task
+from asyncio import sleep
 from random import Random
 
 from behave import given
 from behave import then
 from behave import when
 from msgspec.structs import replace
+from tornado.httpserver import HTTPServer
 from tornado.httputil import HTTPHeaders
+from tornado.netutil import bind_sockets
+from tornado.web import Application
+from tornado.web import RequestHandler
 
+from features.steps.forwarding_steps import ForwardingFixture
+from features.steps.forwarding_steps import KINDS
 from features.steps.forwarding_steps import PlainDialect
+from features.steps.forwarding_steps import REQUEST_ID
+from features.steps.forwarding_steps import SLOW_S
+from fuchsiacart.exceptions import ErrorKind
+from fuchsiacart.exceptions import RequestError
 from fuchsiacart.gateway.attempts import InboundRequest
 from fuchsiacart.gateway.dialects import RequestMetadata
 from fuchsiacart.gateway.gateway_selectors import GatewaySelector
+from fuchsiacart.gateway.hop_headers import RELAYED_ID
 from fuchsiacart.gateway.relays import Relay
 from fuchsiacart.models import Host
 from fuchsiacart.models import HostState
+from fuchsiacart.problems import problem_document
+from fuchsiacart.problems import PROBLEM_TYPE
 from fuchsiacart.settings import HostSettings
 
 OWN = 'own'
@@ -24,6 +39,18 @@
 NOW_MS = 5000.0
 
 
+class RefusingHandler(RequestHandler):
+    """Answers as a gateway that finds no server with room."""
+
+    def get(self):
+        """Refuse the request as not run."""
+        error = RequestError('no room', ErrorKind.OVERLOADED)
+        self.set_status(error.answer.status)
+        self.set_header('Content-Type', PROBLEM_TYPE)
+        self.set_header(RELAYED_ID, REQUEST_ID)
+        self.finish(problem_document(error))
+
+
 class RelayFixture:
     """An isolated gateway and the others of its view."""
 
@@ -96,6 +123,38 @@
     context.relay.selector.avoid(name, NOW_MS)
 
 
+@when('the gateway loses a server that runs a request, and {name} refuses it')
+def when_refused(context, name):
+    """Isolate a gateway while its only server is busy, then end that."""
+    fixture = ForwardingFixture(1, f'answers after {SLOW_S:g} s')
+    context.resources.callback(fixture.close)
+    (server,) = fixture.servers
+
+    async def serve():
+        sockets = bind_sockets(0, '127.0.0.1')
+        refusing = HTTPServer(Application([('.*', RefusingHandler)]))
+        refusing.add_sockets(sockets)
+        address = f'127.0.0.1:{sockets[0].getsockname()[1]}'
+        host = replace(context.relay.hosts[name], http_address=address)
+        fixture.forwarder.relay.apply_view((host,))
+        task = create_task(fixture.serve(KINDS['an idempotent']))
+        await sleep(SLOW_S / 3)
+        fixture.forwarder.reachability.record_probe(False)
+        await server.close()
+        await task
+        refusing.stop()
+        await refusing.close_all_connections()
+
+    fixture.run(serve())
+    assert server.served == 1, server.served
+    context.outcome = fixture.outcome
+
+
+@then('the caller is told that the outcome is unknown')
+def then_unknown(context):
+    assert context.outcome == ErrorKind.OUTCOME_UNKNOWN.value, context.outcome
+
+
 @then('the relay goes to {name}')
 def then_chosen(context, name):
     expected = None if name == 'none' else name
