--- a/features/reachability.feature
+++ b/features/reachability.feature
@@ -53,3 +53,10 @@
     Given a gateway that has suspended a server for failures
     When the gateway reaches servers again
     Then it may use the server at once
+
+  Scenario: a gateway that opens connections to servers takes itself for isolated after probes of dead ones
+    Given a gateway that sees 12 servers
+    When 3 servers in a row take no connection
+    And a connection to another server is opened
+    And a probe finds no server
+    Then the gateway takes the servers for reached
--- a/features/steps/reachability_steps.py
+++ b/features/steps/reachability_steps.py
@@ -38,6 +38,11 @@
         context.reachability.record_silent(f'server-{index}')
 
 
+@when('a connection to another server is opened')
+def when_connected(context):
+    context.reachability.record_connected()
+
+
 @when('a server answers')
 def when_answered(context):
     context.reachability.record_response()
