Pass on no refusal of another gateway for a request that may have run

Cause: a gateway lost the connection to the server that ran the request when it was cut off, relayed the next attempt, and passed on unchanged that the other gateway refused. That one knows of its own attempts only. Class of fault: a promise is handed on by one who knows more than who gave it.

Evidence: the scenario of relays failed on the code before (503) and passes (502, outcome unknown). The same path for attempts at servers was right: make_error looks at all attempts.

Why this works: a refusal counts as a failed attempt once an earlier one may have run; the caller gets an answer of a further gateway, or 502.

--- a/fuchsiacart/gateway/relays.py
+++ b/fuchsiacart/gateway/relays.py
@@ -28,6 +28,8 @@
 from fuchsiacart.problems import PROBLEM_TYPE
 
 CONNECT_TIMEOUT_S = 0.3
+# Statuses by which callers know that a request has not run.
+NOT_RUN_STATUSES = (408, 421, 429, 503)
 
 
 class RelayTarget(Struct, frozen=True):
@@ -126,13 +128,19 @@
     def _record(self, attempts, host, result):
         """Record a result and return its response, None if it has none."""
         response = result.response
-        if response is not None and not self._is_isolated(response):
-            return response
-        if response is not None:
+        if response is not None and self._is_isolated(response):
             attempts.last_failure = f'{host.name} reaches no server either'
             attempts.unreachable += 1
             self.selector.avoid(host.name, steady_ms())
             return None
+        if response is not None and not (
+            attempts.may_have_run and self._is_promise(response)
+        ):
+            return response
+        if response is not None:
+            # The other gateway speaks for its own attempts only.
+            attempts.sent += 1
+            return None
         attempts.last_failure = f'{host.name}: {result.failure.value}'
         if result.failure is FailureKind.NOT_SENT:
             return None
@@ -144,6 +152,14 @@
         attempts.may_have_run = True
         return None
 
+    def _is_promise(self, response):
+        """Return True if a gateway says that the request has not run."""
+        metadata = self._dialect.read_response(
+            response.status, response.headers
+        )
+        is_refusal = response.status in NOT_RUN_STATUSES
+        return is_refusal and not metadata.is_authentic
+
     def _is_isolated(self, response):
         """Return True if the gateway refused since it is isolated too."""
         if response.headers.get('Content-Type') != PROBLEM_TYPE:
--- a/tools/seeded_faults/gateway.py
+++ b/tools/seeded_faults/gateway.py
@@ -245,4 +245,11 @@
         'except (OSError, ValueError, KeyError, TypeError) as error:',
         'callers',
     ),
+    Fault(
+        'a gateway passes on that a request has not run, though it may have',
+        'gateway/relays.py',
+        'attempts.may_have_run and self._is_promise(response)',
+        'False',
+        'relays',
+    ),
 )
