Take no gateway for isolated whose requests reach servers

Cause: once suspected, only the result of three probes counted. Requests that reached servers meanwhile did not, and servers known to have failed were probed like others. Class of fault: newer evidence does not displace an older doubt.

Why this works: a new connection clears the doubt; so does an answer, unless new connections are refused, which open ones say nothing about. Probes go to servers that have not failed.

--- a/features/reachability.feature
+++ b/features/reachability.feature
@@ -2,7 +2,7 @@
 
   Scenario: one failing server does not make a gateway suspect itself
     Given a gateway that sees 20 servers
-    When server 1 takes no connection 9 times in a row
+    When server 1 refuses a connection 9 times in a row
     Then the gateway takes the servers for reached
 
   Scenario Outline: servers that fail in a row make a gateway suspect itself
@@ -11,11 +11,11 @@
     Then the gateway suspects that it is cut off
 
     Examples:
-      | count | failed | fault              |
-      | 20    | 3      | take no connection |
-      | 20    | 3      | give no answer     |
-      | 2     | 2      | take no connection |
-      | 1     | 1      | take no connection |
+      | count | failed | fault               |
+      | 20    | 3      | refuse a connection |
+      | 20    | 3      | give no answer      |
+      | 2     | 2      | refuse a connection |
+      | 1     | 1      | refuse a connection |
 
   Scenario: servers that answer in between clear a gateway of suspicion
     Given a gateway that sees 20 servers
@@ -26,14 +26,14 @@
 
   Scenario: answers on open connections do not hide that new ones fail
     Given a gateway that sees 20 servers
-    When 2 servers in a row take no connection
+    When 2 servers in a row refuse a connection
     And a server answers
-    And server 7 takes no connection 1 times in a row
+    And server 7 refuses a connection 1 times in a row
     Then the gateway suspects that it is cut off
 
   Scenario: a lost failure domain does not isolate a gateway
     Given a gateway that sees 20 servers
-    When 3 servers in a row take no connection
+    When 3 servers in a row refuse a connection
     And a probe finds a server
     Then the gateway takes the servers for reached
     And nobody is told
@@ -56,7 +56,27 @@
 
   Scenario: a gateway that opens connections to servers takes itself for isolated after probes of dead ones
     Given a gateway that sees 12 servers
-    When 3 servers in a row take no connection
+    When 3 servers in a row refuse a connection
     And a connection to another server is opened
     And a probe finds no server
     Then the gateway takes the servers for reached
+
+  Scenario: a gateway whose link is full takes itself for isolated while servers answer
+    Given a gateway that sees 20 servers
+    When 3 servers in a row give no answer
+    And a server answers
+    And 3 servers in a row give no answer
+    And a probe finds no server
+    Then the gateway takes the servers for reached
+
+  Scenario: a gateway stays isolated while open connections live on
+    Given a gateway that sees 20 servers
+    When 3 servers in a row refuse a connection
+    And a server answers
+    And a probe finds no server
+    Then the gateway is isolated, and others are told
+
+  Scenario: servers that have failed are not probed first
+    Given a gateway that sees 20 servers
+    When 17 servers in a row give no answer
+    Then the servers that are probed are the 3 others
--- a/features/steps/reachability_steps.py
+++ b/features/steps/reachability_steps.py
@@ -1,16 +1,40 @@
 """Steps for whether a gateway reaches backend servers, without a network."""
 
+from random import Random
+
 from behave import given
 from behave import then
 from behave import when
+from msgspec import Struct
 
 from fuchsiacart.gateway.placements import ServerSelector
+from fuchsiacart.gateway.probes import ReachabilityProber
 from fuchsiacart.gateway.reachability import Reach
 from fuchsiacart.gateway.reachability import ServerReachability
 from fuchsiacart.gateway.tracked_servers import TrackedServer
 from fuchsiacart.servers import ServerRecord
 
 NOW_MS = 1000.0
+SERVERS = 20
+
+
+class ProbedServer(Struct):
+    """A server of the view."""
+
+    name: str
+
+
+class ProbedForwarder:
+    """What a prober reads of a forwarder."""
+
+    def __init__(self, reachability, servers):
+        self.reachability = reachability
+        self.servers = servers
+
+    @property
+    def selector(self):
+        """The servers, as a selector has them."""
+        return self
 
 
 @given('a gateway that sees {count:d} servers')
@@ -20,16 +44,16 @@
     context.told = []
 
 
-@when('server {index:d} takes no connection {times:d} times in a row')
+@when('server {index:d} refuses a connection {times:d} times in a row')
 def when_one_fails(context, index, times):
     for _ in range(times):
-        context.reachability.record_unconnected(f'server-{index}')
+        context.reachability.record_refused(f'server-{index}')
 
 
-@when('{count:d} servers in a row take no connection')
-def when_unconnected(context, count):
+@when('{count:d} servers in a row refuse a connection')
+def when_refused(context, count):
     for index in range(count):
-        context.reachability.record_unconnected(f'server-{index}')
+        context.reachability.record_refused(f'server-{index}')
 
 
 @when('{count:d} servers in a row give no answer')
@@ -88,6 +112,17 @@
     assert context.reachability.is_isolated
 
 
+@then('the servers that are probed are the {count:d} others')
+def then_probed(context, count):
+    names = [f'server-{index}' for index in range(SERVERS)]
+    servers = {name: ProbedServer(name) for name in names}
+    forwarder = ProbedForwarder(context.reachability, servers)
+    prober = ReachabilityProber(forwarder, Random(1), None)
+    drawn = {server.name for server in prober._draw_servers()}
+    assert drawn == set(names) - context.reachability.doubted_names
+    assert len(drawn) == count
+
+
 @given('a gateway that has suspended a server for failures')
 def given_suspended(context):
     record = ServerRecord('server', 1, 1, 'stock', 'server', 'cymru-a', 4)
--- a/fuchsiacart/gateway/connection_pools.py
+++ b/fuchsiacart/gateway/connection_pools.py
@@ -54,7 +54,7 @@
                 self._reachability.record_connected()
         except (OSError, TimeoutError, ValueError) as error:
             connection.close()
-            self._reachability.record_unconnected(record.name)
+            self._record_unconnected(record, error)
             return ExchangeResult(
                 failure=FailureKind.NOT_CONNECTED, detail=repr(error)
             )
@@ -96,7 +96,7 @@
             log_event(
                 'server_not_reached', server=record.name, detail=repr(error)
             )
-            self._reachability.record_unconnected(record.name)
+            self._record_unconnected(record, error)
             return False
         self._reachability.record_connected()
         self._idle[record.name].append(connection)
@@ -110,6 +110,12 @@
         for name in set(self._idle) - set(names):
             self._close_idle(name)
 
+    def _record_unconnected(self, record, error):
+        if isinstance(error, TimeoutError):
+            self._reachability.record_silent(record.name)
+        else:
+            self._reachability.record_refused(record.name)
+
     def _pop_idle(self, name):
         idle = self._idle[name]
         while idle:
--- a/fuchsiacart/gateway/probes.py
+++ b/fuchsiacart/gateway/probes.py
@@ -35,10 +35,9 @@
 
     async def _probe(self):
         """Return True if one of some random servers takes a connection."""
-        servers = tuple(self._forwarder.selector.servers.values())
-        if not servers:
+        drawn = self._draw_servers()
+        if not drawn:
             return True
-        drawn = self._random.sample(servers, min(PROBED_SERVERS, len(servers)))
         return any(
             await gather(
                 *(
@@ -47,3 +46,11 @@
                 )
             )
         )
+
+    def _draw_servers(self):
+        """Return some random servers, those first that have not failed."""
+        servers = list(self._forwarder.selector.servers.values())
+        self._random.shuffle(servers)
+        doubted = self._reachability.doubted_names
+        servers.sort(key=lambda server: server.name in doubted)
+        return servers[:PROBED_SERVERS]
--- a/fuchsiacart/gateway/reachability.py
+++ b/fuchsiacart/gateway/reachability.py
@@ -33,15 +33,19 @@
     """Knows from attempts and probes whether servers are reached.
 
     Performs no I/O.  Two kinds of evidence count: servers that gave no sign
-    of life, and servers to which no new connection could be opened.  The
-    second goes on counting while connections opened earlier still work.
+    of life, and servers that refused a new connection.  A response speaks
+    against the first only, as connections that were opened earlier may live
+    on; a new connection speaks against both.
     """
 
     def __init__(self):
         self.reach = Reach.REACHED
         self._server_count = 0
         self._silent = set()
-        self._unconnected = set()
+        self._refusing = set()
+        # Since the suspicion, or the last probe.
+        self._has_response = False
+        self._has_connection = False
         self._doubted = Event()
 
     @property
@@ -49,6 +53,11 @@
         """True if no backend server is reached."""
         return self.reach is Reach.ISOLATED
 
+    @property
+    def doubted_names(self):
+        """Names of the servers that have failed."""
+        return self._silent | self._refusing
+
     def apply_view(self, server_count):
         """Set the number of backend servers of the view.
 
@@ -58,31 +67,35 @@
 
     def record_connected(self):
         """Record that a new connection to a server was opened."""
-        self._unconnected.clear()
+        self._refusing.clear()
         self._silent.clear()
+        self._has_connection = True
 
     def record_response(self):
         """Record that a server answered, on any connection."""
         self._silent.clear()
+        self._has_response = True
 
-    def record_unconnected(self, server_name):
-        """Record that no connection to a server could be opened.
+    def record_refused(self, server_name):
+        """Record that a server refused a new connection.
 
         :param server_name: the server.
         """
-        self._unconnected.add(server_name)
+        self._refusing.add(server_name)
         self.record_silent(server_name)
 
     def record_silent(self, server_name):
-        """Record that a server gave no answer.
+        """Record that a server gave no sign of life in time.
 
         :param server_name: the server.
         """
         self._silent.add(server_name)
-        needed = max(1, min(SUSPICION_SERVERS, self._server_count))
-        most = max(len(self._silent), len(self._unconnected))
-        if self.reach is Reach.REACHED and most >= needed:
+        if self.reach is not Reach.REACHED:
+            return
+        if self._is_enough(self._silent) or self._is_enough(self._refusing):
             self.reach = Reach.SUSPECTED
+            self._has_response = False
+            self._has_connection = False
             self._doubted.set()
 
     def record_probe(self, is_reached):
@@ -92,14 +105,27 @@
         :return: True if the gateway has become isolated or is no longer.
         """
         was_isolated = self.is_isolated
-        if is_reached:
-            self.record_connected()
+        if is_reached or self._is_contradicted():
+            self._silent.clear()
+            self._refusing.clear()
             self.reach = Reach.REACHED
             self._doubted.clear()
         else:
             self.reach = Reach.ISOLATED
+        self._has_response = False
+        self._has_connection = False
         return was_isolated != self.is_isolated
 
     async def wait_for_doubt(self):
         """Wait until the gateway is suspected or isolated."""
         await self._doubted.wait()
+
+    def _is_contradicted(self):
+        """Return True if requests have reached a server meanwhile."""
+        if self._has_connection:
+            return True
+        return self._has_response and not self._is_enough(self._refusing)
+
+    def _is_enough(self, failed):
+        needed = max(1, min(SUSPICION_SERVERS, self._server_count))
+        return len(failed) >= needed
--- a/tools/seeded_faults/gateway.py
+++ b/tools/seeded_faults/gateway.py
@@ -151,12 +151,10 @@
         'answers on open connections hide that no new one can be opened',
         'gateway/reachability.py',
         """        self._silent.clear()
-
-    def record_unconnected""",
+        self._has_response = True""",
         """        self._silent.clear()
-        self._unconnected.clear()
-
-    def record_unconnected""",
+        self._refusing.clear()
+        self._has_response = True""",
         'reachability',
     ),
     Fault(
@@ -252,4 +250,18 @@
         'False',
         'relays',
     ),
+    Fault(
+        'answers during a probe do not count',
+        'gateway/reachability.py',
+        'if is_reached or self._is_contradicted():',
+        'if is_reached:',
+        'reachability',
+    ),
+    Fault(
+        'servers that have failed are probed like others',
+        'gateway/probes.py',
+        'key=lambda server: server.name in doubted',
+        'key=lambda server: 0',
+        'reachability',
+    ),
 )
