Show that all callers of a region are sent to its single live gateway

Look-ups name isolated gateways, which relay what they get, only if no other is in the region: with one left, all callers of the region are told that one and have no alternative when it fails or is full.

--- a/features/directory.feature
+++ b/features/directory.feature
@@ -29,3 +29,9 @@
     Given a failure domain with 5 gateways
     When a caller of another region looks up gateways
     Then it is told all gateways
+
+  Scenario: a caller of a region is told only the single gateway that is not isolated
+    Given a failure domain with 5 gateways
+    When all gateways of the region but one are isolated
+    And a caller of it looks up gateways
+    Then it is told at least two gateways of its region
--- a/features/steps/directory_steps.py
+++ b/features/steps/directory_steps.py
@@ -7,7 +7,10 @@
 from behave import when
 
 from fuchsiacart.control.directory import find_gateways
+from fuchsiacart.control.directory import MIN_GATEWAYS
 from fuchsiacart.models import Host
+from fuchsiacart.models import HostState
+from fuchsiacart.views import with_state
 
 REGION = 'cymru'
 DOMAIN = 'cymru-a'
@@ -89,6 +92,18 @@
         assert mean / 2 <= told <= mean * 2, (host.name, told, mean)
 
 
+@when('all gateways of the region but one are isolated')
+def when_isolated(context):
+    context.hosts[1:] = [
+        with_state(host, HostState.ISOLATED) for host in context.hosts[1:]
+    ]
+
+
+@then('it is told at least two gateways of its region')
+def then_two_told(context):
+    assert len(context.answer) >= MIN_GATEWAYS, context.answer
+
+
 @then('it is told the same gateways')
 def then_same(context):
     assert context.answer == context.earlier
