--- a/features/directory.feature
+++ b/features/directory.feature
@@ -54,3 +54,9 @@
     When 2 gateways of it leave
     And a caller of it looks up gateways
     Then it is told the 3 other gateways of its failure domain
+
+  Scenario: a caller of a region is told only the single gateway that is not isolated
+    Given a failure domain with 5 gateways
+    When all gateways of the region but one are isolated
+    And a caller of it looks up gateways
+    Then it is told at least two gateways of its region
