Deny no request by a view that no renewal has confirmed of late

Callers saw: a gateway whose renewals got no answer, as on a full link, denied requests (404) until its lease of 3 s had run out; changes have to be in force 2.5 s after they were acknowledged.

Cause: the lease says how long a gateway may act, not how new its view is. Evidence: view_freshness failed before and passes.

Why this works: a denial now needs a renewal that was sent less than 1.5 s ago, the age at which a view counts as outdated in other decisions too.

--- a/features/steps/view_freshness_steps.py
+++ b/features/steps/view_freshness_steps.py
@@ -16,7 +16,9 @@
     lease = Lease()
     lease.renew(0.0, lease_s * MILLISECONDS, REVISION, REVISION)
     context.freshness = ViewFreshness()
-    context.freshness.record_lease(lease.until_ms, lease.is_behind)
+    context.freshness.record_lease(
+        lease.renewed_ms, lease.until_ms, lease.is_behind
+    )
 
 
 @given('changes that must be in force after {apply_s:g} seconds')
--- a/fuchsiacart/gateway/hosts.py
+++ b/fuchsiacart/gateway/hosts.py
@@ -219,7 +219,9 @@
 
     def _record_lease(self):
         self.forwarder.freshness.record_lease(
-            self._lease.until_ms, self._lease.is_behind
+            self._lease.renewed_ms,
+            self._lease.until_ms,
+            self._lease.is_behind,
         )
 
     def _apply_view(self):
--- a/fuchsiacart/gateway/view_freshness.py
+++ b/fuchsiacart/gateway/view_freshness.py
@@ -59,14 +59,15 @@
         self._has_waited = False
         self._confirmed.set()
 
-    def record_lease(self, until_ms, is_behind):
+    def record_lease(self, renewed_ms, until_ms, is_behind):
         """Record the last renewal of the lease, or a change of the view.
 
+        :param renewed_ms: when the last renewal was sent, of a steady clock.
         :param until_ms: end of the lease, of a steady clock.
         :param is_behind: True if the view lacks changes that the renewal
             has named.
         """
-        self._current_until_ms = until_ms
+        self._current_until_ms = min(until_ms, renewed_ms + MAX_VIEW_AGE_MS)
         if is_behind:
             self._caught_up.clear()
         else:
--- a/fuchsiacart/host_tasks.py
+++ b/fuchsiacart/host_tasks.py
@@ -217,6 +217,11 @@
         """Return the end of the lease, a time of the steady clock."""
         return self._lease.until_ms
 
+    @property
+    def renewed_ms(self):
+        """Return when the last renewal in effect was sent."""
+        return self._lease.renewed_ms
+
     def holds(self):
         """Return True if this host holds a valid lease."""
         return self._lease.holds(steady_ms())
--- a/fuchsiacart/leases.py
+++ b/fuchsiacart/leases.py
@@ -100,6 +100,8 @@
     def __init__(self):
         self._until_ms = 0.0
         self._pending_until_ms = 0.0
+        self._renewed_ms = 0.0
+        self._pending_renewed_ms = 0.0
         self._needed_revision = 0
         self._revision = 0
 
@@ -114,6 +116,7 @@
         self._pending_until_ms = max(
             self._pending_until_ms, sent_ms + lease_ms
         )
+        self._pending_renewed_ms = max(self._pending_renewed_ms, sent_ms)
         self._needed_revision = max(self._needed_revision, needed_revision)
         self.record_revision(revision)
 
@@ -125,6 +128,7 @@
         self._revision = revision
         if not self.is_behind:
             self._until_ms = self._pending_until_ms
+            self._renewed_ms = self._pending_renewed_ms
 
     def holds(self, now_ms):
         """Return True if the lease is valid."""
@@ -140,6 +144,11 @@
         """Return the time at which the lease ends, 0 before the first."""
         return self._until_ms
 
+    @property
+    def renewed_ms(self):
+        """Return when the last renewal in effect was sent, 0 for none."""
+        return self._renewed_ms
+
     @property
     def was_held(self):
         """Return True once the lease has been valid."""
--- a/tools/seeded_faults/gateway.py
+++ b/tools/seeded_faults/gateway.py
@@ -264,4 +264,11 @@
         'key=lambda server: 0',
         'reachability',
     ),
+    Fault(
+        'a gateway denies requests until its lease ends',
+        'gateway/view_freshness.py',
+        'min(until_ms, renewed_ms + MAX_VIEW_AGE_MS)',
+        'until_ms',
+        'view_freshness',
+    ),
 )
