Relay a request to its home regions only

Callers saw: a request on a route with homes, of a caller in a region without gateways, was relayed to a gateway of a region that is neither its home nor its caller's (HOME). Found by the review.

Cause: the region of the isolated gateway was taken for the caller's. Evidence: gateway_selection failed before and passes. Why this works: where a route has homes, only gateways of these are asked; the request goes there anyway.

--- a/fuchsiacart/gateway/gateway_selectors.py
+++ b/fuchsiacart/gateway/gateway_selectors.py
@@ -68,8 +68,8 @@
     def choose(self, home_regions, excluded, now_ms):
         """Choose a gateway, of this gateway's region if possible.
 
-        :param home_regions: regions that may serve the request; empty means
-            any.  This gateway's region, where the caller is, is allowed too.
+        :param home_regions: regions that may see the request; empty means
+            any.
         :param excluded: names of the gateways already tried.
         :param now_ms: the current time.
         :return: the :class:`Host`, or None if there is none.
@@ -78,15 +78,11 @@
             host
             for host in self._hosts
             if host.name not in excluded
+            and (not home_regions or host.region in home_regions)
             and now_ms >= self._avoided_until_ms.get(host.name, 0.0)
         ]
         near = [host for host in usable if host.region == self._region]
-        if not near:
-            near = [
-                host
-                for host in usable
-                if not home_regions or host.region in home_regions
-            ]
+        near = near or usable
         if not near:
             return None
         drawn = self._random.sample(near, min(DRAWN_GATEWAYS, len(near)))
--- a/tools/seeded_faults/gateway.py
+++ b/tools/seeded_faults/gateway.py
@@ -271,4 +271,11 @@
         'until_ms',
         'view_freshness',
     ),
+    Fault(
+        'requests are relayed to regions that may not see them',
+        'gateway/gateway_selectors.py',
+        'and (not home_regions or host.region in home_regions)',
+        'and True',
+        'gateway_selection',
+    ),
 )
