Send the callers of a region to no single gateway

Callers saw: with one gateway of a region in reach of the backend servers, all callers of the region were told its address only, without another to turn to.

Cause: isolated gateways, which relay, were named only if no other was left.

--- a/fuchsiacart/control/directory.py
+++ b/fuchsiacart/control/directory.py
@@ -17,8 +17,8 @@
     """Return the addresses of the gateways that are nearest to a caller.
 
     Those of the caller's failure domain are preferred, then those of its
-    region.  Gateways that reach no backend server are named only if no other
-    is in the region; they relay what they get.  Of too many, a caller is told
+    region.  Gateways that reach no backend server are named only if there are
+    too few others in the region; they relay what they get.  Of too many, a caller is told
     the same each time, by rendezvous hashing, as it closes its connections to
     the others.
 
@@ -32,8 +32,8 @@
     near = [host for host in live if host.failure_domain == domain]
     if len(near) < MIN_GATEWAYS:
         near = [host for host in live if host.region == region]
-    if not near:
-        near = [host for host in isolated if host.region == region]
+    if len(near) < MIN_GATEWAYS:
+        near += [host for host in isolated if host.region == region]
     if not near:
         near = live or isolated
     if len(near) > MAX_GATEWAYS:
