The emulator plays gateways that reach no backend server

Gateways use the product's reachability, gateway selector and times of probes; responses under way are lost. Callers ignore the look-ups, the worst case.

The feature takes shares of 0.5, 0.75 and 0.6.

--- a/features/emulation.feature
+++ b/features/emulation.feature
@@ -72,3 +72,18 @@
     Then fewer requests end refused than without
     And all kinds together earn at least 0.01 more than without
     And the retries keep to their budget
+
+  Scenario Outline: callers at gateways that reach no server are not served
+    Given the emulated deployment "<deployment>"
+    And a share of <share> of the gateways that reaches no server from 8 to 18 s
+    When seeds 1 to <seeds> are played with and without relays
+    Then from 3 s on first tries there are served two thirds as often as elsewhere
+    And without relays they are not
+    And all kinds together earn no less than without
+    And the retries keep to their budget
+
+    Examples:
+      | deployment          | share | seeds |
+      | few servers         | 0.5   | 4     |
+      | few servers         | 0.75  | 4     |
+      | hundreds of servers | 0.6   | 1     |
--- a/features/steps/emulation_steps.py
+++ b/features/steps/emulation_steps.py
@@ -8,12 +8,15 @@
 from standins.emulation import BASELINES
 from standins.emulation.deployments import MILLISECONDS
 from standins.emulation import Emulator
+from standins.emulation.emulator import ISOLATION_LIMIT_S
 from standins.emulation import Evacuation
 from standins.emulation import EXAMPLES
+from standins.emulation import Isolation
 from standins.emulation import Span
 from standins.emulation.tallies import WINDOW_MS
 
 SERVED_FLOOR = 0.25
+ISOLATED_RATIO = 2 / 3
 RETRY_RATIO = 0.2
 
 
@@ -43,6 +46,16 @@
     )
 
 
+@given(
+    'a share of {share:g} of the gateways that reaches no server from'
+    ' {start:g} to {end:g} s'
+)
+def step_isolation(context, share, start, end):
+    context.plan = replace(
+        context.plan, isolations=(Isolation(share, start, end),)
+    )
+
+
 @given('gateways without a view from {start:g} to {end:g} s')
 def step_blind(context, start, end):
     context.plan = replace(context.plan, blind=(Span(start, end, 1.0),))
@@ -137,6 +150,26 @@
         assert emulator.largest_message <= count, emulator.largest_message
 
 
+def _isolated_ratios(emulators):
+    return [each.tallies.isolated_ratio() for each in emulators]
+
+
+@then(
+    'from {bound_s:d} s on first tries there are served two thirds as often as'
+    ' elsewhere'
+)
+def step_isolated_served(context, bound_s):
+    assert bound_s == ISOLATION_LIMIT_S, bound_s
+    ratios = _isolated_ratios(context.present)
+    assert min(ratios) >= ISOLATED_RATIO, ratios
+
+
+@then('without relays they are not')
+def step_isolated_not_served(context):
+    ratios = _isolated_ratios(context.without)
+    assert max(ratios) < ISOLATED_RATIO, ratios
+
+
 @then('fewer than half as many requests of these seconds end refused')
 def step_fewer_refused(context):
     present, without = (
--- a/standins/emulation/__init__.py
+++ b/standins/emulation/__init__.py
@@ -2,6 +2,7 @@
 
 from standins.emulation.deployments import Deployment
 from standins.emulation.deployments import Evacuation
+from standins.emulation.deployments import Isolation
 from standins.emulation.deployments import Kind
 from standins.emulation.deployments import Noise
 from standins.emulation.deployments import Region
@@ -19,6 +20,7 @@
     'Emulator',
     'EXAMPLES',
     'Evacuation',
+    'Isolation',
     'Kind',
     'Noise',
     'PRESENT',
--- a/standins/emulation/__main__.py
+++ b/standins/emulation/__main__.py
@@ -8,10 +8,10 @@
 
   --example=NAME   "few servers" or "hundreds of servers"
                    [default: few servers]
-  --trouble=NAME   burst, shed, blind or evacuation
+  --trouble=NAME   burst, shed, blind, isolation or evacuation
   --loads=LIST     factors of the load, by commas [default: 1]
   --policies=LIST  numbers of policies, by commas; 0 is the present one, the
-                   others lack a part of it [default: 0,1,2,3,4]
+                   others lack a part of it [default: 0,1,2,3,4,5]
   --seeds=N        seeds to play [default: 2]
   --jobs=N         processes to use [default: 2]
   --plots=FOLDER   folder for plots of the credit over load and over time
@@ -30,7 +30,7 @@
 
 HEADER = (
     'policy                          load seed credit region window '
-    'refused failed sends  windows'
+    'refused failed sends isolated  windows'
 )
 BAR = '▁▂▃▄▅▆▇█'
 
@@ -71,7 +71,8 @@
         f'{result.policy:30} {result.load:5.2f} {result.seed:4} '
         f'{result.credit:6.3f} {result.worst_region:6.3f} '
         f'{result.worst_windows:6.3f} {result.refused:7.3f} '
-        f'{result.failed:6.3f} {result.sends:5.2f}  {windows}',
+        f'{result.failed:6.3f} {result.sends:5.2f} '
+        f'{result.isolated:8.3f}  {windows}',
         flush=True,
     )
     for name, credit in sorted(result.by_kind.items()):
--- a/standins/emulation/deployments.py
+++ b/standins/emulation/deployments.py
@@ -63,6 +63,14 @@
     end_s: float
 
 
+class Isolation(Struct, frozen=True):
+    """A share of the gateways of each region that reaches no server."""
+
+    share: float
+    start_s: float
+    end_s: float
+
+
 class Noise(Struct, frozen=True):
     """Work on a server takes ``factor`` times as long in some periods.
 
@@ -115,6 +123,7 @@
     shedding: tuple[Span, ...] = ()
     blind: tuple[Span, ...] = ()
     evacuations: tuple[Evacuation, ...] = ()
+    isolations: tuple[Isolation, ...] = ()
     seed: int = 1
 
     @property
@@ -168,6 +177,18 @@
             default=0.0,
         )
 
+    def isolated_share(self, now_ms):
+        """Return the share of the gateways that reaches no server."""
+        now_s = now_ms / MILLISECONDS
+        return max(
+            (
+                each.share
+                for each in self.isolations
+                if each.start_s <= now_s < each.end_s
+            ),
+            default=0.0,
+        )
+
     def evacuated(self, now_ms):
         """Return the domains that get no requests."""
         now_s = now_ms / MILLISECONDS
--- a/standins/emulation/emulator.py
+++ b/standins/emulation/emulator.py
@@ -12,6 +12,8 @@
 from itertools import count
 from random import Random
 
+from msgspec.structs import replace
+
 from fuchsiacart.configurations import Configuration
 from fuchsiacart.configurations import Item
 from fuchsiacart.configurations import ItemId
@@ -48,6 +50,8 @@
 SKEW = 0.2
 # Requests that are still in flight at the end get this time.
 CLOSING_S = 15.0
+# First tries count this long after gateways were cut off.
+ISOLATION_LIMIT_S = 3.0
 
 
 class Emulator:
@@ -85,6 +89,12 @@
             ]
             for region in plan.regions
         }
+        self._by_name = {
+            gateway.host.name: gateway
+            for members in self._gateways.values()
+            for gateway in members
+        }
+        self._apply_reach()
         self._view.shares = self._initial_shares()
         self._index = ServerIndex(
             self._view.servers.values(), plan.domains(), ''
@@ -137,6 +147,9 @@
 
     def reply(self, visit, result):
         """Bring a server's response to the gateway."""
+        if self.is_cut(visit.gateway.host):
+            visit.gateway.on_lost_reply(visit)
+            return
         load = self._servers[visit.tracked.name].load()
         self.after(
             visit.delay_ms, lambda: visit.gateway.on_reply(visit, result, load)
@@ -152,18 +165,63 @@
 
     def answer(self, request, is_success):
         """Bring the final answer to the caller."""
-        taken_ms = self.now_ms + CALLER_MS - request.sent_ms
+        taken_ms = self.now_ms + request.relay_ms + CALLER_MS
+        taken_ms -= request.sent_ms
         if not is_success and self._may_repeat(request, taken_ms):
             self.after(2 * CALLER_MS, lambda: self._try(request))
             return
         if not is_success or taken_ms > request.kind.deadline_ms:
             self.tallies.add(request, Ending.FAILED)
             return
+        if request.tries == 1 and self._counts_first(request.sent_ms):
+            self.tallies.first_served[request.is_isolated] += 1
         is_in_time = taken_ms <= request.kind.objective_ms
         self.tallies.add(
             request, Ending.IN_TIME if is_in_time else Ending.LATE
         )
 
+    def is_cut(self, host):
+        """Return True if a gateway is cut off from all servers now."""
+        share = self.plan.isolated_share(self.now_ms)
+        if not share:
+            return False
+        region, _, index = host.name.rpartition('-')
+        members = self._gateways[region.partition('-')[2]]
+        return int(index) < share * len(members)
+
+    def relay(self, request, origin, host):
+        """Bring a request from an isolated gateway to another one."""
+        is_near = host.region == origin.region
+        delay_ms = IN_REGION_MS if is_near else self.plan.between_regions_ms
+
+        def arrive():
+            if not self._by_name[host.name].take_relayed(request, delay_ms):
+                origin.reach.relays.avoid(host.name, self.now_ms)
+                self.after(delay_ms, lambda: origin.relay(request))
+
+        self.after(delay_ms, arrive)
+
+    def announce_reach(self):
+        """Tell all gateways which of them are isolated, by the leader."""
+        self.after(2 * self.plan.between_regions_ms, self._apply_reach)
+
+    def _apply_reach(self):
+        hosts = [
+            replace(each.host, state=each.reach.state)
+            for each in self._by_name.values()
+        ]
+        for gateway in self._by_name.values():
+            gateway.reach.relays.apply_view(hosts)
+
+    def _counts_first(self, sent_ms):
+        """Return True if some gateways have been cut off for a while."""
+        return any(
+            each.start_s + ISOLATION_LIMIT_S
+            <= sent_ms / MILLISECONDS
+            < each.end_s
+            for each in self.plan.isolations
+        )
+
     def _start_renewals(self):
         for members in self._gateways.values():
             for gateway in members:
@@ -229,6 +287,9 @@
     def _try(self, request):
         request.tries += 1
         gateway = self._random.choice(self._gateways[request.region])
+        if request.tries == 1 and self._counts_first(request.sent_ms):
+            request.is_isolated = self.is_cut(gateway.host)
+            self.tallies.first_tries[request.is_isolated] += 1
         self.after(CALLER_MS, lambda: gateway.serve(request))
 
     def _may_repeat(self, request, taken_ms):
--- a/standins/emulation/examples.py
+++ b/standins/emulation/examples.py
@@ -2,6 +2,7 @@
 
 from standins.emulation.deployments import Deployment
 from standins.emulation.deployments import Evacuation
+from standins.emulation.deployments import Isolation
 from standins.emulation.deployments import Kind
 from standins.emulation.deployments import Noise
 from standins.emulation.deployments import Region
@@ -97,5 +98,6 @@
     'burst': {'bursts': (Span(8.0, 12.0, 1.7),)},
     'shed': {'shedding': (Span(10.0, 18.0, 0.5),)},
     'blind': {'blind': (Span(15.0, 16.8, 1.0),)},
+    'isolation': {'isolations': (Isolation(0.5, 8.0, 18.0),)},
     'evacuation': {'evacuations': (Evacuation('noa-a', 8.0, 20.0),)},
 }
--- a/standins/emulation/experiments.py
+++ b/standins/emulation/experiments.py
@@ -36,7 +36,8 @@
     ``credit`` is the share of the credit earned, also of the worst region, of
     the two worst windows of 2 s in the mean, and of each kind and window.
     ``refused`` and ``failed`` are shares of the requests.  ``sends`` counts
-    those to servers, per request.
+    those to servers, per request.  ``isolated`` is the share of first tries
+    served at gateways that reach no server, relative to the others.
     """
 
     policy: str
@@ -48,6 +49,7 @@
     refused: float
     failed: float
     sends: float
+    isolated: float
     by_kind: dict[str, float]
     by_window: tuple[float, ...]
 
@@ -94,6 +96,7 @@
         total.refused / total.count,
         total.failed / total.count,
         emulator.sends / total.count,
+        tallies.isolated_ratio(),
         {name: tally.credit for name, tally in tallies.by_kind.items()},
         tuple(tally.credit for _, tally in sorted(tallies.by_window.items())),
     )
--- a/standins/emulation/gateways.py
+++ b/standins/emulation/gateways.py
@@ -5,12 +5,15 @@
 from fuchsiacart.gateway.admissions import RankedAdmission
 from fuchsiacart.gateway.admissions import retry_part
 from fuchsiacart.gateway.admissions import scale_room
+from fuchsiacart.gateway.attempts import MAX_UNREACHABLE_SERVERS
 from fuchsiacart.gateway.demands import DemandMeter
 from fuchsiacart.gateway.placements import PlacementRequest
 from fuchsiacart.gateway.placements import ServerSelector
 from fuchsiacart.gateway.retry_budgets import SharedRetryBudget
 from fuchsiacart.settings import RouteSettings
 from standins.emulation.deployments import MILLISECONDS
+from standins.emulation.reach import CONNECT_TIMEOUT_MS
+from standins.emulation.reach import EmulatedReach
 from standins.emulation.servers import Result
 
 SERVICE = 'stock'
@@ -39,6 +42,7 @@
         self.demands = DemandMeter()
         self.budget = SharedRetryBudget(settings, 0.0)
         self.budget.gateway_count = emulator.plan.gateways
+        self.reach = EmulatedReach(emulator, self)
 
     def serve(self, request):
         """Take a request from a caller."""
@@ -49,6 +53,8 @@
         request.received_ms = now_ms
         request.excluded = frozenset()
         request.sends = 0
+        request.unreachable = 0
+        request.relay_ms = 0.0
         view_ms = self._emulator.plan.time_to_view_ms(now_ms)
         if view_ms:
             self.wait_for_view(request, view_ms)
@@ -77,6 +83,7 @@
         request = visit.request
         visit.tracked.in_flight -= 1
         visit.tracked.record_report(load, now_ms)
+        self.reach.record_response()
         if result is Result.NOT_RUN:
             self._retry(request)
             return
@@ -88,6 +95,51 @@
         """Take what other gateways have in flight at each server."""
         self.selector.record_loads(load_map, counted_ms)
 
+    def on_lost_reply(self, visit):
+        """Fail a request whose response does not arrive."""
+        visit.tracked.in_flight -= 1
+        request = visit.request
+        timeout_ms = request.received_ms + request.kind.timeout_ms
+        self._emulator.after(
+            max(0.0, timeout_ms - self._emulator.now_ms),
+            lambda: self._emulator.answer(request, False),
+        )
+
+    def relay(self, request):
+        """Pass a request on to another gateway."""
+        now_ms = self._emulator.now_ms
+        host = self.reach.relays.choose((), request.excluded, now_ms)
+        if host is None or request.relay_ms:
+            left_ms = self._left_ms(request)
+            self._emulator.refuse(request, longest_retry_after_ms(left_ms))
+            return
+        request.excluded |= {host.name}
+        self._emulator.relay(request, self, host)
+
+    def take_relayed(self, request, delay_ms):
+        """Take a request that another gateway relays.
+
+        :param delay_ms: the way back to that gateway.
+        :return: False if this gateway is isolated, too.
+        """
+        if self.reach.is_isolated:
+            return False
+        received_ms = request.received_ms
+        self.serve(request)
+        request.received_ms = received_ms
+        request.relay_ms = delay_ms
+        return True
+
+    def _fail_to_connect(self, request, tracked):
+        tracked.in_flight -= 1
+        tracked.record_failure(self._emulator.now_ms)
+        self.reach.record_unconnected(tracked.name)
+        request.unreachable += 1
+        if request.unreachable < MAX_UNREACHABLE_SERVERS:
+            self._place(request)
+            return
+        self._refuse(request)
+
     def _retry(self, request):
         if request.sends < self._emulator.plan.max_attempts:
             part = retry_part(self.urgency(request))
@@ -103,12 +155,22 @@
         )
 
     def _place(self, request):
+        if self.reach.is_isolated:
+            self.relay(request)
+            return
         now_ms = self._emulator.now_ms
         tracked = self.selector.choose(self._make_placement(request), now_ms)
         if tracked is None:
             self._refuse(request)
             return
         request.excluded |= {tracked.name}
+        if self.reach.is_cut:
+            tracked.in_flight += 1
+            self._emulator.after(
+                CONNECT_TIMEOUT_MS,
+                lambda: self._fail_to_connect(request, tracked),
+            )
+            return
         request.sends += 1
         tracked.in_flight += 1
         self._emulator.send(request, self, tracked)
--- a/standins/emulation/policies.py
+++ b/standins/emulation/policies.py
@@ -23,6 +23,14 @@
         """Ignore them."""
 
 
+class UnrelayingGateway(EmulatedGateway):
+    """A gateway that tries servers alone while it reaches none."""
+
+    def relay(self, request):
+        """Refuse the request."""
+        self.refuse_blind(request)
+
+
 class ImpatientGateway(EmulatedGateway):
     """A gateway that refuses at once what arrives before its view."""
 
@@ -56,4 +64,5 @@
     'shared loads': Policy(IsolatedGateway),
     'a wait for the view': Policy(ImpatientGateway),
     'a step for evacuations': Policy(make_balancer=EvenBalancer),
+    'relays': Policy(UnrelayingGateway),
 }
--- a/standins/emulation/tallies.py
+++ b/standins/emulation/tallies.py
@@ -26,6 +26,10 @@
 
     ``received_ms`` is the arrival of the present try at its gateway,
     ``excluded`` and ``sends`` are the servers that this try was sent to.
+    ``unreachable`` counts the servers and gateways that took no connection,
+    ``relay_ms`` is the way back from the gateway that relays it.
+    ``is_isolated`` holds whether the gateway of its first try was cut off from
+    all servers.
     """
 
     kind: Kind
@@ -36,6 +40,9 @@
     received_ms: float = 0.0
     excluded: frozenset = frozenset()
     sends: int = 0
+    unreachable: int = 0
+    relay_ms: float = 0.0
+    is_isolated: bool = False
 
 
 class Tally(Struct):
@@ -77,6 +84,10 @@
         self.by_region = defaultdict(Tally)
         self.by_kind = defaultdict(Tally)
         self.by_window = defaultdict(Tally)
+        # First tries and those that were served, by ``is_isolated``, while
+        # some gateways are cut off.
+        self.first_tries = {True: 0, False: 0}
+        self.first_served = {True: 0, False: 0}
 
     def add(self, request, ending):
         """Add the ending of a request."""
@@ -89,6 +100,19 @@
         ):
             tally.add(request.kind, ending)
 
+    def isolated_ratio(self):
+        """Return how often first tries are served at isolated gateways.
+
+        It is relative to the others; 1 if there were none.
+        """
+        if not all(self.first_tries.values()):
+            return 1.0
+        isolated, others = (
+            self.first_served[each] / self.first_tries[each]
+            for each in (True, False)
+        )
+        return isolated / max(others, 1e-9)
+
     def worst_region(self):
         """Return the credit of the region that is served worst."""
         return min(tally.credit for tally in self.by_region.values())
