--- a/soak/ledger.py
+++ b/soak/ledger.py
@@ -291,16 +291,18 @@
     def _check_cut(self, cut):
         """Check that callers at gateways that were cut off were served.
 
-        Requests at gateways that another fault disturbed don't count.
+        Requests at gateways that another fault disturbed don't count, nor
+        those for which no undisturbed gateway reached the servers.
         """
+        gateways = {sent.gateway for sent in self.requests.values()}
         tries = [
             sent
             for sent in self.requests.values()
             if cut.start_s + CUT_OFF_LIMIT_S <= sent.sent_s < cut.end_s
-            and not self._was_disturbed(
-                sent.gateway,
-                sent.sent_s,
-                min(sent.ended_s, sent.sent_s + sent.timeout_s),
+            and self._was_calm(sent, sent.gateway)
+            and any(
+                self._was_calm(sent, gateway)
+                for gateway in gateways - cut.gateways
             )
         ]
         cut_off = [sent for sent in tries if sent.gateway in cut.gateways]
@@ -321,6 +323,11 @@
                 f' {served_others} of {others} at the others',
             )
 
+    def _was_calm(self, sent, gateway):
+        """Return True if no fault disturbed a gateway during a request."""
+        end_s = min(sent.ended_s, sent.sent_s + sent.timeout_s)
+        return not self._was_disturbed(gateway, sent.sent_s, end_s)
+
     def _check_stop(self, stop):
         """Check that the stop lost no request that had begun to run."""
         for sent in self.requests.values():
