Count gateways that could not serve a request apart from servers

Callers saw: a request whose gateway was just cut off was refused after one or two other gateways that were cut off too, though further ones reach servers. Read by the review: servers that took no connection and gateways that could not serve shared one count of four. They are counted apart now; the scenario of relays with three servers and three gateways fails with the common count.

--- a/features/relays.feature
+++ b/features/relays.feature
@@ -42,3 +42,15 @@
     Given an isolated gateway with others near and far
     When the gateway loses a server that runs a request, and near-0 refuses it
     Then the caller is told that the outcome is unknown
+
+  Scenario Outline: servers that took no connection leave a request no gateway to be relayed to
+    Given a request for which <servers> servers took no connection
+    When <gateways> gateways could not serve it either
+    Then it <may> be relayed again
+
+    Examples:
+      | servers | gateways | may     |
+      | 3       | 1        | may     |
+      | 3       | 3        | may     |
+      | 3       | 4        | may not |
+      | 0       | 4        | may not |
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -21,6 +21,7 @@
 from features.steps.forwarding_steps import SLOW_S
 from fuchsiacart.exceptions import ErrorKind
 from fuchsiacart.exceptions import RequestError
+from fuchsiacart.gateway.attempts import Attempts
 from fuchsiacart.gateway.attempts import InboundRequest
 from fuchsiacart.gateway.dialects import RequestMetadata
 from fuchsiacart.gateway.gateway_selectors import GatewaySelector
@@ -139,7 +140,10 @@
         fixture.forwarder.relay.apply_view((host,))
         task = create_task(fixture.serve(KINDS['an idempotent']))
         await sleep(SLOW_S / 3)
-        fixture.forwarder.reachability.record_probe(False)
+        reachability = fixture.forwarder.reachability
+        reachability.record_silent(server.name)
+        reachability.record_probe(False)
+        assert reachability.is_isolated
         await server.close()
         await task
         refusing.stop()
@@ -178,3 +182,18 @@
     if host is not None:
         sender = host.http_address.rpartition(':')[0]
     assert context.relay.caller_of(sender, named) == caller
+
+
+@given('a request for which {count:d} servers took no connection')
+def given_unconnected(context, count):
+    context.attempts = Attempts(None, None, 'stock', unreachable=count)
+
+
+@when('{count:d} gateways could not serve it either')
+def when_relays_failed(context, count):
+    context.attempts.failed_relays = count
+
+
+@then('it {may} be relayed again')
+def then_may(context, may):
+    assert context.attempts.may_try_again(None) == (may == 'may')
--- a/fuchsiacart/gateway/attempts.py
+++ b/fuchsiacart/gateway/attempts.py
@@ -20,6 +20,8 @@
 
 # Failed connections after which a request that was not sent yet fails.
 MAX_UNREACHABLE_SERVERS = 4
+# Gateways that could not serve a relayed request, after which it fails.
+MAX_FAILED_RELAYS = 4
 BODILESS_METHODS = ('GET', 'HEAD')
 
 
@@ -73,7 +75,8 @@
 
     ``urgency`` is that of its rank; see :class:`RankedAdmission`.  ``sent``
     counts the attempts that reached a server, ``unreachable`` those that
-    failed to connect.  ``may_have_run`` is set once an attempt failed without
+    failed to connect, ``failed_relays`` those at other gateways that did not
+    reach a server.  ``may_have_run`` is set once an attempt failed without
     the server's promise that the request was not run.  ``excluded`` names the
     servers already tried; ``last_failure`` says how the last attempt failed.
     ``room``, ``believed_load`` and ``load_age_ms`` are the requests per slot
@@ -87,6 +90,7 @@
     urgency: float | None = ONLY_RANK_URGENCY
     sent: int = 0
     unreachable: int = 0
+    failed_relays: int = 0
     may_have_run: bool = False
     excluded: frozenset[str] = frozenset()
     last_failure: str = ''
@@ -130,7 +134,10 @@
             retry that is allowed takes one token from it.
         """
         if self.sent == 0:
-            return self.unreachable < MAX_UNREACHABLE_SERVERS
+            return (
+                self.unreachable < MAX_UNREACHABLE_SERVERS
+                and self.failed_relays < MAX_FAILED_RELAYS
+            )
         if self.may_have_run and not self.route.is_idempotent:
             return False
         return self.sent < self.route.max_attempts and budget.try_spend(
--- a/fuchsiacart/gateway/relays.py
+++ b/fuchsiacart/gateway/relays.py
@@ -130,7 +130,7 @@
         response = result.response
         if response is not None and self._is_isolated(response):
             attempts.last_failure = f'{host.name} reaches no server either'
-            attempts.unreachable += 1
+            attempts.failed_relays += 1
             self.selector.avoid(host.name, steady_ms())
             return None
         if response is not None and not (
@@ -145,7 +145,7 @@
         if result.failure is FailureKind.NOT_SENT:
             return None
         if result.failure is FailureKind.NOT_CONNECTED:
-            attempts.unreachable += 1
+            attempts.failed_relays += 1
             self.selector.avoid(host.name, steady_ms())
             return None
         attempts.sent += 1
