--- a/fuchsiacart/control/directory.py
+++ b/fuchsiacart/control/directory.py
@@ -17,10 +17,10 @@
     """Return the addresses of the gateways that are nearest to a caller.
 
     Those of the caller's failure domain are preferred, then those of its
-    region.  Gateways that reach no backend server are named only if there are
-    too few others in the region; they relay what they get.  Of too many, a caller is told
-    the same each time, by rendezvous hashing, as it closes its connections to
-    the others.
+    region.  Gateways that reach no backend server are named only if there
+    are too few others in the region; they relay what they get.  Of too many,
+    a caller is told the same each time, by rendezvous hashing, as it closes
+    its connections to the others.
 
     :param hosts: all gateways.
     :param region: region of the caller.
