--- a/standins/emulation/gateways.py
+++ b/standins/emulation/gateways.py
@@ -133,7 +133,7 @@
     def _fail_to_connect(self, request, tracked):
         tracked.in_flight -= 1
         tracked.record_failure(self._emulator.now_ms)
-        self.reach.record_unconnected(tracked.name)
+        self.reach.record_silent(tracked.name)
         request.unreachable += 1
         if request.unreachable < MAX_UNREACHABLE_SERVERS:
             self._place(request)
--- a/standins/emulation/reach.py
+++ b/standins/emulation/reach.py
@@ -47,10 +47,10 @@
         """The state of the gateway as in its lease."""
         return HostState.ISOLATED if self.is_isolated else HostState.LIVE
 
-    def record_unconnected(self, server_name):
+    def record_silent(self, server_name):
         """Record a server that took no connection, and probe in doubt."""
         was_reached = self._reachability.reach is Reach.REACHED
-        self._reachability.record_unconnected(server_name)
+        self._reachability.record_silent(server_name)
         if was_reached and self._reachability.reach is not Reach.REACHED:
             self._emulator.after(PROBE_TIMEOUT_MS, self._end_probe)
 
--- a/tools/check.py
+++ b/tools/check.py
@@ -21,8 +21,8 @@
 # Seeds of the soak; those that have failed stay here as regression cases.
 # 7: responses were reported as late while the event loop of the soak was
 # blocked.  703, 871: gateways had exited in time, but the kernel had not freed
-# what they had mapped.  521318, 215859: a refusal of another gateway was passed
-# on for a request that had run.
+# what they had mapped.  521318, 215859: a refusal of another gateway was
+# passed on for a request that had run.
 SOAK_SEEDS = ('2', '7', '703', '871', '521318', '215859')
 CONCURRENT_SEEDS = 2
 # Features that run concurrently; they spend most of their time waiting.
