Go on using open connections while servers refuse new ones

Cause: one state stood for two situations. Now a gateway whose servers answer while they refuse connections is confined: it uses open connections, relays what would need a new one, and is named as before.

--- a/features/reachability.feature
+++ b/features/reachability.feature
@@ -69,11 +69,17 @@
     And a probe finds no server
     Then the gateway takes the servers for reached
 
-  Scenario: a gateway stays isolated while open connections live on
+  Scenario: a gateway is confined while open connections live on and new ones are refused
     Given a gateway that sees 20 servers
     When 3 servers in a row refuse a connection
     And a server answers
     And a probe finds no server
+    Then the gateway uses connections opened before only
+    And nobody is told
+    When a server answers
+    And a probe finds no server
+    Then the gateway uses connections opened before only
+    When a probe finds no server
     Then the gateway is isolated, and others are told
 
   Scenario: servers that have failed are not probed first
--- a/features/steps/reachability_steps.py
+++ b/features/steps/reachability_steps.py
@@ -92,6 +92,11 @@
     assert context.reachability.reach is Reach.SUSPECTED
 
 
+@then('the gateway uses connections opened before only')
+def then_confined(context):
+    assert context.reachability.is_confined
+
+
 @then('nobody is told')
 def then_not_told(context):
     assert not context.told[-1]
--- a/fuchsiacart/gateway/connection_pools.py
+++ b/fuchsiacart/gateway/connection_pools.py
@@ -102,6 +102,14 @@
         self._idle[record.name].append(connection)
         return True
 
+    def has_idle(self, name):
+        """Return True if an open connection to a server may be used.
+
+        :param name: name of the server.
+        """
+        idle = self._idle.get(name, ())
+        return any(connection.is_reusable for connection in idle)
+
     def retain(self, names):
         """Close the connections to all other servers.
 
--- a/fuchsiacart/gateway/forwarding.py
+++ b/fuchsiacart/gateway/forwarding.py
@@ -110,11 +110,7 @@
         attempts = self._start_attempts(self.relay.read(request), route)
         while True:
             self._check_stop(attempts)
-            if self.reachability.is_isolated:
-                response = await self.relay.make_attempt(attempts)
-            else:
-                server = self._choose_server(attempts)
-                response = await self._sender.make_attempt(attempts, server)
+            response = await self._make_attempt(attempts)
             if response is not None:
                 return response
             if attempts.left_s <= 0:
@@ -124,6 +120,16 @@
             ):
                 raise attempts.make_error(self._time_to_room_ms(attempts))
 
+    async def _make_attempt(self, attempts):
+        if self.reachability.is_isolated:
+            return await self.relay.make_attempt(attempts)
+        server = self._choose_server(attempts)
+        if self.reachability.is_confined and not self._pool.has_idle(
+            server.name
+        ):
+            return await self.relay.make_attempt(attempts)
+        return await self._sender.make_attempt(attempts, server)
+
     async def can_connect(self, record, timeout_s):
         """See :meth:`ConnectionPool.can_connect`."""
         return await self._pool.can_connect(record, timeout_s)
--- a/fuchsiacart/gateway/reachability.py
+++ b/fuchsiacart/gateway/reachability.py
@@ -21,11 +21,13 @@
     """What a gateway knows of its way to the backend servers.
 
     ``SUSPECTED``: they seem out of reach, which is being confirmed;
+    ``CONFINED``: they are reached over connections opened before only;
     ``ISOLATED``: none is reached.
     """
 
     REACHED = 'reached'
     SUSPECTED = 'suspected'
+    CONFINED = 'confined'
     ISOLATED = 'isolated'
 
 
@@ -53,6 +55,11 @@
         """True if no backend server is reached."""
         return self.reach is Reach.ISOLATED
 
+    @property
+    def is_confined(self):
+        """True if only connections opened before reach servers."""
+        return self.reach is Reach.CONFINED
+
     @property
     def doubted_names(self):
         """Names of the servers that have failed."""
@@ -110,6 +117,8 @@
             self._refusing.clear()
             self.reach = Reach.REACHED
             self._doubted.clear()
+        elif self._has_response:
+            self.reach = Reach.CONFINED
         else:
             self.reach = Reach.ISOLATED
         self._has_response = False
--- a/tools/seeded_faults/gateway.py
+++ b/tools/seeded_faults/gateway.py
@@ -142,9 +142,8 @@
     Fault(
         'a gateway that reaches no server goes on by itself',
         'gateway/forwarding.py',
-        'if self.reachability.is_isolated:\n'
-        '                response = await',
-        'if False:\n                response = await',
+        'if self.reachability.is_isolated:\n            return await',
+        'if False:\n            return await',
         'isolation',
     ),
     Fault(
@@ -218,8 +217,8 @@
     Fault(
         'a stopping gateway starts requests that its end cuts off',
         'gateway/forwarding.py',
-        'self._check_stop(attempts)\n            if',
-        'if',
+        'self._check_stop(attempts)\n            response',
+        'response',
         'planned_stops',
     ),
     Fault(
