--- a/fuchsiacart/gateway/hosts.py
+++ b/fuchsiacart/gateway/hosts.py
@@ -204,7 +204,6 @@
 
     def _record_isolation(self):
         is_isolated = self.forwarder.reachability.is_isolated
-        log_event('isolation', is_isolated=is_isolated)
         self.forwarder.apply_isolation()
         self._lease.set_isolated(is_isolated)
 
--- a/fuchsiacart/gateway/probes.py
+++ b/fuchsiacart/gateway/probes.py
@@ -4,6 +4,7 @@
 from asyncio import sleep
 
 from fuchsiacart.gateway.reachability import PROBED_SERVERS
+from fuchsiacart.logs import log_event
 
 PROBE_TIMEOUT_S = 0.3
 PROBE_INTERVAL_S = 0.5
@@ -28,8 +29,12 @@
         """Probe whenever there is doubt, until cancelled."""
         while True:
             await self._reachability.wait_for_doubt()
+            before = self._reachability.reach
             is_reached = await self._probe()
-            if self._reachability.record_probe(is_reached):
+            has_changed = self._reachability.record_probe(is_reached)
+            if self._reachability.reach is not before:
+                log_event('reachability', reach=self._reachability.reach.value)
+            if has_changed:
                 self._on_change()
             await sleep(PROBE_INTERVAL_S)
 
