--- a/fuchsiacart/gateway/suspects.py
+++ b/fuchsiacart/gateway/suspects.py
@@ -101,6 +101,10 @@
         log_event(
             'request_suspected',
             request=request.metadata.request_id,
+            caller=request.caller,
+            method=request.method,
+            host=request.host_name,
+            path=request.path,
             digest=digest,
             server=record.name,
             broken=len(suspect.broken),
