--- a/features/forwarding.feature
+++ b/features/forwarding.feature
@@ -38,6 +38,11 @@
     And another caller sends a request to the same path
     Then 3 servers are down
 
+  Scenario: a request that crashes servers is known whichever address it comes from
+    Given a gateway with 8 servers, of which the first answers
+    When a request that crashes its servers is sent from 5 addresses
+    Then 2 servers are down
+
   Scenario: a request suspected by one gateway is refused by another
     Given a gateway with 5 servers, of which the first answers
     When a request that crashes its servers is sent 1 times
--- a/features/steps/forwarding_steps.py
+++ b/features/steps/forwarding_steps.py
@@ -305,6 +305,18 @@
         fixture.run(sleep(CHECK_WAIT_S))
 
 
+@when('a request that crashes its servers is sent from {count:d} addresses')
+def when_poison_sent_around(context, count):
+    """Send the request from each address until it is refused or fails."""
+    fixture = context.forwarding
+    for host in range(count):
+        address = f'10.1.2.{host}'
+        fixture.run(
+            fixture.serve(RequestKind.IDEMPOTENT, POISON_PATH, address)
+        )
+        fixture.run(sleep(CHECK_WAIT_S))
+
+
 @when('the gateway has checked its servers')
 def when_checked(context):
     """Leave time for the connection checks of the gateway."""
