Count servers that are lost together under a request as one loss

Callers saw: a request of which two copies ran on two servers of a domain that failed was refused for ten minutes, at all gateways, though it had done nothing.

Cause: any two servers lost under one name counted, whenever the requests had been sent. That is no sign of a request that crashes servers; two losses in a row are: the second under a request sent when the first was known. The class: independent evidence is assumed of what has one cause.

Evidence: with the old rule put back, two scenarios of 'suspects' fail (servers lost together; gateways that lose one each).

The entry hosts count the same way.

--- /dev/null
+++ b/features/suspects.feature
@@ -0,0 +1,33 @@
+Feature: requests that crash the servers that run them
+
+  Scenario: a request whose servers are lost together is not refused
+    Given a request that is sent to 3 servers
+    When all of them are lost
+    Then the request is not refused
+
+  Scenario: a request is refused once a second server is lost in a row
+    Given a request that is sent to 1 servers
+    When all of them are lost
+    And it is sent to another server
+    And that server is lost
+    Then the request is refused
+
+  Scenario: an answer between two losses shows that it was by chance
+    Given a request that is sent to 1 servers
+    When all of them are lost
+    And it is sent to another server
+    And the request is answered
+    And that server is lost
+    Then the request is not refused
+
+  Scenario: a loss that several requests of the same content saw counts once
+    Given a request that is sent to 1 servers
+    When all of them are lost
+    And the loss is seen again by a request that was sent after it was known
+    Then the request is not refused
+
+  Scenario: gateways that lose a server each at the same time refuse nothing
+    Given a request that is sent to 1 servers
+    When all of them are lost
+    And another gateway reports that it lost a server of its own meanwhile
+    Then the request is not refused
--- a/fuchsiacart/entry/coordinators.py
+++ b/fuchsiacart/entry/coordinators.py
@@ -134,6 +134,7 @@
         attempt = 0
         while True:
             attempt += 1
+            known_losses = self._known_losses(admitted)
             reply, host = await self._make_attempt(
                 admitted, tried_hosts, tried_servers
             )
@@ -143,7 +144,7 @@
             if reply.refusal.run is Run.UNKNOWN:
                 run = Run.UNKNOWN
             if reply.broken:
-                await self._record_broken(admitted, reply)
+                await self._record_broken(admitted, reply, known_losses)
             if reply.server:
                 tried_servers += (reply.server,)
             else:
@@ -203,9 +204,14 @@
                 Run.UNKNOWN,
             )
 
-    async def _record_broken(self, admitted, reply):
+    def _known_losses(self, admitted):
+        return self._components.quarantine.losses_in_row(
+            admitted.digest, wall_ms()
+        )
+
+    async def _record_broken(self, admitted, reply, known_losses):
         suspect = self._components.quarantine.record_broken(
-            admitted.digest, reply.server, wall_ms()
+            admitted.digest, reply.server, known_losses, wall_ms()
         )
         await self._components.notify_suspect(suspect)
 
--- a/fuchsiacart/gateway/attempts.py
+++ b/fuchsiacart/gateway/attempts.py
@@ -1,5 +1,6 @@
 """A caller's request at a gateway and the state of its attempts."""
 
+from asyncio import Task
 from time import monotonic
 
 from msgspec import Struct
@@ -79,6 +80,7 @@
     reach a server.  ``may_have_run`` is set once an attempt failed without
     the server's promise that the request was not run.  ``excluded`` names the
     servers already tried; ``last_failure`` says how the last attempt failed.
+    ``server_check`` checks whether the server that broke off last is lost.
     ``room``, ``believed_load`` and ``load_age_ms`` are the requests per slot
     that were allowed for the last placement, the load on which it was based
     and the age of that load, -1 if none was known.
@@ -94,6 +96,7 @@
     may_have_run: bool = False
     excluded: frozenset[str] = frozenset()
     last_failure: str = ''
+    server_check: Task | None = None
     room: float = 0.0
     believed_load: float = 0.0
     load_age_ms: float = -1.0
--- a/fuchsiacart/gateway/server_attempts.py
+++ b/fuchsiacart/gateway/server_attempts.py
@@ -54,6 +54,7 @@
         left_s = attempts.left_s
         if left_s <= 0:
             raise attempts.make_deadline_error()
+        known_losses = self._suspects.losses_in_row(request, attempts.service)
         server.in_flight += 1
         started_s = monotonic()
         try:
@@ -77,6 +78,10 @@
         taken_s = monotonic() - started_s
         if result.failure is not None:
             self._record_failed_attempt(attempts, server, result, taken_s)
+            if result.failure is FailureKind.BROKEN and not result.has_headers:
+                attempts.server_check = self._suspects.check_server(
+                    request, record, known_losses, attempts.server_check
+                )
             return None
         return self._handle_response(attempts, server, result, taken_s)
 
@@ -140,8 +145,6 @@
             attempts.sent += 1
             attempts.may_have_run = True
             self._record_sign_of_life(server, result)
-        if result.failure is FailureKind.BROKEN and not result.has_headers:
-            self._suspects.check_server(attempts.request, server.record)
         if result.failure is not FailureKind.TOO_LATE:
             self._record_failure(server)
         elif taken_s >= attempts.objective_s:
--- a/fuchsiacart/gateway/suspects.py
+++ b/fuchsiacart/gateway/suspects.py
@@ -64,15 +64,34 @@
         if not self._quarantine.is_empty:
             self._quarantine.clear(_digest(request, service))
 
-    def check_server(self, request, record):
+    def losses_in_row(self, request, service):
+        """Return how many servers were lost in a row running a request.
+
+        :param request: the :class:`InboundRequest`.
+        :param service: the service that it is for.
+        """
+        if self._quarantine.is_empty:
+            return 0
+        digest = _digest(request, service)
+        return self._quarantine.losses_in_row(digest, wall_ms())
+
+    def check_server(self, request, record, known_losses, earlier_check):
         """Check in the background whether a request crashed a server.
 
         :param request: the :class:`InboundRequest` without a response.
         :param record: the :class:`ServerRecord`.
+        :param known_losses: result of :meth:`losses_in_row` when the request
+            was sent to the server.
+        :param earlier_check: the task that checks the server of the attempt
+            before, or None.
+        :return: the task.
         """
-        task = create_task(self._check_server(request, record))
+        task = create_task(
+            self._check_server(request, record, known_losses, earlier_check)
+        )
         self._checks.add(task)
         task.add_done_callback(self._checks.discard)
+        return task
 
     def flush(self):
         """Return suspects that have not been returned before.
@@ -90,12 +109,17 @@
         """
         self._quarantine.merge(suspects, wall_ms())
 
-    async def _check_server(self, request, record):
+    async def _check_server(
+        self, request, record, known_losses, earlier_check
+    ):
+        """Return the losses in a row, 0 if the server is not lost."""
         if await self._pool.can_connect(record, CHECK_TIMEOUT_S):
-            return
+            return 0
+        if earlier_check is not None:
+            known_losses = max(known_losses, await earlier_check)
         digest = _digest(request, record.service)
         suspect = self._quarantine.record_broken(
-            digest, record.name, wall_ms()
+            digest, record.name, known_losses, wall_ms()
         )
         self._unreported[digest] = suspect
         log_event(
@@ -108,9 +132,11 @@
             digest=digest,
             server=record.name,
             broken=len(suspect.broken),
+            losses_in_row=suspect.losses_in_row,
         )
         if self._listener is not None:
             self._listener()
+        return suspect.losses_in_row
 
 
 def _digest(request, service):
--- a/fuchsiacart/messages.py
+++ b/fuchsiacart/messages.py
@@ -99,11 +99,14 @@
 
     ``digest`` identifies the request, ``broken`` names the servers and
     ``until_ms`` is the wall clock time at which the record expires.
+    ``losses_in_row`` counts the servers that were lost one after the other:
+    each loss was known when the request was sent to the next server.
     """
 
     digest: str
     broken: tuple[BackendServerId, ...]
     until_ms: int
+    losses_in_row: int
 
 
 class KeepAliveRequest(Struct, frozen=True, tag=True):
--- a/fuchsiacart/quarantine.py
+++ b/fuchsiacart/quarantine.py
@@ -12,10 +12,11 @@
     """Suspects known to one host; does no I/O.
 
     A request that was running on a backend server when the server was lost
-    becomes a suspect: its next attempt runs alone on a server.  Once it was
-    running on ``BROKEN_LIMIT`` different servers that were lost, it is
-    refused until its record expires.  All times are milliseconds of the wall
-    clock.
+    becomes a suspect: its next attempt runs alone on a server.  Once
+    ``BROKEN_LIMIT`` servers in a row were lost while they ran it, it is
+    refused until its record expires.  Servers that are lost at the same time,
+    as in a failure of their domain, count as one.  All times are milliseconds
+    of the wall clock.
 
     :param quarantine_ms: milliseconds after which a record expires.
     """
@@ -29,26 +30,31 @@
         """Return True if no suspects are stored."""
         return not self._suspects
 
-    def record_broken(self, digest, server, now_ms):
+    def record_broken(self, digest, server, known_losses, now_ms):
         """Record that a server was lost while it ran a request.
 
         :param digest: identifies the request; see :func:`request_digest`.
         :param server: name of the server.
+        :param known_losses: result of :meth:`losses_in_row` when the request
+            was sent to the server.
         :param now_ms: current time.
         :return: the updated :class:`Suspect`, to be sent to other hosts.
         """
         existing = self._find(digest, now_ms)
         broken = existing.broken if existing else ()
+        losses = existing.losses_in_row if existing else 0
         if server not in broken:
             broken += (server,)
-        suspect = Suspect(digest, broken, now_ms + self._quarantine_ms)
+            # An answer since then has cleared the request.
+            losses = max(losses, min(known_losses, losses) + 1)
+        suspect = Suspect(digest, broken, now_ms + self._quarantine_ms, losses)
         self._store(suspect)
         return suspect
 
     def clear(self, digest):
         """Remove a suspect that was answered, unless it is quarantined."""
         existing = self._suspects.get(digest)
-        if existing is not None and len(existing.broken) < BROKEN_LIMIT:
+        if existing is not None and not _must_be_refused(existing):
             del self._suspects[digest]
 
     def merge(self, suspects, now_ms):
@@ -62,12 +68,18 @@
                 continue
             broken = tuple(sorted({*existing.broken, *suspect.broken}))
             until_ms = max(existing.until_ms, suspect.until_ms)
-            self._store(Suspect(suspect.digest, broken, until_ms))
+            losses = max(existing.losses_in_row, suspect.losses_in_row)
+            self._store(Suspect(suspect.digest, broken, until_ms, losses))
 
     def is_quarantined(self, digest, now_ms):
         """Return True if a request must be refused."""
         existing = self._find(digest, now_ms)
-        return existing is not None and len(existing.broken) >= BROKEN_LIMIT
+        return existing is not None and _must_be_refused(existing)
+
+    def losses_in_row(self, digest, now_ms):
+        """Return how many servers were lost in a row running a request."""
+        existing = self._find(digest, now_ms)
+        return existing.losses_in_row if existing else 0
 
     def broken_servers(self, digest, now_ms):
         """Return the names of servers that were lost running a request."""
@@ -79,7 +91,7 @@
         return tuple(
             suspect
             for suspect in self.suspects(now_ms)
-            if len(suspect.broken) >= BROKEN_LIMIT
+            if _must_be_refused(suspect)
         )
 
     def suspects(self, now_ms):
@@ -103,6 +115,10 @@
             del self._suspects[next(iter(self._suspects))]
 
 
+def _must_be_refused(suspect):
+    return suspect.losses_in_row >= BROKEN_LIMIT
+
+
 def request_digest(customer, service, method, path, body):
     """Return the SHA-256 digest that identifies a request by its content.
 
