Know a request that crashes servers by its content and object

Callers saw: one request took server after server of a service down, 26 in 20 s; their own requests to it got 502, 503 and 504. No gateway refused it.

Cause: the name under which gateways count lost servers covered the address of the caller and the service. The same request came from several addresses, and each had to take two servers of its own down. A split route gives it two services, each with servers of its own to lose. The class: a name that covers what changes between two sends of the same thing.

Evidence: the five digests of the record that belong to its path are the same service, method and path from 100.65.0.30, 100.66.0.20, 100.66.0.25, 100.67.0.18 and 100.68.0.20, computed.

The name is now host, method, path with query, body and object. The object stays in it: it is what a caller states of itself at every address, and a request that crashes servers for one object says nothing of others at the same path. The scenario of another caller at the same path held the fault for right. It now sends a request for another object, with the same count of servers.

The entry hosts' name covers the customer, who proves who he is, and no address; nothing to change. Other uses of a caller's address: none in the gateways; look- ups use it to spread answers only.

--- a/features/forwarding.feature
+++ b/features/forwarding.feature
@@ -32,10 +32,10 @@
     When an idempotent request is served
     Then the caller gets 200 after 3 attempts
 
-  Scenario: another caller's request to the same path is served
+  Scenario: a request for another object at the same path is served
     Given a gateway with 5 servers, of which the first answers
     When a request that crashes its servers is sent 2 times
-    And another caller sends a request to the same path
+    And a request for another object is sent to the same path
     Then 3 servers are down
 
   Scenario: a request that crashes servers is known whichever address it comes from
@@ -43,6 +43,12 @@
     When a request that crashes its servers is sent from 5 addresses
     Then 2 servers are down
 
+  Scenario: a request that crashes servers is known whichever service it goes to
+    Given a gateway with 8 servers, of which the first answers
+    And its route is split between two services
+    When a request that crashes its servers is sent 6 times
+    Then 2 servers are down
+
   Scenario: a request suspected by one gateway is refused by another
     Given a gateway with 5 servers, of which the first answers
     When a request that crashes its servers is sent 1 times
--- a/features/steps/forwarding_steps.py
+++ b/features/steps/forwarding_steps.py
@@ -10,6 +10,7 @@
 from behave import then
 from behave import when
 from msgspec import Struct
+from msgspec.structs import replace
 from tornado.httpserver import HTTPServer
 from tornado.httputil import HTTPHeaders
 from tornado.netutil import bind_sockets
@@ -160,6 +161,7 @@
         self.loop = new_event_loop()
         self.outcome = None
         self.servers = []
+        self.services = ('stock',)
         self.run(self._open(count, fault))
 
     def run(self, coroutine):
@@ -200,7 +202,7 @@
 
     def _first_server_name(self):
         """Return the name of the server that a request goes to first."""
-        placement_request = PlacementRequest('stock', 'request', 1.0)
+        placement_request = PlacementRequest('stock', 'object', 1.0)
         return self.forwarder.selector.choose(
             placement_request, monotonic() * 1000
         ).name
@@ -214,22 +216,27 @@
             2000.0,
             400.0,
             0,
-            (RouteTarget('stock'),),
+            tuple(RouteTarget(service) for service in self.services),
             2,
         )
-        items = (
-            Item(ItemId('routes', 'route'), route, b''),
-            Item(
-                ItemId('services', 'stock'),
-                ServiceTerms('stock', '/', 100, 0.0, 0.0),
-                b'',
-            ),
-        )
+        items = [Item(ItemId('routes', 'route'), route, b'')]
+        for service in self.services:
+            terms = ServiceTerms(service, '/', 100, 0.0, 0.0)
+            items.append(Item(ItemId('services', service), terms, b''))
         version = self.view.configuration.version + 1
-        self.view.configuration = Configuration(version, items)
+        self.view.configuration = Configuration(version, tuple(items))
         self.forwarder.apply_view(self.view, 1)
 
-    async def serve(self, kind, path='/1', caller='10.1.1.1'):
+    def split(self):
+        """Give half of the servers to a second service of the route."""
+        self.services = ('stock', 'orders')
+        for name in tuple(self.view.servers)[::2]:
+            record = self.view.servers[name]
+            self.view.servers[name] = replace(record, service='orders')
+
+    async def serve(
+        self, kind, path='/1', caller='10.1.1.1', object_key='object'
+    ):
         """Serve a request and record its status or the kind of its error."""
         self._apply_configuration(kind)
         headers = HTTPHeaders({'Host': 'shop.example'})
@@ -239,7 +246,7 @@
             'shop.example',
             headers,
             b'',
-            RequestMetadata(REQUEST_ID, None, ''),
+            RequestMetadata(REQUEST_ID, None, object_key),
             monotonic(),
             caller,
         )
@@ -269,6 +276,11 @@
     context.resources.callback(context.forwarding.close)
 
 
+@given('its route is split between two services')
+def given_split(context):
+    context.forwarding.split()
+
+
 @when('{kind} request is served')
 def when_served(context, kind):
     context.forwarding.run(context.forwarding.serve(KINDS[kind]))
@@ -323,11 +335,14 @@
     context.forwarding.run(sleep(CHECK_WAIT_S))
 
 
-@when('another caller sends a request to the same path')
-def when_other_caller(context):
-    """Send the same request from another address."""
+@when('a request for another object is sent to the same path')
+def when_other_object(context):
+    """Send a request that differs in its object only."""
     fixture = context.forwarding
-    fixture.run(fixture.serve(RequestKind.IDEMPOTENT, POISON_PATH, '10.1.1.2'))
+    serving = fixture.serve(
+        RequestKind.IDEMPOTENT, POISON_PATH, object_key='another object'
+    )
+    fixture.run(serving)
 
 
 @when('another gateway gets the suspects')
--- a/fuchsiacart/gateway/forwarding.py
+++ b/fuchsiacart/gateway/forwarding.py
@@ -146,8 +146,8 @@
             self.selector.end_suspensions()
 
     def _start_attempts(self, request, route):
+        self._check_quarantine(request)
         service = self._splitter.choose(route)
-        self._check_quarantine(request, service)
         if self.reachability.is_isolated:
             # The gateway that sends it to a server counts it.
             return Attempts(request, route, service)
@@ -185,8 +185,8 @@
             return None
         return self.route_table.find(request.host_name, request.path)
 
-    def _check_quarantine(self, request, service):
-        if self.suspects.is_quarantined(request, service):
+    def _check_quarantine(self, request):
+        if self.suspects.is_quarantined(request):
             raise RequestError(
                 'it broke the servers that ran it',
                 ErrorKind.NO_BACKEND,
--- a/fuchsiacart/gateway/server_attempts.py
+++ b/fuchsiacart/gateway/server_attempts.py
@@ -54,7 +54,7 @@
         left_s = attempts.left_s
         if left_s <= 0:
             raise attempts.make_deadline_error()
-        known_losses = self._suspects.losses_in_row(request, attempts.service)
+        known_losses = self._suspects.losses_in_row(request)
         server.in_flight += 1
         started_s = monotonic()
         try:
@@ -117,7 +117,7 @@
             self._record_served(server, result, None)
             return response
         server.record_success()
-        self._suspects.record_response(attempts.request, attempts.service)
+        self._suspects.record_response(attempts.request)
         if response.status >= MIN_SERVER_ERROR_STATUS:
             self._evidence.record_failure(server.record)
             return response
--- a/fuchsiacart/gateway/suspects.py
+++ b/fuchsiacart/gateway/suspects.py
@@ -1,7 +1,9 @@
 """Detects requests that crash the backend servers that run them.
 
-Such requests are sent again under other ids and through other gateways, so
-they are identified by a digest of their content and caller.  A request is
+Such requests are sent again under other ids, from other addresses and through
+other gateways, and a split route sends them to other services.  They are
+identified by a digest of their content and the object that they concern, so
+that requests for other objects at the same path are served.  A request is
 suspected if its server broke the connection before a response and accepts no
 new connection right afterwards.  A server that still accepts connections has
 only lost a response or the state of the connection.
@@ -42,38 +44,33 @@
         """
         self._listener = listener
 
-    def is_quarantined(self, request, service):
+    def is_quarantined(self, request):
         """Return True if a request is quarantined.
 
         :param request: the :class:`InboundRequest`.
-        :param service: the service that it is for.
         """
         if self._quarantine.is_empty:
             return False
-        digest = _digest(request, service)
-        return self._quarantine.is_quarantined(digest, wall_ms())
+        return self._quarantine.is_quarantined(_digest(request), wall_ms())
 
-    def record_response(self, request, service):
+    def record_response(self, request):
         """Clear a suspect after a response, unless it is quarantined.
 
         The response shows that the request did not crash the server.
 
         :param request: the :class:`InboundRequest`.
-        :param service: the service that it is for.
         """
         if not self._quarantine.is_empty:
-            self._quarantine.clear(_digest(request, service))
+            self._quarantine.clear(_digest(request))
 
-    def losses_in_row(self, request, service):
+    def losses_in_row(self, request):
         """Return how many servers were lost in a row running a request.
 
         :param request: the :class:`InboundRequest`.
-        :param service: the service that it is for.
         """
         if self._quarantine.is_empty:
             return 0
-        digest = _digest(request, service)
-        return self._quarantine.losses_in_row(digest, wall_ms())
+        return self._quarantine.losses_in_row(_digest(request), wall_ms())
 
     def check_server(self, request, record, known_losses, earlier_check):
         """Check in the background whether a request crashed a server.
@@ -117,7 +114,7 @@
             return 0
         if earlier_check is not None:
             known_losses = max(known_losses, await earlier_check)
-        digest = _digest(request, record.service)
+        digest = _digest(request)
         suspect = self._quarantine.record_broken(
             digest, record.name, known_losses, wall_ms()
         )
@@ -139,7 +136,11 @@
         return suspect.losses_in_row
 
 
-def _digest(request, service):
+def _digest(request):
     return request_digest(
-        request.caller, service, request.method, request.target, request.body
+        request.metadata.object_key,
+        request.host_name.partition(':')[0].lower(),
+        request.method,
+        request.target,
+        request.body,
     )
--- a/fuchsiacart/quarantine.py
+++ b/fuchsiacart/quarantine.py
@@ -119,15 +119,14 @@
     return suspect.losses_in_row >= BROKEN_LIMIT
 
 
-def request_digest(customer, service, method, path, body):
+def request_digest(owner, destination, method, path, body):
     """Return the SHA-256 digest that identifies a request by its content.
 
-    :param customer: the customer, or another string that distinguishes
-        callers.
-    :param service: name of the service.
+    :param owner: the customer or the object that the request concerns.
+    :param destination: name of the service or the host.
     :param method: HTTP method.
     :param path: path with query.
     :param body: body as bytes.
     """
-    head = '\n'.join((customer, service, method, path))
+    head = '\n'.join((owner, destination, method, path))
     return sha256(head.encode() + b'\n' + body).hexdigest()
--- a/tools/seeded_faults/gateway.py
+++ b/tools/seeded_faults/gateway.py
@@ -277,4 +277,20 @@
         'and True',
         'gateway_selection',
     ),
+    Fault(
+        'the name of a suspect covers the address of its caller',
+        'gateway/suspects.py',
+        """    return request_digest(
+        request.metadata.object_key,""",
+        """    return request_digest(
+        request.caller,""",
+        'forwarding',
+    ),
+    Fault(
+        'servers that are lost together count as losses in a row',
+        'quarantine.py',
+        'losses = max(losses, min(known_losses, losses) + 1)',
+        'losses = losses + 1',
+        'suspects',
+    ),
 )
