Look a request up again before each attempt

Callers saw: a server was lost under a request that another gateway, or this one, already knew to crash servers; the callers whose requests ran there got 502.

Cause: whether a request is quarantined was looked up when it came, and its retry went out while the server under it was still being checked. The class: a decision is made once, on what is known at the start, for work that goes on.

Each further attempt looks again. A request that may have run is answered as of unknown outcome, not as refused.

Ruled out: closing attempts that run when their request is quarantined. It would save a server where the request still waits in its queue; not tried.

--- a/features/forwarding.feature
+++ b/features/forwarding.feature
@@ -56,6 +56,19 @@
     And a request that crashes its servers is sent 3 times
     Then 2 servers are down
 
+  Scenario: a request that is quarantined while it runs is not sent again
+    Given a gateway with 5 servers, of which the first answers
+    When a request crashes a server just as others report 2 losses
+    Then 1 servers are down
+    And the caller gets unknown after 1 attempts
+
+  Scenario: a suspected request is not sent again before its server is checked
+    Given a gateway with 5 servers, of which the first answers
+    When others report 1 losses under a request that crashes its servers
+    And a request that crashes its servers is sent 1 times
+    Then 1 servers are down
+    And the caller gets unknown after 1 attempts
+
   Scenario: a lost answer makes no request a suspect while its server still listens
     Given a gateway with 2 servers, of which the first breaks off
     When a non-idempotent request is served
--- a/features/steps/forwarding_steps.py
+++ b/features/steps/forwarding_steps.py
@@ -5,6 +5,7 @@
 from asyncio import sleep
 from asyncio import wait_for
 from time import monotonic
+from time import time
 
 from behave import given
 from behave import then
@@ -35,6 +36,8 @@
 from fuchsiacart.gateway.forwarding import Forwarder
 from fuchsiacart.gateway.placements import PlacementRequest
 from fuchsiacart.gateway.suspects import SuspectTracker
+from fuchsiacart.messages import Suspect
+from fuchsiacart.quarantine import request_digest
 from fuchsiacart.servers import ServerRecord
 from fuchsiacart.settings import EntrySettings
 from fuchsiacart.settings import HostSettings
@@ -109,6 +112,7 @@
             self.request.connection.stream.close()
             return
         if self.request.path == POISON_PATH:
+            server.on_crash()
             server.crash()
             self.request.connection.stream.close()
             return
@@ -134,6 +138,7 @@
         self.fault = fault
         self.served = 0
         self.is_down = False
+        self.on_crash = lambda: None
         application = Application([('.*', ServerHandler)], server=self)
         sockets = bind_sockets(0, '127.0.0.1')
         self.port = sockets[0].getsockname()[1]
@@ -329,6 +334,30 @@
         fixture.run(sleep(CHECK_WAIT_S))
 
 
+def _make_suspect(losses):
+    """Return the request that crashes servers, as others report it."""
+    digest = request_digest('object', 'shop.example', 'GET', POISON_PATH, b'')
+    until_ms = int(time() * 1000) + QUARANTINE_MS
+    return Suspect(digest, ('elsewhere',), until_ms, losses)
+
+
+@when('a request crashes a server just as others report {count:d} losses')
+def when_reported_meanwhile(context, count):
+    """Let the report arrive before the server breaks off."""
+    fixture = context.forwarding
+    suspects = (_make_suspect(count),)
+    for server in fixture.servers:
+        server.on_crash = lambda: fixture.forwarder.suspects.merge(suspects)
+    fixture.run(fixture.serve(RequestKind.IDEMPOTENT, POISON_PATH))
+
+
+@when(
+    'others report {count:d} losses under a request that crashes its servers'
+)
+def when_reported(context, count):
+    context.forwarding.forwarder.suspects.merge((_make_suspect(count),))
+
+
 @when('the gateway has checked its servers')
 def when_checked(context):
     """Leave time for the connection checks of the gateway."""
--- a/fuchsiacart/gateway/attempts.py
+++ b/fuchsiacart/gateway/attempts.py
@@ -1,6 +1,7 @@
 """A caller's request at a gateway and the state of its attempts."""
 
 from asyncio import Task
+from asyncio import wait
 from time import monotonic
 
 from msgspec import Struct
@@ -127,6 +128,16 @@
         """Seconds left to meet the response time objective."""
         return self.request.received_s + self.objective_s - monotonic()
 
+    @property
+    def may_run_again(self):
+        """True if it has not run, or may run more than once."""
+        return self.route.is_idempotent or not self.may_have_run
+
+    async def wait_for_server_check(self):
+        """Wait for ``server_check``, until the deadline at most."""
+        if self.server_check is not None:
+            await wait((self.server_check,), timeout=max(0.0, self.left_s))
+
     def may_try_again(self, budget):
         """Return True if another attempt may be made.
 
@@ -141,7 +152,7 @@
                 self.unreachable < MAX_UNREACHABLE_SERVERS
                 and self.failed_relays < MAX_FAILED_RELAYS
             )
-        if self.may_have_run and not self.route.is_idempotent:
+        if not self.may_run_again:
             return False
         return self.sent < self.route.max_attempts and budget.try_spend(
             steady_ms(), retry_part(self.urgency)
--- a/fuchsiacart/gateway/forwarding.py
+++ b/fuchsiacart/gateway/forwarding.py
@@ -113,12 +113,25 @@
             response = await self._make_attempt(attempts)
             if response is not None:
                 return response
-            if attempts.left_s <= 0:
-                raise attempts.make_deadline_error()
-            if not attempts.may_try_again(
-                self._retry_budget(attempts.service)
-            ):
-                raise attempts.make_error(self._time_to_room_ms(attempts))
+            await self._check_retry(attempts)
+
+    async def _check_retry(self, attempts):
+        """Return once the next attempt may be made.
+
+        A suspected request waits until it is known whether the server of the
+        last attempt is lost.
+
+        :raises RequestError: if no attempt may be made.
+        """
+        if attempts.left_s <= 0:
+            raise attempts.make_deadline_error()
+        if attempts.may_run_again and self.suspects.losses_in_row(
+            attempts.request
+        ):
+            await attempts.wait_for_server_check()
+        self._check_quarantine(attempts)
+        if not attempts.may_try_again(self._retry_budget(attempts.service)):
+            raise attempts.make_error(self._time_to_room_ms(attempts))
 
     async def _make_attempt(self, attempts):
         if self.reachability.is_isolated:
@@ -146,17 +159,18 @@
             self.selector.end_suspensions()
 
     def _start_attempts(self, request, route):
-        self._check_quarantine(request)
         service = self._splitter.choose(route)
+        attempts = Attempts(request, route, service)
+        self._check_quarantine(attempts)
         if self.reachability.is_isolated:
             # The gateway that sends it to a server counts it.
-            return Attempts(request, route, service)
+            return attempts
         now_ms = steady_ms()
         self._admission.record_arrival(service, route.rank, now_ms)
-        urgency = self._admission.urgency(service, route.rank, now_ms)
+        attempts.urgency = self._admission.urgency(service, route.rank, now_ms)
         self._retry_budget(service).record_request(now_ms)
         self.demands.record_arrival(service)
-        return Attempts(request, route, service, urgency)
+        return attempts
 
     async def _find_route(self, request):
         """Return the route of a request.
@@ -185,13 +199,16 @@
             return None
         return self.route_table.find(request.host_name, request.path)
 
-    def _check_quarantine(self, request):
-        if self.suspects.is_quarantined(request):
-            raise RequestError(
-                'it broke the servers that ran it',
-                ErrorKind.NO_BACKEND,
-                retry_after_ms=request.retry_after_ms,
-            )
+    def _check_quarantine(self, attempts):
+        if not self.suspects.is_quarantined(attempts.request):
+            return
+        if attempts.may_have_run:
+            raise attempts.make_error(None)
+        raise RequestError(
+            'it broke the servers that ran it',
+            ErrorKind.NO_BACKEND,
+            retry_after_ms=attempts.request.retry_after_ms,
+        )
 
     def _check_stop(self, attempts):
         """Start no attempt that the end of this gateway may cut off."""
--- a/tools/seeded_faults/gateway.py
+++ b/tools/seeded_faults/gateway.py
@@ -36,7 +36,7 @@
     Fault(
         'a request that may have run is sent to another server',
         'gateway/attempts.py',
-        'if self.may_have_run and not self.route.is_idempotent:',
+        'if not self.may_run_again:',
         'if False:',
         'soak',
         soak_seeds=('2', '3', '4'),
@@ -293,4 +293,19 @@
         'losses = losses + 1',
         'suspects',
     ),
+    Fault(
+        'a suspected request is sent again before its server is checked',
+        'gateway/forwarding.py',
+        'if attempts.may_run_again and self.suspects.losses_in_row(',
+        'if False and self.suspects.losses_in_row(',
+        'forwarding',
+    ),
+    Fault(
+        'quarantine is looked up only when a request arrives',
+        'gateway/forwarding.py',
+        'self._check_quarantine(attempts)\n'
+        '        if not attempts.may_try_again',
+        'if not attempts.may_try_again',
+        'forwarding',
+    ),
 )
