Report suspects again when a renewal of the lease fails

Callers would see: a request that one gateway knows to crash servers goes on taking servers down at the others, if the one renewal that told of it was lost, as when the leading control host ends just then.

Cause: suspects were forgotten when a renewal was sent, not when it was answered. The class: work counts as done when it is asked for. Not seen in the record; found by reading who learns of a suspect. Evidence: two scenarios of 'suspects' and the seeded fault that puts the old rule back (red).

The same class elsewhere: evidence on servers and demands of a lost renewal are lost too; they are means over short spans that the next renewal replaces.

--- a/features/steps/forwarding_steps.py
+++ b/features/steps/forwarding_steps.py
@@ -378,7 +378,7 @@
 def when_suspects_reported(context):
     """Give the suspects of this gateway to a new suspect tracker."""
     fixture = context.forwarding
-    suspects = fixture.forwarder.suspects.flush()
+    suspects = fixture.forwarder.suspects.make_report()
     fixture.forwarder.suspects = SuspectTracker(
         QUARANTINE_MS, ConnectionPool()
     )
@@ -395,7 +395,7 @@
 @then('no request is suspected')
 def then_no_suspect(context):
     """Check that no suspect would be reported to the control group."""
-    assert context.forwarding.forwarder.suspects.flush() == ()
+    assert context.forwarding.forwarder.suspects.make_report() == ()
 
 
 @when('an idempotent request is served while the first server expires')
--- a/features/steps/suspect_steps.py
+++ b/features/steps/suspect_steps.py
@@ -4,6 +4,8 @@
 from behave import then
 from behave import when
 
+from fuchsiacart.gateway.suspect_reports import SuspectReports
+from fuchsiacart.messages import Suspect
 from fuchsiacart.quarantine import Quarantine
 
 QUARANTINE_MS = 60_000
@@ -35,6 +37,24 @@
         )
 
 
+class ReportFixture:
+    """Reports of a gateway, and losses under one request."""
+
+    def __init__(self):
+        self.reports = SuspectReports()
+        self.losses = 0
+
+    def lose(self):
+        """Lose one more server."""
+        self.losses += 1
+        broken = tuple(f'server-{index}' for index in range(self.losses))
+        self.reports.add(Suspect(DIGEST, broken, QUARANTINE_MS, self.losses))
+
+    def reported(self):
+        """Return the losses that the next renewal reports."""
+        return [each.losses_in_row for each in self.reports.make_report()]
+
+
 @given('a request that is sent to {count:d} servers')
 def given_sent(context, count):
     context.suspects = SuspectFixture()
@@ -81,3 +101,32 @@
 @then('the request is not refused')
 def then_not_refused(context):
     assert not context.suspects.is_refused
+
+
+@given('a gateway that has lost a server under a request')
+def given_loss(context):
+    context.reports = ReportFixture()
+    context.reports.lose()
+
+
+@when('a renewal of its lease fails')
+def when_renewal_fails(context):
+    assert context.reports.reported() == [1]
+
+
+@when('it loses another one while a renewal is answered')
+def when_lost_meanwhile(context):
+    context.reports.reported()
+    context.reports.lose()
+    context.reports.reports.confirm()
+
+
+@then('the next renewal reports the suspect')
+def then_reported(context):
+    assert context.reports.reported() == [context.reports.losses]
+
+
+@then('once a renewal is answered, the next one does not')
+def then_not_reported(context):
+    context.reports.reports.confirm()
+    assert context.reports.reported() == []
--- a/features/suspects.feature
+++ b/features/suspects.feature
@@ -31,3 +31,14 @@
     When all of them are lost
     And another gateway reports that it lost a server of its own meanwhile
     Then the request is not refused
+
+  Scenario: a suspect in a renewal that fails is reported again
+    Given a gateway that has lost a server under a request
+    When a renewal of its lease fails
+    Then the next renewal reports the suspect
+    And once a renewal is answered, the next one does not
+
+  Scenario: a loss during a renewal is reported with the next one
+    Given a gateway that has lost a server under a request
+    When it loses another one while a renewal is answered
+    Then the next renewal reports the suspect
--- a/fuchsiacart/entry/dispatch.py
+++ b/fuchsiacart/entry/dispatch.py
@@ -268,7 +268,7 @@
     def record_loads(self, load_map, counted_ms):
         """Ignore what gateways have in flight at servers of routes."""
 
-    def flush_suspects(self):
+    def report_suspects(self):
         """Return no suspects, as entry hosts exchange them by gossip."""
         return ()
 
--- a/fuchsiacart/gateway/hosts.py
+++ b/fuchsiacart/gateway/hosts.py
@@ -143,12 +143,12 @@
         """Return the :class:`ServerEvidence` since the last call."""
         return self.forwarder.evidence.flush()
 
-    def flush_suspects(self):
-        """Return the suspects that have not been reported yet."""
-        return self.forwarder.suspects.flush()
+    def report_suspects(self):
+        """Return the suspects that the leader has not confirmed yet."""
+        return self.forwarder.suspects.make_report()
 
     def merge_suspects(self, suspects):
-        """Merge suspects from the control group.
+        """Merge the suspects in the leader's reply to the last report.
 
         :param suspects: each a :class:`Suspect`.
         """
--- a/fuchsiacart/gateway/suspects.py
+++ b/fuchsiacart/gateway/suspects.py
@@ -12,6 +12,7 @@
 from asyncio import create_task
 
 from fuchsiacart.clocks import wall_ms
+from fuchsiacart.gateway.suspect_reports import SuspectReports
 from fuchsiacart.logs import log_event
 from fuchsiacart.quarantine import Quarantine
 from fuchsiacart.quarantine import request_digest
@@ -19,8 +20,6 @@
 # Timeout of the check; a crashed server refuses the connection or does not
 # answer.
 CHECK_TIMEOUT_S = 0.3
-# Suspects in one renewal of the lease; the newest are sent first.
-MAX_SUSPECTS_IN_REPORT = 16
 
 
 class SuspectTracker:
@@ -33,7 +32,7 @@
     def __init__(self, quarantine_ms, pool):
         self._quarantine = Quarantine(quarantine_ms)
         self._pool = pool
-        self._unreported = {}
+        self._reports = SuspectReports()
         self._checks = set()
         self._listener = None
 
@@ -90,20 +89,16 @@
         task.add_done_callback(self._checks.discard)
         return task
 
-    def flush(self):
-        """Return suspects that have not been returned before.
-
-        :return: at most the ``MAX_SUSPECTS_IN_REPORT`` newest; the others
-            are kept for the next call.
-        """
-        digests = list(self._unreported)[-MAX_SUSPECTS_IN_REPORT:]
-        return tuple(self._unreported.pop(digest) for digest in digests)
+    def make_report(self):
+        """See :meth:`SuspectReports.make_report`."""
+        return self._reports.make_report()
 
     def merge(self, suspects):
-        """Merge the suspects known to the control group.
+        """Merge the suspects in the leader's reply to the last report.
 
         :param suspects: each a :class:`Suspect`.
         """
+        self._reports.confirm()
         self._quarantine.merge(suspects, wall_ms())
 
     async def _check_server(
@@ -118,7 +113,7 @@
         suspect = self._quarantine.record_broken(
             digest, record.name, known_losses, wall_ms()
         )
-        self._unreported[digest] = suspect
+        self._reports.add(suspect)
         log_event(
             'request_suspected',
             request=request.metadata.request_id,
--- a/fuchsiacart/host_tasks.py
+++ b/fuchsiacart/host_tasks.py
@@ -301,7 +301,7 @@
             self._dispatcher.draining(),
             self._dispatcher.flush_demands(),
             self._dispatcher.flush_evidence(),
-            self._dispatcher.flush_suspects(),
+            self._dispatcher.report_suspects(),
             self._dispatcher.counts(),
         )
         # A third of the lease, in seconds.
--- a/tools/seeded_faults/gateway.py
+++ b/tools/seeded_faults/gateway.py
@@ -308,4 +308,11 @@
         'if not attempts.may_try_again',
         'forwarding',
     ),
+    Fault(
+        'a report of suspects counts as received once it is sent',
+        'gateway/suspect_reports.py',
+        'self._reported = newest',
+        'self._unconfirmed.clear()',
+        'suspects',
+    ),
 )
