Tell all gateways of the first loss under a request, and of answers

Callers would see: an order that crashes servers, which a gateway may not repeat, comes to a gateway each time it is sent. Each gateway lost a server of its own before any knew of two: among 12 gateways 12 servers (test), among hundreds more.

Cause: the leader counted losses of all gateways, but told of them only once two were known; the gateway that sent the request next could not know that its loss was the second. The class: what has to be decided together is told only once it is decided.

So that nobody is refused for a loss by chance, an answer to a suspect at any gateway ends the suspicion at the leader, and a gateway believes in one for the length of a lease after the leader last told of it.

--- a/features/steps/forwarding_steps.py
+++ b/features/steps/forwarding_steps.py
@@ -49,6 +49,7 @@
 # Enough to check a server: loopback refuses connections at once.
 CHECK_WAIT_S = 0.2
 QUARANTINE_MS = 60_000
+LEASE_MS = 3_000
 REGIONS = {'cymru-a': 'cymru'}
 SLOTS = 4
 SLOW_S = 0.6
@@ -378,11 +379,11 @@
 def when_suspects_reported(context):
     """Give the suspects of this gateway to a new suspect tracker."""
     fixture = context.forwarding
-    suspects = fixture.forwarder.suspects.make_report()
+    report = fixture.forwarder.suspects.make_report()
     fixture.forwarder.suspects = SuspectTracker(
-        QUARANTINE_MS, ConnectionPool()
+        QUARANTINE_MS, LEASE_MS, ConnectionPool()
     )
-    fixture.forwarder.suspects.merge(suspects)
+    fixture.forwarder.suspects.merge(report.lost)
 
 
 @then('{count:d} servers are down')
@@ -395,7 +396,7 @@
 @then('no request is suspected')
 def then_no_suspect(context):
     """Check that no suspect would be reported to the control group."""
-    assert context.forwarding.forwarder.suspects.make_report() == ()
+    assert context.forwarding.forwarder.suspects.make_report().lost == ()
 
 
 @when('an idempotent request is served while the first server expires')
--- a/features/steps/suspect_steps.py
+++ b/features/steps/suspect_steps.py
@@ -1,16 +1,49 @@
 """Steps for requests that crash the servers that run them."""
 
+from asyncio import run
+
 from behave import given
 from behave import then
 from behave import when
+from msgspec import Struct
+from tornado.httputil import HTTPHeaders
 
+from fuchsiacart.control.gateway_reports import GatewayReports
+from fuchsiacart.gateway.attempts import InboundRequest
+from fuchsiacart.gateway.dialects import RequestMetadata
 from fuchsiacart.gateway.suspect_reports import SuspectReports
+from fuchsiacart.gateway.suspects import SuspectTracker
+from fuchsiacart.messages import KeepAliveRequest
 from fuchsiacart.messages import Suspect
+from fuchsiacart.models import Host
 from fuchsiacart.quarantine import Quarantine
+from fuchsiacart.servers import ServerRecord
+from fuchsiacart.settings import EntrySettings
+from fuchsiacart.settings import RouteSettings
 
 QUARANTINE_MS = 60_000
 NOW_MS = 1_000
+LEASE_MS = 3_000
 DIGEST = 'digest'
+REQUEST = InboundRequest(
+    'POST',
+    '/orders/1',
+    'shop.example',
+    HTTPHeaders(),
+    b'',
+    RequestMetadata('request', None, 'object'),
+    0.0,
+)
+
+
+class LeaderSettings(Struct):
+    """The settings that a leader reads for reports of gateways."""
+
+    entry: EntrySettings = EntrySettings(quarantine_ms=QUARANTINE_MS)
+    routes: RouteSettings | None = None
+
+
+SETTINGS = LeaderSettings()
 
 
 class SuspectFixture:
@@ -48,11 +81,69 @@
         """Lose one more server."""
         self.losses += 1
         broken = tuple(f'server-{index}' for index in range(self.losses))
-        self.reports.add(Suspect(DIGEST, broken, QUARANTINE_MS, self.losses))
+        self.reports.add_loss(
+            Suspect(DIGEST, broken, QUARANTINE_MS, self.losses)
+        )
 
     def reported(self):
         """Return the losses that the next renewal reports."""
-        return [each.losses_in_row for each in self.reports.make_report()]
+        report = self.reports.make_report()
+        return [each.losses_in_row for each in report.lost]
+
+
+class LostServerPool:
+    """A pool that finds each server lost that is checked."""
+
+    async def can_connect(self, record, timeout_s):
+        """See :meth:`ConnectionPool.can_connect`."""
+        return False
+
+
+class FleetFixture:
+    """Gateways that renew their leases with one leader."""
+
+    def __init__(self, count):
+        self.leader = GatewayReports(SETTINGS)
+        self.gateways = [self._make_gateway() for _ in range(count)]
+        self.lost = 0
+
+    def _make_gateway(self):
+        return SuspectTracker(QUARANTINE_MS, LEASE_MS, LostServerPool())
+
+    def add_gateway(self):
+        """Start a gateway, which renews its lease once."""
+        self.gateways.append(self._make_gateway())
+        self.renew(self.gateways[-1])
+
+    def renew(self, gateway):
+        """Renew the lease of a gateway."""
+        host = Host('gateway', 1, 'cymru', 'cymru-a', '', '')
+        request = KeepAliveRequest(host, 1, suspects=gateway.make_report())
+        self.leader.add_report(request, 0.0)
+        gateway.merge(self.leader.suspects())
+
+    def send(self, gateway):
+        """Send the request through a gateway, unless that refuses it.
+
+        The server that runs it is lost.
+        """
+        if gateway.is_quarantined(REQUEST):
+            return
+        self.lost += 1
+        record = ServerRecord(
+            f'server-{self.lost}', 1, 1, 'stock', '', 'cymru-a', 4
+        )
+        known_losses = gateway.losses_in_row(REQUEST)
+
+        async def check():
+            await gateway.check_server(REQUEST, record, known_losses, None)
+
+        run(check())
+
+    def renew_all(self):
+        """Renew the leases of all gateways, twice."""
+        for gateway in self.gateways * 2:
+            self.renew(gateway)
 
 
 @given('a request that is sent to {count:d} servers')
@@ -130,3 +221,59 @@
 def then_not_reported(context):
     context.reports.reports.confirm()
     assert context.reports.reported() == []
+
+
+@given('{count:d} gateways that know of no suspect')
+def given_gateways(context, count):
+    context.fleet = FleetFixture(count)
+
+
+@when('a request that crashes servers comes to each of them in turn')
+def when_sent_in_turn(context):
+    """Renew all leases after each."""
+    for gateway in tuple(context.fleet.gateways):
+        context.fleet.send(gateway)
+        context.fleet.renew_all()
+
+
+@when('a server is lost under a request at the first gateway')
+def when_first_loses(context):
+    context.fleet.send(context.fleet.gateways[0])
+    context.fleet.renew_all()
+
+
+@when('the same request is answered at the second gateway')
+def when_second_answers(context):
+    context.fleet.gateways[1].record_response(REQUEST)
+    context.fleet.renew_all()
+
+
+@when('a gateway starts')
+def when_gateway_starts(context):
+    context.fleet.add_gateway()
+
+
+@then('{count:d} servers are lost')
+def then_servers_lost(context, count):
+    assert context.fleet.lost == count, context.fleet.lost
+
+
+@then('its request is suspected after {count:d} losses')
+def then_suspected(context, count):
+    losses = context.fleet.gateways[-1].losses_in_row(REQUEST)
+    assert losses == count, losses
+
+
+@given('a gateway whose leader last told of a suspect {age_ms:d} ms ago')
+def given_age(context, age_ms):
+    context.suspects = SuspectFixture()
+    context.suspects.quarantine = Quarantine(QUARANTINE_MS, LEASE_MS)
+    suspect = Suspect(DIGEST, ('server',), QUARANTINE_MS, 1)
+    context.suspects.quarantine.merge((suspect,), NOW_MS - age_ms)
+
+
+@then('a server that is lost under the request is its loss {count:d} in a row')
+def then_loss_in_row(context, count):
+    context.suspects.send('another server')
+    suspect = context.suspects.lose('another server')
+    assert suspect.losses_in_row == count, suspect
--- a/features/suspects.feature
+++ b/features/suspects.feature
@@ -42,3 +42,26 @@
     Given a gateway that has lost a server under a request
     When it loses another one while a renewal is answered
     Then the next renewal reports the suspect
+
+  Scenario: a request that crashes a server at each gateway is refused by all
+    Given 12 gateways that know of no suspect
+    When a request that crashes servers comes to each of them in turn
+    Then 2 servers are lost
+
+  Scenario: an answer at one gateway ends the suspicion at all
+    Given 3 gateways that know of no suspect
+    When a server is lost under a request at the first gateway
+    And a gateway starts
+    Then its request is suspected after 1 losses
+    When the same request is answered at the second gateway
+    And a gateway starts
+    Then its request is suspected after 0 losses
+
+  Scenario Outline: a suspicion ends when the leader tells of it no more
+    Given a gateway whose leader last told of a suspect <age_ms> ms ago
+    Then a server that is lost under the request is its loss <count> in a row
+
+    Examples:
+      | age_ms | count |
+      | 500    | 2     |
+      | 3000   | 1     |
--- a/fuchsiacart/control/gateway_reports.py
+++ b/fuchsiacart/control/gateway_reports.py
@@ -8,11 +8,11 @@
 from fuchsiacart.load_boards import LoadBoard
 from fuchsiacart.load_boards import ServerIndex
 from fuchsiacart.logs import log_event
+from fuchsiacart.quarantine import MAX_SUSPECTS_IN_MESSAGE
+from fuchsiacart.quarantine import must_be_refused
 from fuchsiacart.quarantine import Quarantine
 
 DETECTION_INTERVAL_MS = 250.0
-# Maximum number of suspects in one reply; the newest are kept.
-MAX_REPLY_SUSPECTS = 16
 
 
 class GatewayReports:
@@ -29,6 +29,7 @@
         self._board = LoadBoard()
         self._indexes = {}
         self._indexed_revision = 0
+        self._newest_suspects = None
 
     def add_report(self, request, now_ms):
         """Merge the evidence, suspects and counts of one gateway.
@@ -37,12 +38,33 @@
         :param now_ms: current time, in milliseconds of a steady clock.
         """
         self._comparison.add_evidence(request.evidence, now_ms)
-        self._quarantine.merge(request.suspects, wall_ms())
+        self._add_suspects(request.suspects)
         self._board.record(request.host.name, request.counts, now_ms)
 
     def suspects(self):
-        """Return the quarantined requests, which all gateways refuse."""
-        return self._quarantine.quarantined(wall_ms())[-MAX_REPLY_SUSPECTS:]
+        """Return the newest suspects, for all gateways.
+
+        Requests that all gateways refuse come before others.
+
+        :return: at most ``MAX_SUSPECTS_IN_MESSAGE``.
+        """
+        now_ms = wall_ms()
+        if self._newest_suspects is None:
+            suspects = sorted(
+                self._quarantine.suspects(now_ms), key=must_be_refused
+            )
+            self._newest_suspects = suspects[-MAX_SUSPECTS_IN_MESSAGE:]
+        return tuple(
+            each for each in self._newest_suspects if each.until_ms > now_ms
+        )
+
+    def _add_suspects(self, report):
+        if not report.lost and not report.answered:
+            return
+        self._quarantine.merge(report.lost, wall_ms())
+        for digest in report.answered:
+            self._quarantine.clear(digest)
+        self._newest_suspects = None
 
     def load_map(self, host, stored, now_ms):
         """Return what other gateways have in flight at each server.
--- a/fuchsiacart/entry/dispatch.py
+++ b/fuchsiacart/entry/dispatch.py
@@ -22,6 +22,7 @@
 from fuchsiacart.messages import ForwardReply
 from fuchsiacart.messages import Refusal
 from fuchsiacart.messages import ServiceLoad
+from fuchsiacart.messages import SuspectReport
 from fuchsiacart.metrics import BUSY_SLOTS
 from fuchsiacart.metrics import OWNED_SLOTS
 from fuchsiacart.metrics import QUEUED_REQUESTS
@@ -270,7 +271,7 @@
 
     def report_suspects(self):
         """Return no suspects, as entry hosts exchange them by gossip."""
-        return ()
+        return SuspectReport()
 
     def merge_suspects(self, suspects):
         """Ignore the suspects of gateways."""
--- a/fuchsiacart/gateway/forwarding.py
+++ b/fuchsiacart/gateway/forwarding.py
@@ -57,7 +57,9 @@
         self.demands = DemandMeter()
         self.evidence = EvidenceMeter()
         self.suspects = SuspectTracker(
-            settings.entry.quarantine_ms, self._pool
+            settings.entry.quarantine_ms,
+            settings.entry.lease_ms,
+            self._pool,
         )
         self._sender = ServerSender(
             dialect,
--- a/fuchsiacart/gateway/hosts.py
+++ b/fuchsiacart/gateway/hosts.py
@@ -144,7 +144,7 @@
         return self.forwarder.evidence.flush()
 
     def report_suspects(self):
-        """Return the suspects that the leader has not confirmed yet."""
+        """Return the :class:`SuspectReport` for the next renewal."""
         return self.forwarder.suspects.make_report()
 
     def merge_suspects(self, suspects):
--- a/fuchsiacart/gateway/suspect_reports.py
+++ b/fuchsiacart/gateway/suspect_reports.py
@@ -1,38 +1,49 @@
 """What a gateway has to tell the control group about suspected requests."""
 
-# Suspects in one report; the newest are sent first.
-MAX_SUSPECTS_IN_REPORT = 16
+from fuchsiacart.messages import SuspectReport
+from fuchsiacart.quarantine import MAX_SUSPECTS_IN_MESSAGE
 
 
 class SuspectReports:
-    """Suspects that the leader has not confirmed yet; does no I/O.
+    """Losses and answers that the leader has not confirmed; does no I/O.
 
     A report is confirmed by the reply to it.  What a report without a reply
     contained is reported again.
     """
 
     def __init__(self):
+        # Maps digests to suspects, or to None for those that were answered.
         self._unconfirmed = {}
-        self._reported = ()
+        self._reported = {}
 
-    def add(self, suspect):
-        """Report a :class:`Suspect`, in place of an earlier report of it."""
-        self._unconfirmed.pop(suspect.digest, None)
-        self._unconfirmed[suspect.digest] = suspect
+    def add_loss(self, suspect):
+        """Report a :class:`Suspect`, in place of what was to be reported."""
+        self._add(suspect.digest, suspect)
+
+    def add_answer(self, digest):
+        """Report the answer to a suspect likewise."""
+        self._add(digest, None)
 
     def make_report(self):
-        """Return the suspects to report.
+        """Return the :class:`SuspectReport` for the next renewal.
 
-        :return: at most the ``MAX_SUSPECTS_IN_REPORT`` newest; the others
-            follow once these are confirmed.
+        It has at most the ``MAX_SUSPECTS_IN_MESSAGE`` newest; the others
+        follow once these are confirmed.
         """
-        newest = tuple(self._unconfirmed.values())[-MAX_SUSPECTS_IN_REPORT:]
-        self._reported = newest
-        return newest
+        newest = list(self._unconfirmed.items())[-MAX_SUSPECTS_IN_MESSAGE:]
+        self._reported = dict(newest)
+        return SuspectReport(
+            tuple(suspect for _, suspect in newest if suspect is not None),
+            tuple(digest for digest, suspect in newest if suspect is None),
+        )
 
     def confirm(self):
         """Record that the leader has replied to the last report."""
-        for suspect in self._reported:
-            if self._unconfirmed.get(suspect.digest) is suspect:
-                del self._unconfirmed[suspect.digest]
-        self._reported = ()
+        for digest, suspect in self._reported.items():
+            if self._unconfirmed.get(digest) is suspect:
+                self._unconfirmed.pop(digest, None)
+        self._reported = {}
+
+    def _add(self, digest, suspect):
+        self._unconfirmed.pop(digest, None)
+        self._unconfirmed[digest] = suspect
--- a/fuchsiacart/gateway/suspects.py
+++ b/fuchsiacart/gateway/suspects.py
@@ -26,11 +26,13 @@
     """Keeps the suspected requests known to one gateway.
 
     :param quarantine_ms: milliseconds after which a suspect is forgotten.
+    :param suspicion_ms: the same for one that is not refused, after the
+        leader last told of it.
     :param pool: the :class:`ConnectionPool`.
     """
 
-    def __init__(self, quarantine_ms, pool):
-        self._quarantine = Quarantine(quarantine_ms)
+    def __init__(self, quarantine_ms, suspicion_ms, pool):
+        self._quarantine = Quarantine(quarantine_ms, suspicion_ms)
         self._pool = pool
         self._reports = SuspectReports()
         self._checks = set()
@@ -59,8 +61,11 @@
 
         :param request: the :class:`InboundRequest`.
         """
-        if not self._quarantine.is_empty:
-            self._quarantine.clear(_digest(request))
+        if self._quarantine.is_empty:
+            return
+        digest = _digest(request)
+        if self._quarantine.clear(digest):
+            self._reports.add_answer(digest)
 
     def losses_in_row(self, request):
         """Return how many servers were lost in a row running a request.
@@ -113,7 +118,7 @@
         suspect = self._quarantine.record_broken(
             digest, record.name, known_losses, wall_ms()
         )
-        self._reports.add(suspect)
+        self._reports.add_loss(suspect)
         log_event(
             'request_suspected',
             request=request.metadata.request_id,
--- a/fuchsiacart/messages.py
+++ b/fuchsiacart/messages.py
@@ -109,6 +109,17 @@
     losses_in_row: int
 
 
+class SuspectReport(Struct, frozen=True):
+    """What a gateway tells of suspects.
+
+    ``lost`` are those under which servers were lost, ``answered`` the digests
+    of those that were answered since.
+    """
+
+    lost: tuple[Suspect, ...] = ()
+    answered: tuple[str, ...] = ()
+
+
 class KeepAliveRequest(Struct, frozen=True, tag=True):
     """Renews the lease of an entry host and reports its state.
 
@@ -126,7 +137,7 @@
     draining: tuple[DrainingServer, ...] = ()
     demands_slots: tuple[ServiceDemand, ...] = ()
     evidence: tuple[ServerEvidence, ...] = ()
-    suspects: tuple[Suspect, ...] = ()
+    suspects: SuspectReport = SuspectReport()
     counts: tuple[ServerCount, ...] = ()
 
 
@@ -136,7 +147,7 @@
     The lease takes effect once the host has reached ``revision``.
     ``leader`` is the control host to call from now on, ``members`` are all
     control hosts, ``parents`` the hosts to pull changes from.  All hosts
-    refuse the requests in ``suspects``.  ``load_map`` holds the requests
+    know the requests in ``suspects``.  ``load_map`` holds the requests
     that other hosts have in flight at backend servers.
     """
 
--- a/fuchsiacart/quarantine.py
+++ b/fuchsiacart/quarantine.py
@@ -2,10 +2,14 @@
 
 from hashlib import sha256
 
+from msgspec.structs import replace
+
 from fuchsiacart.messages import Suspect
 
 BROKEN_LIMIT = 2
 SUSPECT_LIMIT = 10_000
+# Suspects in one message; the newest are sent first.
+MAX_SUSPECTS_IN_MESSAGE = 16
 
 
 class Quarantine:
@@ -19,10 +23,13 @@
     of the wall clock.
 
     :param quarantine_ms: milliseconds after which a record expires.
+    :param suspicion_ms: the same for a suspect that is not refused, after the
+        last word of it; ``quarantine_ms`` if None.
     """
 
-    def __init__(self, quarantine_ms):
+    def __init__(self, quarantine_ms, suspicion_ms=None):
         self._quarantine_ms = quarantine_ms
+        self._suspicion_ms = suspicion_ms or quarantine_ms
         self._suspects = {}
 
     @property
@@ -48,14 +55,19 @@
             # An answer since then has cleared the request.
             losses = max(losses, min(known_losses, losses) + 1)
         suspect = Suspect(digest, broken, now_ms + self._quarantine_ms, losses)
-        self._store(suspect)
+        self._store(suspect, now_ms)
         return suspect
 
     def clear(self, digest):
-        """Remove a suspect that was answered, unless it is quarantined."""
+        """Remove a suspect that was answered, unless it is quarantined.
+
+        :return: True if there was one.
+        """
         existing = self._suspects.get(digest)
-        if existing is not None and not _must_be_refused(existing):
-            del self._suspects[digest]
+        if existing is None or must_be_refused(existing):
+            return False
+        del self._suspects[digest]
+        return True
 
     def merge(self, suspects, now_ms):
         """Merge suspects of other hosts into those of this host."""
@@ -64,17 +76,18 @@
                 continue
             existing = self._find(suspect.digest, now_ms)
             if existing is None:
-                self._store(suspect)
+                self._store(suspect, now_ms)
                 continue
             broken = tuple(sorted({*existing.broken, *suspect.broken}))
             until_ms = max(existing.until_ms, suspect.until_ms)
             losses = max(existing.losses_in_row, suspect.losses_in_row)
-            self._store(Suspect(suspect.digest, broken, until_ms, losses))
+            merged = Suspect(suspect.digest, broken, until_ms, losses)
+            self._store(merged, now_ms)
 
     def is_quarantined(self, digest, now_ms):
         """Return True if a request must be refused."""
         existing = self._find(digest, now_ms)
-        return existing is not None and _must_be_refused(existing)
+        return existing is not None and must_be_refused(existing)
 
     def losses_in_row(self, digest, now_ms):
         """Return how many servers were lost in a row running a request."""
@@ -86,14 +99,6 @@
         existing = self._find(digest, now_ms)
         return existing.broken if existing else ()
 
-    def quarantined(self, now_ms):
-        """Return the suspects that must be refused."""
-        return tuple(
-            suspect
-            for suspect in self.suspects(now_ms)
-            if _must_be_refused(suspect)
-        )
-
     def suspects(self, now_ms):
         """Return all suspects that have not expired."""
         return tuple(
@@ -108,14 +113,18 @@
             return None
         return existing
 
-    def _store(self, suspect):
+    def _store(self, suspect, now_ms):
+        if not must_be_refused(suspect):
+            until_ms = min(suspect.until_ms, now_ms + self._suspicion_ms)
+            suspect = replace(suspect, until_ms=until_ms)
         self._suspects.pop(suspect.digest, None)
         self._suspects[suspect.digest] = suspect
         while len(self._suspects) > SUSPECT_LIMIT:
             del self._suspects[next(iter(self._suspects))]
 
 
-def _must_be_refused(suspect):
+def must_be_refused(suspect):
+    """Return True if hosts refuse a :class:`Suspect`."""
     return suspect.losses_in_row >= BROKEN_LIMIT
 
 
--- a/tools/seeded_faults/common.py
+++ b/tools/seeded_faults/common.py
@@ -68,7 +68,7 @@
     Fault(
         'a bad request is never quarantined',
         'quarantine.py',
-        'return existing is not None and _must_be_refused(existing)',
+        'return existing is not None and must_be_refused(existing)',
         'return False',
         'outcomes',
     ),
--- a/tools/seeded_faults/gateway.py
+++ b/tools/seeded_faults/gateway.py
@@ -311,8 +311,23 @@
     Fault(
         'a report of suspects counts as received once it is sent',
         'gateway/suspect_reports.py',
-        'self._reported = newest',
+        'self._reported = dict(newest)',
         'self._unconfirmed.clear()',
         'suspects',
     ),
+    Fault(
+        'gateways are told of a suspect once it is refused',
+        'control/gateway_reports.py',
+        'self._quarantine.suspects(now_ms), key=must_be_refused',
+        'filter(must_be_refused, self._quarantine.suspects(now_ms)),\n'
+        '                key=must_be_refused',
+        'suspects',
+    ),
+    Fault(
+        'the answer to a suspect is known to one gateway only',
+        'gateway/suspects.py',
+        'if self._quarantine.clear(digest):',
+        'if self._quarantine.clear(digest) and False:',
+        'suspects',
+    ),
 )
