Tell a new leader which requests gateways refuse

Callers would see: after the leader changes, a gateway that starts, or that was away when a request was reported, sends the request to servers again; each loses callers what runs on it.

Cause: suspects are kept in the leader's memory, and gateways reported each once. The class: state of a leader that no successor can rebuild. Evidence: the scenario of a new leader failed before (0 losses known).

Gateways compare what they refuse with what the leader tells of, and report the rest, unless the leader's list is full.

--- a/features/steps/suspect_steps.py
+++ b/features/steps/suspect_steps.py
@@ -15,6 +15,7 @@
 from fuchsiacart.gateway.suspects import SuspectTracker
 from fuchsiacart.messages import KeepAliveRequest
 from fuchsiacart.messages import Suspect
+from fuchsiacart.messages import SuspectReport
 from fuchsiacart.models import Host
 from fuchsiacart.quarantine import Quarantine
 from fuchsiacart.servers import ServerRecord
@@ -248,6 +249,12 @@
     context.fleet.renew_all()
 
 
+@when('another control host leads')
+def when_leader_changes(context):
+    context.fleet.leader = GatewayReports(SETTINGS)
+    context.fleet.renew_all()
+
+
 @when('a gateway starts')
 def when_gateway_starts(context):
     context.fleet.add_gateway()
@@ -258,6 +265,12 @@
     assert context.fleet.lost == count, context.fleet.lost
 
 
+@then('no gateway has anything to report')
+def then_nothing_reported(context):
+    for gateway in context.fleet.gateways:
+        assert gateway.make_report() == SuspectReport()
+
+
 @then('its request is suspected after {count:d} losses')
 def then_suspected(context, count):
     losses = context.fleet.gateways[-1].losses_in_row(REQUEST)
--- a/features/suspects.feature
+++ b/features/suspects.feature
@@ -65,3 +65,15 @@
       | age_ms | count |
       | 500    | 2     |
       | 3000   | 1     |
+
+  Scenario: a new leader learns which requests are refused
+    Given 3 gateways that know of no suspect
+    When a request that crashes servers comes to each of them in turn
+    And another control host leads
+    And a gateway starts
+    Then its request is suspected after 2 losses
+
+  Scenario: what the leader knows is not reported again
+    Given 3 gateways that know of no suspect
+    When a request that crashes servers comes to each of them in turn
+    Then no gateway has anything to report
--- a/fuchsiacart/gateway/suspects.py
+++ b/fuchsiacart/gateway/suspects.py
@@ -14,6 +14,7 @@
 from fuchsiacart.clocks import wall_ms
 from fuchsiacart.gateway.suspect_reports import SuspectReports
 from fuchsiacart.logs import log_event
+from fuchsiacart.quarantine import MAX_SUSPECTS_IN_MESSAGE
 from fuchsiacart.quarantine import Quarantine
 from fuchsiacart.quarantine import request_digest
 
@@ -101,10 +102,20 @@
     def merge(self, suspects):
         """Merge the suspects in the leader's reply to the last report.
 
+        Those that this gateway refuses and that the leader does not know, as
+        it has just been elected, are reported to it.
+
         :param suspects: each a :class:`Suspect`.
         """
+        now_ms = wall_ms()
         self._reports.confirm()
-        self._quarantine.merge(suspects, wall_ms())
+        self._quarantine.merge(suspects, now_ms)
+        if len(suspects) >= MAX_SUSPECTS_IN_MESSAGE:
+            return
+        known = {suspect.digest for suspect in suspects}
+        for suspect in self._quarantine.quarantined(now_ms):
+            if suspect.digest not in known:
+                self._reports.add_loss(suspect)
 
     async def _check_server(
         self, request, record, known_losses, earlier_check
--- a/fuchsiacart/quarantine.py
+++ b/fuchsiacart/quarantine.py
@@ -99,6 +99,14 @@
         existing = self._find(digest, now_ms)
         return existing.broken if existing else ()
 
+    def quarantined(self, now_ms):
+        """Return the suspects that must be refused."""
+        return tuple(
+            suspect
+            for suspect in self.suspects(now_ms)
+            if must_be_refused(suspect)
+        )
+
     def suspects(self, now_ms):
         """Return all suspects that have not expired."""
         return tuple(
--- a/tools/seeded_faults/gateway.py
+++ b/tools/seeded_faults/gateway.py
@@ -330,4 +330,11 @@
         'if self._quarantine.clear(digest) and False:',
         'suspects',
     ),
+    Fault(
+        'a new leader is not told which requests are refused',
+        'gateway/suspects.py',
+        'if suspect.digest not in known:',
+        'if False:',
+        'suspects',
+    ),
 )
