The soak sends a request that crashes servers

BUDGET: from four seconds after the third crash, no more than three of its requests reach servers at gateways that nothing disturbed. A server that crashes under a fault of mode is replaced when the fault ends.

Callers in the soak reach gateways through proxies, so the address of a caller is the same for all; 'forwarding' covers addresses.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -21,6 +21,8 @@
 # A caller closes its connection when no response has come by then.
 RESPONSE_TIMEOUT_S = 4.0
 OBJECT_COUNT = 40
+# In the refusal of a request that crashes servers.
+QUARANTINED = b'no_backend'
 PATH_PREFIXES = ('/stock/', '/orders/', '/move/')
 
 
@@ -51,17 +53,21 @@
             await sleep(self._soak.random.uniform(*PAUSE_RANGE_S))
         self._close_connection()
 
+    def _choose_target(self):
+        """Return the path prefix and the object of the next request."""
+        random = self._soak.random
+        return random.choice(PATH_PREFIXES), random.randrange(OBJECT_COUNT)
+
     async def _send_one(self):
         if not await self._ensure_connection():
             return
-        random = self._soak.random
         self._sequence += 1
         request_id = f'r{self._number}-{self._sequence}'
-        prefix = random.choice(PATH_PREFIXES)
+        prefix, target = self._choose_target()
         sent = SentRequest(
             request_id,
             'GET' if prefix == '/stock/' else 'POST',
-            f'{prefix}{random.randrange(OBJECT_COUNT)}',
+            f'{prefix}{target}',
             self._gateway,
             monotonic(),
             DEADLINE_S,
@@ -92,6 +98,8 @@
             return
         if response.status == 200:
             self._check_body(sent, response)
+        if QUARANTINED in response.body and not sent.crashes_servers:
+            self._soak.ledger.proper_quarantined += 1
         self._soak.ledger.record_response(sent, response.status)
         if self._fixed_addresses or not self._connection.is_reusable:
             self._close_connection()
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -205,6 +205,8 @@
             server.mode = tuple(ServerMode)[fault.variant % len(ServerMode)]
             await sleep(fault.span_s)
             server.mode = ServerMode.HEALTHY
+            if server.has_ended:
+                await self._soak.replace_server(server, swap_service=False)
         elif fault.kind is FaultKind.SERVER_FLAP:
             await self._flap(server)
         elif fault.kind is FaultKind.SERVER_LEAVE:
@@ -216,6 +218,23 @@
             await self._soak.replace_server(server, fault.variant % 2 == 0)
         self._disturbed_names.discard(server.name)
 
+    async def crash_server(self, server):
+        """Crash a server and replace it, unless it is disturbed already.
+
+        Its disturbance ends with its replacement.
+
+        :param server: the :class:`StandInServer`.
+        """
+        if server.name in self._disturbed_names:
+            await server.crash()
+            return
+        self._disturbed_names.add(server.name)
+        await server.crash()
+        await sleep(ADDRESS_REUSE_DELAY_S)
+        if not self._soak.is_finished:
+            await self._soak.replace_server(server, swap_service=False)
+        self._disturbed_names.discard(server.name)
+
     async def _flap(self, server):
         for _ in range(FLAP_COUNT):
             await server.crash()
--- a/soak/ledger.py
+++ b/soak/ledger.py
@@ -28,6 +28,12 @@
 # Statuses which guarantee that the request has not run and never will.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 NEVER_S = float('inf')
+# Each server that runs a request for this object crashes.  After so many were
+# lost under one, and another time, few more of its requests reach servers.
+CRASHING_OBJECT = 'crashing'
+CRASHED_LIMIT = 3
+CRASH_LEARNED_LIMIT_S = 4.0
+LATE_RUNS_LIMIT = 3
 
 
 class RequestRun(Struct, frozen=True):
@@ -56,6 +62,11 @@
     detail: str = ''
     runs: list[RequestRun] = field(default_factory=list)
 
+    @property
+    def crashes_servers(self):
+        """True if each server that runs the request crashes."""
+        return self.path.endswith(CRASHING_OBJECT)
+
 
 class Order(Struct):
     """A configuration that an operator has sent."""
@@ -125,6 +136,8 @@
         self.cuts = []
         self.stalls = []
         self.drains_acked_s = {}
+        self.crashes_s = {}
+        self.proper_quarantined = 0
         self.violations = []
 
     def record_violation(self, promise, detail):
@@ -191,6 +204,7 @@
             for sent in self.requests.values():
                 self._check_request(sent)
             self._check_retry_budget()
+            self._check_crashing_request()
             for cut in self.cuts:
                 self._check_cut(cut)
         for stop in self.stops:
@@ -354,6 +368,29 @@
             runs.sort()
             self._check_retry_window(service, runs)
 
+    def _check_crashing_request(self):
+        """Check that a request that crashes servers is stopped.
+
+        Requests at gateways that another fault disturbed don't count.
+        """
+        if len(self.crashes_s) < CRASHED_LIMIT:
+            return
+        since_s = sorted(self.crashes_s.values())[CRASHED_LIMIT - 1]
+        since_s += CRASH_LEARNED_LIMIT_S
+        late_runs = sum(
+            len(sent.runs)
+            for sent in self.requests.values()
+            if sent.crashes_servers
+            and sent.sent_s > since_s
+            and self._was_calm(sent, sent.gateway)
+        )
+        if late_runs > LATE_RUNS_LIMIT:
+            self.record_violation(
+                'BUDGET',
+                f'{len(self.crashes_s)} servers crashed,'
+                f' {late_runs} runs after the limit',
+            )
+
     def _check_retry_window(self, service, runs):
         first = 0
         repeats = 0
--- a/soak/runs.py
+++ b/soak/runs.py
@@ -22,6 +22,7 @@
 from msgspec.json import decode
 
 from soak.callers import Caller
+from soak.crashing_callers import CrashingCaller
 from soak.faults import draw_plan
 from soak.faults import draw_server_cuts
 from soak.faults import FaultInjector
@@ -68,6 +69,7 @@
             + draw_server_cuts(Random(f'server cuts {seed}')),
             key=lambda fault: fault.at_s,
         )
+        self._crash_random = Random(f'crashes {seed}')
         self.network = Network(slot)
         self.ports = Ports.find_free(self.network.private_address(1))
         self.folder = Path(mkdtemp(prefix=f'fuchsiacart-soak-{seed}-'))
@@ -126,6 +128,7 @@
             await operator.put_first_configuration()
             callers = self._start_callers()
             await self._wait_until_served(START_TIMEOUT_S)
+            callers.append(self._start_crashing_caller())
             orders = create_task(operator.run())
             await self.injector.inject_all(self.plan)
             self.faults_are_over = True
@@ -175,6 +178,13 @@
         ]
         return [create_task(caller.run()) for caller in callers]
 
+    def _start_crashing_caller(self):
+        addresses = tuple(each.address('caller') for each in self.gateways)
+        caller = CrashingCaller(
+            self, CALLERS + FIXED_CALLERS, addresses, self._crash_random
+        )
+        return create_task(caller.run())
+
     async def _record_loop_stalls(self):
         """Record spans in which the event loop was blocked.
 
@@ -273,7 +283,10 @@
     print(
         f'seed {seed}: {len(requests)} requests, {served} served,'
         f' {len(soak.ledger.orders)} orders,'
-        f' {len(soak.injector.injected)} faults, {len(violations)} broken'
+        f' {len(soak.injector.injected)} faults,'
+        f' {len(soak.ledger.crashes_s)} servers crashed by a request,'
+        f' {soak.ledger.proper_quarantined} proper requests quarantined,'
+        f' {len(violations)} broken'
     )
     if soak.ledger.stalls:
         stalled_s = sum(
--- a/soak/servers.py
+++ b/soak/servers.py
@@ -13,6 +13,7 @@
 from tornado.web import RequestHandler
 
 from soak.calls import fetch
+from soak.ledger import CRASHING_OBJECT
 from soak.ledger import RequestRun
 
 HEARTBEAT_INTERVAL_S = 0.5
@@ -65,6 +66,9 @@
             return
         server.record_run(request_id, self.request)
         await server.simulate_work()
+        if self.request.path.endswith(CRASHING_OBJECT):
+            await server.crash_under_request()
+            return
         if server.mode is ServerMode.DISCONNECTING:
             self.request.connection.stream.close()
             return
@@ -107,6 +111,11 @@
         self._http = HTTPServer(application)
         self._http.add_sockets(sockets)
 
+    @property
+    def has_ended(self):
+        """True once the server is gone."""
+        return self._is_stopped
+
     def record_run(self, request_id, request):
         """Record in the ledger that a request starts to run."""
         run = RequestRun(
@@ -154,6 +163,11 @@
         await self._call('DELETE', {'born': self._born_ms})
         await self.crash()
 
+    async def crash_under_request(self):
+        """Crash, and come back later as another server."""
+        self._soak.ledger.crashes_s.setdefault(self.name, monotonic())
+        await self._soak.injector.crash_server(self)
+
     async def crash(self):
         """Close all connections without announcing it."""
         self._is_stopped = True
