Try a refused request again, and clear it by an answer

Cause: two losses in a row were taken for proof, for ten minutes, and nothing that happened meanwhile was asked. The class: a verdict on little evidence that nothing can revise. Names that callers share make it graver than it was.

Each gateway now lets one such request through after a time, at different times; its answer, or that of one that was still under way, clears the name at the leader and at all gateways, and a third loss ends the trials. The trials are so far apart that a request that does crash servers reaches no more than three of them before all know (50 draws each for 1, 12 and 200 gateways).

Ruled out: a limit of three losses (one more server for each request that does crash them; a wrong refusal lasts as long); weighing a loss by what else ran on the server (a request among ten others would take ten servers).

--- a/features/steps/forwarding_steps.py
+++ b/features/steps/forwarding_steps.py
@@ -4,6 +4,7 @@
 from asyncio import new_event_loop
 from asyncio import sleep
 from asyncio import wait_for
+from random import Random
 from time import monotonic
 from time import time
 
@@ -36,7 +37,9 @@
 from fuchsiacart.gateway.forwarding import Forwarder
 from fuchsiacart.gateway.placements import PlacementRequest
 from fuchsiacart.gateway.suspects import SuspectTracker
+from fuchsiacart.gateway.trials import TrialSchedule
 from fuchsiacart.messages import Suspect
+from fuchsiacart.messages import SuspectReport
 from fuchsiacart.quarantine import request_digest
 from fuchsiacart.servers import ServerRecord
 from fuchsiacart.settings import EntrySettings
@@ -335,20 +338,21 @@
         fixture.run(sleep(CHECK_WAIT_S))
 
 
-def _make_suspect(losses):
+def _make_report(losses):
     """Return the request that crashes servers, as others report it."""
     digest = request_digest('object', 'shop.example', 'GET', POISON_PATH, b'')
     until_ms = int(time() * 1000) + QUARANTINE_MS
-    return Suspect(digest, ('elsewhere',), until_ms, losses)
+    suspect = Suspect(digest, ('elsewhere',), until_ms, losses)
+    return SuspectReport((suspect,))
 
 
 @when('a request crashes a server just as others report {count:d} losses')
 def when_reported_meanwhile(context, count):
     """Let the report arrive before the server breaks off."""
     fixture = context.forwarding
-    suspects = (_make_suspect(count),)
+    report = _make_report(count)
     for server in fixture.servers:
-        server.on_crash = lambda: fixture.forwarder.suspects.merge(suspects)
+        server.on_crash = lambda: fixture.forwarder.suspects.merge(report)
     fixture.run(fixture.serve(RequestKind.IDEMPOTENT, POISON_PATH))
 
 
@@ -356,7 +360,7 @@
     'others report {count:d} losses under a request that crashes its servers'
 )
 def when_reported(context, count):
-    context.forwarding.forwarder.suspects.merge((_make_suspect(count),))
+    context.forwarding.forwarder.suspects.merge(_make_report(count))
 
 
 @when('the gateway has checked its servers')
@@ -381,9 +385,12 @@
     fixture = context.forwarding
     report = fixture.forwarder.suspects.make_report()
     fixture.forwarder.suspects = SuspectTracker(
-        QUARANTINE_MS, LEASE_MS, ConnectionPool()
+        QUARANTINE_MS,
+        LEASE_MS,
+        ConnectionPool(),
+        TrialSchedule(Random(1)),
     )
-    fixture.forwarder.suspects.merge(report.lost)
+    fixture.forwarder.suspects.merge(report)
 
 
 @then('{count:d} servers are down')
--- a/features/steps/suspect_steps.py
+++ b/features/steps/suspect_steps.py
@@ -1,6 +1,8 @@
 """Steps for requests that crash the servers that run them."""
 
 from asyncio import run
+from math import inf
+from random import Random
 
 from behave import given
 from behave import then
@@ -13,6 +15,7 @@
 from fuchsiacart.gateway.dialects import RequestMetadata
 from fuchsiacart.gateway.suspect_reports import SuspectReports
 from fuchsiacart.gateway.suspects import SuspectTracker
+from fuchsiacart.gateway.trials import TrialSchedule
 from fuchsiacart.messages import KeepAliveRequest
 from fuchsiacart.messages import Suspect
 from fuchsiacart.messages import SuspectReport
@@ -25,6 +28,9 @@
 QUARANTINE_MS = 60_000
 NOW_MS = 1_000
 LEASE_MS = 3_000
+DRAWS = 50
+TRIALS_END_MS = 70_000.0
+REQUEST_INTERVAL_MS = 50.0
 DIGEST = 'digest'
 REQUEST = InboundRequest(
     'POST',
@@ -100,16 +106,35 @@
         return False
 
 
+class Trials:
+    """Allows trials while ``are_due`` is set."""
+
+    def __init__(self):
+        self.are_due = False
+        self.tried = 0
+
+    def may_try(self, digest, gateway_count, now_ms):
+        """See :meth:`TrialSchedule.may_try`."""
+        self.tried += self.are_due
+        return self.are_due
+
+    def forget(self, digest):
+        """See :meth:`TrialSchedule.forget`."""
+
+
 class FleetFixture:
     """Gateways that renew their leases with one leader."""
 
     def __init__(self, count):
         self.leader = GatewayReports(SETTINGS)
+        self.trials = Trials()
         self.gateways = [self._make_gateway() for _ in range(count)]
         self.lost = 0
 
     def _make_gateway(self):
-        return SuspectTracker(QUARANTINE_MS, LEASE_MS, LostServerPool())
+        return SuspectTracker(
+            QUARANTINE_MS, LEASE_MS, LostServerPool(), self.trials
+        )
 
     def add_gateway(self):
         """Start a gateway, which renews its lease once."""
@@ -128,7 +153,7 @@
 
         The server that runs it is lost.
         """
-        if gateway.is_quarantined(REQUEST):
+        if not gateway.may_send(REQUEST, len(self.gateways)):
             return
         self.lost += 1
         record = ServerRecord(
@@ -249,6 +274,22 @@
     context.fleet.renew_all()
 
 
+@when('the first gateway tries the request and it is answered')
+def when_tried_and_answered(context):
+    first = context.fleet.gateways[0]
+    assert not first.may_send(REQUEST, len(context.fleet.gateways))
+    context.fleet.trials.are_due = True
+    assert first.may_send(REQUEST, len(context.fleet.gateways))
+    context.fleet.trials.are_due = False
+    first.record_response(REQUEST)
+    context.fleet.renew_all()
+
+
+@when('trials are due')
+def when_due(context):
+    context.fleet.trials.are_due = True
+
+
 @when('another control host leads')
 def when_leader_changes(context):
     context.fleet.leader = GatewayReports(SETTINGS)
@@ -265,6 +306,17 @@
     assert context.fleet.lost == count, context.fleet.lost
 
 
+@then('all gateways send the request')
+def then_all_send(context):
+    for gateway in context.fleet.gateways:
+        assert gateway.may_send(REQUEST, len(context.fleet.gateways))
+
+
+@then('{count:d} trial was made')
+def then_tried(context, count):
+    assert context.fleet.trials.tried == count, context.fleet.trials.tried
+
+
 @then('no gateway has anything to report')
 def then_nothing_reported(context):
     for gateway in context.fleet.gateways:
@@ -277,6 +329,43 @@
     assert losses == count, losses
 
 
+@given(
+    '{count:d} gateways that refuse a request which comes to each all along'
+)
+def given_refusing(context, count):
+    context.draws_ms = []
+    for draw in range(DRAWS):
+        schedules = [
+            TrialSchedule(Random(f'{draw} {index}')) for index in range(count)
+        ]
+        context.draws_ms.append(
+            sorted(_first_trial_ms(each, count) for each in schedules)
+        )
+
+
+def _first_trial_ms(schedule, gateway_count):
+    now_ms = 0.0
+    while not schedule.may_try(DIGEST, gateway_count, now_ms):
+        if now_ms > TRIALS_END_MS:
+            return inf
+        now_ms += REQUEST_INTERVAL_MS
+    return now_ms
+
+
+@then('the first trial is {first_s:d} s to {last_s:d} s after the refusal')
+def then_first_trial(context, first_s, last_s):
+    for trials_ms in context.draws_ms:
+        assert first_s * 1000 <= trials_ms[0] <= last_s * 1000, trials_ms[0]
+
+
+@then('within {span_s:g} s of it at most {count:d} trials are made')
+def then_few_trials(context, span_s, count):
+    for trials_ms in context.draws_ms:
+        until_ms = trials_ms[0] + span_s * 1000
+        early = [trial_ms for trial_ms in trials_ms if trial_ms <= until_ms]
+        assert len(early) <= count, early
+
+
 @given('a gateway whose leader last told of a suspect {age_ms:d} ms ago')
 def given_age(context, age_ms):
     context.suspects = SuspectFixture()
--- a/features/suspects.feature
+++ b/features/suspects.feature
@@ -77,3 +77,28 @@
     Given 3 gateways that know of no suspect
     When a request that crashes servers comes to each of them in turn
     Then no gateway has anything to report
+
+  Scenario: a refused request that is answered at its trial is served by all
+    Given 3 gateways that know of no suspect
+    When a request that crashes servers comes to each of them in turn
+    And the first gateway tries the request and it is answered
+    Then all gateways send the request
+
+  Scenario: a refused request that takes a server down at its trial stays refused
+    Given 3 gateways that know of no suspect
+    When a request that crashes servers comes to each of them in turn
+    And trials are due
+    And a request that crashes servers comes to each of them in turn
+    Then 1 trial was made
+    And 3 servers are lost
+
+  Scenario Outline: gateways try a refused request at different times
+    Given <count> gateways that refuse a request which comes to each all along
+    Then the first trial is 5 s to 65 s after the refusal
+    And within 1.5 s of it at most 3 trials are made
+
+    Examples:
+      | count |
+      | 1     |
+      | 12    |
+      | 200   |
--- a/fuchsiacart/control/gateway_reports.py
+++ b/fuchsiacart/control/gateway_reports.py
@@ -3,11 +3,13 @@
 They are kept in memory; each new leader starts without any.
 """
 
+from fuchsiacart.clocks import steady_ms
 from fuchsiacart.clocks import wall_ms
 from fuchsiacart.control.comparisons import PeerComparison
 from fuchsiacart.load_boards import LoadBoard
 from fuchsiacart.load_boards import ServerIndex
 from fuchsiacart.logs import log_event
+from fuchsiacart.messages import SuspectReport
 from fuchsiacart.quarantine import MAX_SUSPECTS_IN_MESSAGE
 from fuchsiacart.quarantine import must_be_refused
 from fuchsiacart.quarantine import Quarantine
@@ -30,6 +32,8 @@
         self._indexes = {}
         self._indexed_revision = 0
         self._newest_suspects = None
+        self._answered_ms = {}
+        self._lease_ms = settings.entry.lease_ms
 
     def add_report(self, request, now_ms):
         """Merge the evidence, suspects and counts of one gateway.
@@ -42,11 +46,10 @@
         self._board.record(request.host.name, request.counts, now_ms)
 
     def suspects(self):
-        """Return the newest suspects, for all gateways.
+        """Return the :class:`SuspectReport` for all gateways.
 
-        Requests that all gateways refuse come before others.
-
-        :return: at most ``MAX_SUSPECTS_IN_MESSAGE``.
+        It names the newest, those that all gateways refuse before others, and
+        the answers of the last ``lease_ms``.
         """
         now_ms = wall_ms()
         if self._newest_suspects is None:
@@ -54,18 +57,36 @@
                 self._quarantine.suspects(now_ms), key=must_be_refused
             )
             self._newest_suspects = suspects[-MAX_SUSPECTS_IN_MESSAGE:]
-        return tuple(
-            each for each in self._newest_suspects if each.until_ms > now_ms
+        return SuspectReport(
+            tuple(
+                each
+                for each in self._newest_suspects
+                if each.until_ms > now_ms
+            ),
+            self._newest_answers(),
         )
 
     def _add_suspects(self, report):
         if not report.lost and not report.answered:
             return
         self._quarantine.merge(report.lost, wall_ms())
+        for suspect in report.lost:
+            self._answered_ms.pop(suspect.digest, None)
         for digest in report.answered:
-            self._quarantine.clear(digest)
+            if not self._quarantine.is_proved(digest, wall_ms()):
+                self._quarantine.clear(digest)
+                self._answered_ms[digest] = steady_ms()
         self._newest_suspects = None
 
+    def _newest_answers(self):
+        since_ms = steady_ms() - self._lease_ms
+        self._answered_ms = {
+            digest: answered_ms
+            for digest, answered_ms in self._answered_ms.items()
+            if answered_ms > since_ms
+        }
+        return tuple(self._answered_ms)[-MAX_SUSPECTS_IN_MESSAGE:]
+
     def load_map(self, host, stored, now_ms):
         """Return what other gateways have in flight at each server.
 
--- a/fuchsiacart/entry/dispatch.py
+++ b/fuchsiacart/entry/dispatch.py
@@ -273,7 +273,7 @@
         """Return no suspects, as entry hosts exchange them by gossip."""
         return SuspectReport()
 
-    def merge_suspects(self, suspects):
+    def merge_suspects(self, report):
         """Ignore the suspects of gateways."""
 
     def draining(self):
--- a/fuchsiacart/gateway/forwarding.py
+++ b/fuchsiacart/gateway/forwarding.py
@@ -26,6 +26,7 @@
 from fuchsiacart.gateway.route_tables import TargetSplitter
 from fuchsiacart.gateway.server_attempts import ServerSender
 from fuchsiacart.gateway.suspects import SuspectTracker
+from fuchsiacart.gateway.trials import TrialSchedule
 from fuchsiacart.gateway.view_freshness import ViewFreshness
 from fuchsiacart.randomness import make_random
 
@@ -60,6 +61,7 @@
             settings.entry.quarantine_ms,
             settings.entry.lease_ms,
             self._pool,
+            TrialSchedule(random),
         )
         self._sender = ServerSender(
             dialect,
@@ -202,7 +204,7 @@
         return self.route_table.find(request.host_name, request.path)
 
     def _check_quarantine(self, attempts):
-        if not self.suspects.is_quarantined(attempts.request):
+        if self.suspects.may_send(attempts.request, self._gateway_count):
             return
         if attempts.may_have_run:
             raise attempts.make_error(None)
--- a/fuchsiacart/gateway/hosts.py
+++ b/fuchsiacart/gateway/hosts.py
@@ -147,12 +147,12 @@
         """Return the :class:`SuspectReport` for the next renewal."""
         return self.forwarder.suspects.make_report()
 
-    def merge_suspects(self, suspects):
-        """Merge the suspects in the leader's reply to the last report.
+    def merge_suspects(self, report):
+        """Merge the leader's reply to the last report.
 
-        :param suspects: each a :class:`Suspect`.
+        :param report: the leader's :class:`SuspectReport`.
         """
-        self.forwarder.suspects.merge(suspects)
+        self.forwarder.suspects.merge(report)
 
     def counts(self):
         """Return the :class:`ServerCount` of each server in use."""
--- a/fuchsiacart/gateway/suspect_reports.py
+++ b/fuchsiacart/gateway/suspect_reports.py
@@ -24,6 +24,10 @@
         """Report the answer to a suspect likewise."""
         self._add(digest, None)
 
+    def has_loss(self, digest):
+        """Return True if a loss is not confirmed yet."""
+        return self._unconfirmed.get(digest) is not None
+
     def make_report(self):
         """Return the :class:`SuspectReport` for the next renewal.
 
--- a/fuchsiacart/gateway/suspects.py
+++ b/fuchsiacart/gateway/suspects.py
@@ -11,6 +11,7 @@
 
 from asyncio import create_task
 
+from fuchsiacart.clocks import steady_ms
 from fuchsiacart.clocks import wall_ms
 from fuchsiacart.gateway.suspect_reports import SuspectReports
 from fuchsiacart.logs import log_event
@@ -30,11 +31,13 @@
     :param suspicion_ms: the same for one that is not refused, after the
         leader last told of it.
     :param pool: the :class:`ConnectionPool`.
+    :param trials: the :class:`TrialSchedule`.
     """
 
-    def __init__(self, quarantine_ms, suspicion_ms, pool):
+    def __init__(self, quarantine_ms, suspicion_ms, pool, trials):
         self._quarantine = Quarantine(quarantine_ms, suspicion_ms)
         self._pool = pool
+        self._trials = trials
         self._reports = SuspectReports()
         self._checks = set()
         self._listener = None
@@ -46,17 +49,31 @@
         """
         self._listener = listener
 
-    def is_quarantined(self, request):
-        """Return True if a request is quarantined.
+    def may_send(self, request, gateway_count):
+        """Return False if a request is refused.
 
         :param request: the :class:`InboundRequest`.
+        :param gateway_count: gateways that refuse it too.
         """
         if self._quarantine.is_empty:
+            return True
+        digest, now_ms = _digest(request), wall_ms()
+        if not self._quarantine.is_quarantined(digest, now_ms):
+            self._trials.forget(digest)
+            return True
+        if self._quarantine.is_proved(digest, now_ms):
             return False
-        return self._quarantine.is_quarantined(_digest(request), wall_ms())
+        if not self._trials.may_try(digest, gateway_count, steady_ms()):
+            return False
+        log_event(
+            'suspect_tried',
+            request=request.metadata.request_id,
+            digest=digest,
+        )
+        return True
 
     def record_response(self, request):
-        """Clear a suspect after a response, unless it is quarantined.
+        """Clear a suspect after a response.
 
         The response shows that the request did not crash the server.
 
@@ -99,20 +116,23 @@
         """See :meth:`SuspectReports.make_report`."""
         return self._reports.make_report()
 
-    def merge(self, suspects):
-        """Merge the suspects in the leader's reply to the last report.
+    def merge(self, report):
+        """Merge the leader's reply to the last report.
 
-        Those that this gateway refuses and that the leader does not know, as
-        it has just been elected, are reported to it.
+        Requests that this gateway refuses and that the leader does not know,
+        as it has just been elected, are reported to it.
 
-        :param suspects: each a :class:`Suspect`.
+        :param report: the leader's :class:`SuspectReport`.
         """
         now_ms = wall_ms()
         self._reports.confirm()
-        self._quarantine.merge(suspects, now_ms)
-        if len(suspects) >= MAX_SUSPECTS_IN_MESSAGE:
+        self._quarantine.merge(report.lost, now_ms)
+        for digest in report.answered:
+            if not self._reports.has_loss(digest):
+                self._quarantine.clear(digest)
+        if len(report.lost) >= MAX_SUSPECTS_IN_MESSAGE:
             return
-        known = {suspect.digest for suspect in suspects}
+        known = {suspect.digest for suspect in report.lost}
         for suspect in self._quarantine.quarantined(now_ms):
             if suspect.digest not in known:
                 self._reports.add_loss(suspect)
--- a/fuchsiacart/messages.py
+++ b/fuchsiacart/messages.py
@@ -110,7 +110,7 @@
 
 
 class SuspectReport(Struct, frozen=True):
-    """What a gateway tells of suspects.
+    """What a gateway and the leader tell each other of suspects.
 
     ``lost`` are those under which servers were lost, ``answered`` the digests
     of those that were answered since.
@@ -157,7 +157,7 @@
     parents: tuple[Address, ...] = ()
     leader: Address = ''
     members: tuple[Address, ...] = ()
-    suspects: tuple[Suspect, ...] = ()
+    suspects: SuspectReport = SuspectReport()
     load_map: LoadMap = LoadMap()
 
 
--- a/fuchsiacart/quarantine.py
+++ b/fuchsiacart/quarantine.py
@@ -7,6 +7,8 @@
 from fuchsiacart.messages import Suspect
 
 BROKEN_LIMIT = 2
+# Losses in a row after which an answer no longer clears a request.
+PROOF_LIMIT = 3
 SUSPECT_LIMIT = 10_000
 # Suspects in one message; the newest are sent first.
 MAX_SUSPECTS_IN_MESSAGE = 16
@@ -19,8 +21,9 @@
     becomes a suspect: its next attempt runs alone on a server.  Once
     ``BROKEN_LIMIT`` servers in a row were lost while they ran it, it is
     refused until its record expires.  Servers that are lost at the same time,
-    as in a failure of their domain, count as one.  All times are milliseconds
-    of the wall clock.
+    as in a failure of their domain, count as one.  An answer clears it, unless
+    ``PROOF_LIMIT`` servers were lost.  All times are milliseconds of the wall
+    clock.
 
     :param quarantine_ms: milliseconds after which a record expires.
     :param suspicion_ms: the same for a suspect that is not refused, after the
@@ -59,12 +62,12 @@
         return suspect
 
     def clear(self, digest):
-        """Remove a suspect that was answered, unless it is quarantined.
+        """Remove a suspect that was answered.
 
-        :return: True if there was one.
+        :return: True if there was one, and it is cleared by its answer.
         """
         existing = self._suspects.get(digest)
-        if existing is None or must_be_refused(existing):
+        if existing is None or existing.losses_in_row >= PROOF_LIMIT:
             return False
         del self._suspects[digest]
         return True
@@ -89,6 +92,10 @@
         existing = self._find(digest, now_ms)
         return existing is not None and must_be_refused(existing)
 
+    def is_proved(self, digest, now_ms):
+        """Return True if a request is refused whatever else happens."""
+        return self.losses_in_row(digest, now_ms) >= PROOF_LIMIT
+
     def losses_in_row(self, digest, now_ms):
         """Return how many servers were lost in a row running a request."""
         existing = self._find(digest, now_ms)
--- a/tools/seeded_faults/gateway.py
+++ b/tools/seeded_faults/gateway.py
@@ -337,4 +337,25 @@
         'if False:',
         'suspects',
     ),
+    Fault(
+        'a refused request is never tried again',
+        'gateway/trials.py',
+        'return due_ms is not None',
+        'return False',
+        'suspects',
+    ),
+    Fault(
+        'all gateways try a refused request at the same time',
+        'gateway/trials.py',
+        'span_ms = gateway_count * TRIAL_GAP_MS',
+        'span_ms = TRIAL_GAP_MS',
+        'suspects',
+    ),
+    Fault(
+        'an answer at a trial is told to no other gateway',
+        'control/gateway_reports.py',
+        'self._answered_ms[digest] = steady_ms()',
+        'pass',
+        'suspects',
+    ),
 )
