--- a/features/platform_path.feature
+++ b/features/platform_path.feature
@@ -26,3 +26,13 @@
     When a request that crashes instances is sent to each gateway 3 times
     Then at most 3 instances are down
     And a request through each gateway gets a whole answer with its stamp
+
+  Scenario: a request that crashes instances is refused whichever address it comes from
+    Given 3 control hosts and 2 gateways started for the first time
+    And 6 instances of a service that send heartbeats
+    When the operator puts a configuration
+    Then the directory names both gateways
+    And a request through each gateway gets a whole answer with its stamp
+    When a request that crashes instances is sent from 6 addresses
+    Then at most 3 instances are down
+    And a request through each gateway gets a whole answer with its stamp
--- a/features/steps/platform_path_steps.py
+++ b/features/steps/platform_path_steps.py
@@ -3,6 +3,7 @@
 from asyncio import create_task
 from asyncio import gather
 from asyncio import new_event_loop
+from asyncio import open_connection
 from asyncio import sleep
 from asyncio import wait_for
 from os import environ
@@ -36,6 +37,7 @@
 SLOW_S = 1.0
 # Each instance that runs this path crashes.
 POISON_PATH = '/stock/poison'
+FIRST_CALLER_HOST = 40
 # A suspect reaches all gateways with two lease renewals.
 SUSPECT_WAIT_S = 1.5
 TEMPLATE = """
@@ -264,6 +266,20 @@
             },
         )
 
+    async def send_request_from(self, address, ip, path):
+        """Send a request to a gateway from a local address."""
+        reader, writer = await open_connection(
+            ip, self.ports['caller'], local_addr=(address, 0)
+        )
+        head = (
+            f'GET {path} HTTP/1.1\r\nHost: shop.example\r\n'
+            f'X-Attempt-Id: request-{monotonic()}\r\n'
+            'X-Deadline-Ms: 3000\r\nConnection: close\r\n\r\n'
+        )
+        writer.write(head.encode())
+        await reader.read()
+        writer.close()
+
     async def named_gateways(self):
         """Return the addresses of the gateways that a directory names.
 
@@ -408,6 +424,21 @@
     fixture.run(send())
 
 
+@when('a request that crashes instances is sent from {count:d} addresses')
+def when_poison_sent_around(context, count):
+    """Send the request to the gateways in turn, with a pause after each."""
+    fixture = context.platform
+
+    async def send():
+        for host in range(count):
+            ip = fixture.gateways[host % len(fixture.gateways)]
+            address = f'127.0.0.{FIRST_CALLER_HOST + host}'
+            await fixture.send_request_from(address, ip, POISON_PATH)
+            await sleep(SUSPECT_WAIT_S)
+
+    fixture.run(send())
+
+
 @then('at most {most:d} instances are down')
 def then_few_down(context, most):
     down = [each for each in context.platform.instances if each.is_down]
