--- a/fuchsiacart/messages.py
+++ b/fuchsiacart/messages.py
@@ -146,8 +146,8 @@
 
     The lease takes effect once the host has reached ``revision``.
     ``leader`` is the control host to call from now on, ``members`` are all
-    control hosts, ``parents`` the hosts to pull changes from.  All hosts
-    know the requests in ``suspects``.  ``load_map`` holds the requests
+    control hosts, ``parents`` the hosts to pull changes from.  All
+    gateways learn ``suspects``.  ``load_map`` holds the requests
     that other hosts have in flight at backend servers.
     """
 
