The soak compares no gateway that is being stopped with those cut off

A gateway that stops takes no relayed work, and serves out what it has; it was not marked as disturbed, as its end may not lose requests.

Beside an undisturbed gateway the check stays; 'soak_ledger' shows both, and the check on requests that crash servers.

--- /dev/null
+++ b/features/steps/soak_ledger_steps.py
@@ -0,0 +1,94 @@
+"""Steps for the checks of the soak's ledger."""
+
+from behave import given
+from behave import then
+
+from soak.ledger import CRASHING_OBJECT
+from soak.ledger import GatewayCut
+from soak.ledger import Ledger
+from soak.ledger import PlannedStop
+from soak.ledger import RequestRun
+from soak.ledger import SentRequest
+
+CUT_OFF = '127.0.0.11:80'
+OTHER = '127.0.0.12:80'
+CUT = GatewayCut(frozenset((CUT_OFF,)), 0.0, 10.0)
+# Requests begin once the gateway must serve its callers again.
+FIRST_REQUEST_S = 5.0
+INTERVAL_S = 0.04
+TIMEOUT_S = 2.0
+RUN_INTERVAL_S = 0.1
+
+
+def _record_requests(ledger, gateway, count, status):
+    for index in range(count):
+        sent_s = FIRST_REQUEST_S + index * INTERVAL_S
+        sent = SentRequest(
+            f'{gateway} {index}',
+            'GET',
+            '/stock/1',
+            gateway,
+            sent_s,
+            TIMEOUT_S,
+            True,
+            sent_s + INTERVAL_S,
+            status,
+        )
+        ledger.record_request(sent)
+
+
+@given(
+    'one gateway that is cut off for 10 s and serves none of its'
+    ' {count:d} requests'
+)
+def given_cut_off(context, count):
+    context.ledger = Ledger(lambda *span: False)
+    context.ledger.cuts.append(CUT)
+    _record_requests(context.ledger, CUT_OFF, count, 503)
+
+
+@given('another that serves all of its {count:d} and is undisturbed')
+def given_other(context, count):
+    _record_requests(context.ledger, OTHER, count, 200)
+
+
+@given('another that serves all of its {count:d} and stops all the while')
+def given_stopping(context, count):
+    _record_requests(context.ledger, OTHER, count, 200)
+    stop = PlannedStop(OTHER, CUT.start_s, CUT.end_s)
+    context.ledger.stops.append(stop)
+
+
+@given('a request that crashed {count:d} servers by {until_s:d} s')
+def given_crashed(context, count, until_s):
+    context.ledger = Ledger(lambda *span: False)
+    for index in range(count):
+        context.ledger.crashes_s[f'server-{index}'] = float(until_s)
+
+
+@given('{count:d} requests of its kind that run from {start_s:d} s on')
+def given_runs(context, count, start_s):
+    path = f'/stock/{CRASHING_OBJECT}'
+    for index in range(count):
+        sent_s = start_s + index * RUN_INTERVAL_S
+        sent = SentRequest(
+            f'{index}',
+            'GET',
+            path,
+            OTHER,
+            sent_s,
+            TIMEOUT_S,
+            True,
+            sent_s + INTERVAL_S,
+            502,
+        )
+        sent.runs.append(
+            RequestRun('server', 'stock', 'domain', 'GET', path, sent_s)
+        )
+        context.ledger.record_request(sent)
+
+
+@then('the ledger reports {count:d} broken promises')
+def then_broken(context, count):
+    violations = context.ledger.check_promises(timed=True)
+    assert len(violations) == count, violations
--- a/soak/ledger.py
+++ b/soak/ledger.py
@@ -338,8 +338,18 @@
             )
 
     def _was_calm(self, sent, gateway):
-        """Return True if no fault disturbed a gateway during a request."""
+        """Return True if a gateway ran undisturbed during a request.
+
+        A gateway that is being stopped does not count as undisturbed.
+        """
         end_s = min(sent.ended_s, sent.sent_s + sent.timeout_s)
+        if any(
+            stop.gateway == gateway
+            and stop.asked_s <= end_s
+            and sent.sent_s <= stop.ended_s
+            for stop in self.stops
+        ):
+            return False
         return not self._was_disturbed(gateway, sent.sent_s, end_s)
 
     def _check_stop(self, stop):
