--- a/features/steps/suspect_steps.py
+++ b/features/steps/suspect_steps.py
@@ -113,8 +113,8 @@
         self.are_due = False
         self.tried = 0
 
-    def may_try(self, digest, gateway_count, now_ms):
-        """See :meth:`TrialSchedule.may_try`."""
+    def take_trial(self, digest, gateway_count, now_ms):
+        """See :meth:`TrialSchedule.take_trial`."""
         self.tried += self.are_due
         return self.are_due
 
@@ -146,14 +146,14 @@
         host = Host('gateway', 1, 'cymru', 'cymru-a', '', '')
         request = KeepAliveRequest(host, 1, suspects=gateway.make_report())
         self.leader.add_report(request, 0.0)
-        gateway.merge(self.leader.suspects())
+        gateway.merge(self.leader.suspect_report())
 
     def send(self, gateway):
         """Send the request through a gateway, unless that refuses it.
 
         The server that runs it is lost.
         """
-        if not gateway.may_send(REQUEST, len(self.gateways)):
+        if not gateway.admit(REQUEST, len(self.gateways)):
             return
         self.lost += 1
         record = ServerRecord(
@@ -277,9 +277,9 @@
 @when('the first gateway tries the request and it is answered')
 def when_tried_and_answered(context):
     first = context.fleet.gateways[0]
-    assert not first.may_send(REQUEST, len(context.fleet.gateways))
+    assert not first.admit(REQUEST, len(context.fleet.gateways))
     context.fleet.trials.are_due = True
-    assert first.may_send(REQUEST, len(context.fleet.gateways))
+    assert first.admit(REQUEST, len(context.fleet.gateways))
     context.fleet.trials.are_due = False
     first.record_response(REQUEST)
     context.fleet.renew_all()
@@ -309,7 +309,7 @@
 @then('all gateways send the request')
 def then_all_send(context):
     for gateway in context.fleet.gateways:
-        assert gateway.may_send(REQUEST, len(context.fleet.gateways))
+        assert gateway.admit(REQUEST, len(context.fleet.gateways))
 
 
 @then('{count:d} trial was made')
@@ -345,7 +345,7 @@
 
 def _first_trial_ms(schedule, gateway_count):
     now_ms = 0.0
-    while not schedule.may_try(DIGEST, gateway_count, now_ms):
+    while not schedule.take_trial(DIGEST, gateway_count, now_ms):
         if now_ms > TRIALS_END_MS:
             return inf
         now_ms += REQUEST_INTERVAL_MS
--- a/fuchsiacart/control/gateway_reports.py
+++ b/fuchsiacart/control/gateway_reports.py
@@ -45,7 +45,7 @@
         self._add_suspects(request.suspects)
         self._board.record(request.host.name, request.counts, now_ms)
 
-    def suspects(self):
+    def suspect_report(self):
         """Return the :class:`SuspectReport` for all gateways.
 
         It names the newest, those that all gateways refuse before others, and
--- a/fuchsiacart/control/leaders.py
+++ b/fuchsiacart/control/leaders.py
@@ -141,7 +141,7 @@
             parents,
             self._replica.leader_address,
             self._replica.member_addresses,
-            self._gateway_reports.suspects(),
+            self._gateway_reports.suspect_report(),
             self._gateway_reports.load_map(host, stored, now_ms),
         )
 
--- a/fuchsiacart/gateway/forwarding.py
+++ b/fuchsiacart/gateway/forwarding.py
@@ -204,7 +204,7 @@
         return self.route_table.find(request.host_name, request.path)
 
     def _check_quarantine(self, attempts):
-        if self.suspects.may_send(attempts.request, self._gateway_count):
+        if self.suspects.admit(attempts.request, self._gateway_count):
             return
         if attempts.may_have_run:
             raise attempts.make_error(None)
--- a/fuchsiacart/gateway/suspects.py
+++ b/fuchsiacart/gateway/suspects.py
@@ -49,8 +49,10 @@
         """
         self._listener = listener
 
-    def may_send(self, request, gateway_count):
-        """Return False if a request is refused.
+    def admit(self, request, gateway_count):
+        """Return True unless a request is refused.
+
+        A refused request is admitted once when its trial is due.
 
         :param request: the :class:`InboundRequest`.
         :param gateway_count: gateways that refuse it too.
@@ -63,7 +65,7 @@
             return True
         if self._quarantine.is_proved(digest, now_ms):
             return False
-        if not self._trials.may_try(digest, gateway_count, steady_ms()):
+        if not self._trials.take_trial(digest, gateway_count, steady_ms()):
             return False
         log_event(
             'suspect_tried',
--- a/fuchsiacart/gateway/trials.py
+++ b/fuchsiacart/gateway/trials.py
@@ -22,8 +22,11 @@
         self._random = random
         self._due_ms = {}
 
-    def may_try(self, digest, gateway_count, now_ms):
-        """Return True if a refused request may be sent once now.
+    def take_trial(self, digest, gateway_count, now_ms):
+        """Return True, once, if the trial of a refused request is due.
+
+        The first call for a request draws the time of its trial, and each
+        trial that of the next one.
 
         :param digest: identifies the request.
         :param gateway_count: gateways that may try it too.
--- a/fuchsiacart/quarantine.py
+++ b/fuchsiacart/quarantine.py
@@ -55,7 +55,7 @@
         losses = existing.losses_in_row if existing else 0
         if server not in broken:
             broken += (server,)
-            # An answer since then has cleared the request.
+            # Losses that an answer has cleared since then do not count.
             losses = max(losses, min(known_losses, losses) + 1)
         suspect = Suspect(digest, broken, now_ms + self._quarantine_ms, losses)
         self._store(suspect, now_ms)
