--- a/review/1/case.py
+++ b/review/1/case.py
@@ -6,7 +6,6 @@
 """
 
 from asyncio import create_task
-from asyncio import run
 from asyncio import sleep
 from os import environ
 from pathlib import Path
@@ -16,12 +15,12 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
-from common.clients import Client  # noqa: E402
-from common.clients import end_clients  # noqa: E402
-from common.deployment import BOUNDS  # noqa: E402
-from common.deployment import CannotRun  # noqa: E402
-from common.deployment import Deployment  # noqa: E402
-from common.instances import Instance  # noqa: E402
+from clients import Client  # noqa: E402
+from clients import end_clients  # noqa: E402
+from deployments import BOUNDS  # noqa: E402
+from deployments import CannotRun  # noqa: E402
+from deployments import run_case  # noqa: E402
+from instances import Instance  # noqa: E402
 
 CASE = Path(__file__).parent
 TROUBLE = environ.get('TROUBLE', '1') != '0'
@@ -84,7 +83,9 @@
                 zone=instance.zone,
                 path=run_path,
             )
-            since_s = max(acked_s + BOUNDS['evac_s'], stable_s)
+            # An unstable core may stretch the bound.
+            bound_s = BOUNDS['evac_s'] + BOUNDS['max_stretch_s']
+            since_s = max(acked_s + bound_s, stable_s)
             if instance.zone == ZONE and at_s > since_s and (
                 Client.sent[request_id][0] > since_s
             ):
@@ -99,8 +100,8 @@
     )
     if served < 100:
         raise CannotRun(f'only {served} requests were served')
-    print(f'{len(late)} runs in {ZONE} later than evac_s after its'
-          f' acknowledgement; {served} requests served')
+    print(f'{len(late)} runs in {ZONE} later than evac_s and'
+          f' max_stretch_s after its acknowledgement; {served} requests served')
     return 1 if late else 0
 
 
@@ -109,20 +110,12 @@
     deployment.signal(node, SIGCONT)
 
 
-def main():
-    deployment = Deployment(
-        CASE,
-        ['puget-a', 'willamette-a', 'inland-a', 'puget-b', 'willamette-b'],
-        ['puget-a', 'puget-b', 'willamette-a'],
-    )
-    try:
-        return run(play(deployment))
-    except CannotRun as error:
-        print(f'cannot run: {error}')
-        return 2
-    finally:
-        deployment.close()
-
-
 if __name__ == '__main__':
-    sys.exit(main())
+    sys.exit(
+        run_case(
+            play,
+            CASE,
+            ['puget-a', 'willamette-a', 'inland-a', 'puget-b', 'willamette-b'],
+            ['puget-a', 'puget-b', 'willamette-a'],
+        )
+    )
--- a/review/common/clients.py
+++ b/review/clients.py
@@ -6,9 +6,9 @@
 from asyncio import wait
 from itertools import count
 
-from common.deployment import HOST_NAME
-from common.http import encode_request
-from common.http import read_answer
+from deployments import HOST_NAME
+from http_calls import encode_request
+from http_calls import read_answer
 
 NUMBERS = count(1)
 
--- a/review/common/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Stand-ins and a small deployment for the cases of the review."""
--- a/review/common/deployment.py
+++ b/review/deployments.py
@@ -1,5 +1,6 @@
 """A small deployment of the project's programs on loopback addresses."""
 
+from asyncio import run
 from asyncio import sleep
 import json
 from os import environ
@@ -7,6 +8,8 @@
 from pathlib import Path
 from random import Random
 from shutil import rmtree
+from signal import alarm
+from signal import SIGALRM
 from signal import SIGCONT
 from signal import SIGKILL
 from signal import signal as on_signal
@@ -23,12 +26,13 @@
 from threading import Thread
 from time import monotonic
 import tomllib
+from traceback import print_exc
 
-from common.http import call
-from common.record import Record
-from common.template import render
+from http_calls import call
+from records import Record
+from settings_template import render
 
-ROOT = Path(__file__).resolve().parents[2]
+ROOT = Path(__file__).resolve().parents[1]
 # Zones, as in the site halvorsen-gslb.
 REGIONS = {
     'puget-a': 'puget',
@@ -48,11 +52,15 @@
     'budget_window_s': 10,
     'budget_slack': 56,
     'evac_s': 5,
+    'max_stretch_s': 5,
     'max_region_shift': 0.15,
 }
 HOST_NAME = 'shop.example'
 # The operator gives up an order after this time.
 ORDER_S = 15.0
+# A case that has not ended by then could not run.
+CASE_S = 110
+CANNOT_RUN = 2
 
 
 class CannotRun(Exception):
@@ -94,8 +102,6 @@
     """
 
     def __init__(self, case, controls, gateways, seed=1):
-        # Ends the processes also if the case takes too long.
-        on_signal(SIGTERM, lambda *_: sys.exit(2))
         self.record = Record(Path(case) / 'record.txt')
         self.random = Random(seed)
         self.folder = Path(mkdtemp(prefix='review-'))
@@ -341,3 +347,38 @@
             process.wait()
         rmtree(self.folder, ignore_errors=True)
         self.record.close()
+
+
+def _give_up(*_):
+    raise SystemExit(CANNOT_RUN)
+
+
+def run_case(play, case, controls, gateways):
+    """Play a case and return its exit code.
+
+    It is 1 if the rule was broken and 0 if it held, as ``play`` returns it,
+    and 2 if the case could not run, whatever the reason.  All processes are
+    ended in any case.
+
+    :param play: coroutine function that takes the :class:`Deployment`.
+    :param case: folder of the case.
+    :param controls: zones of the control nodes.
+    :param gateways: zones of the gateways.
+    """
+    on_signal(SIGTERM, _give_up)
+    on_signal(SIGALRM, _give_up)
+    alarm(CASE_S)
+    deployment = None
+    try:
+        deployment = Deployment(case, controls, gateways)
+        return run(play(deployment))
+    except CannotRun as error:
+        print(f'cannot run: {error}')
+        return CANNOT_RUN
+    except (Exception, SystemExit):
+        print_exc()
+        return CANNOT_RUN
+    finally:
+        alarm(0)
+        if deployment is not None:
+            deployment.close()
--- a/review/common/instances.py
+++ b/review/instances.py
@@ -10,9 +10,9 @@
 import json
 from time import time
 
-from common.http import call
-from common.http import read_body
-from common.http import read_head
+from http_calls import call
+from http_calls import read_body
+from http_calls import read_head
 
 HEARTBEAT_S = 1.5
 IDLE_S = 10
--- a/review/common/memory.py
+++ b/review/memory_limits.py
@@ -9,13 +9,16 @@
 
 
 def resident_mb(process):
-    """Return the resident memory of a process in MiB."""
+    """Return the anonymous memory of a process in MiB.
+
+    Pages of files, such as libraries, are not counted.
+    """
     try:
         text = Path(f'/proc/{process.pid}/status').read_text()
     except OSError:
         return 0.0
     for line in text.splitlines():
-        if line.startswith('VmRSS:'):
+        if line.startswith('RssAnon:'):
             return int(line.split()[1]) / 1024
     return 0.0
 
