Carry out no order that its caller has given up

Cause: SetEvacuation carries neither a version nor an age. A copy of the order that ended an earlier evacuation lay in the socket of a frozen control host; its operator had given it up after a second, repeated it elsewhere and evacuated the domain again. The host woke, read the copy and had it committed.

Evidence: the host that wakes logs evacuation_order evacuated=False, and no gateway goes back in its revisions, so neither a log that is behind nor an old view explains it.

Class: an order without version or age is carried out later than its caller waits for it. It can wait in the socket, on a cut link, on the way to the leader, and at a leader that does not answer. Fixed for all four: the host notes how far it has applied the log, then sees that its caller still waits, and the leader appends no order that a later one for the same subject has overtaken.

Why it works: the index is noted before the caller is seen to wait, so that all that the caller orders later has a higher one; no clock of two hosts is compared. The model explores this exhaustively and finds a violation as soon as one of the four conditions is left out.

--- /dev/null
+++ b/features/steps/late_order_steps.py
@@ -0,0 +1,359 @@
+"""Steps for orders that are read after their sender has given them up."""
+
+from asyncio import gather
+from asyncio import open_connection
+from asyncio import sleep
+from asyncio import wait_for
+from signal import SIGCONT
+from signal import SIGSTOP
+from time import monotonic
+
+from behave import given
+from behave import then
+from behave import when
+from tornado.httpserver import HTTPServer
+from tornado.netutil import bind_sockets
+
+from features.steps.control_group_steps import ControlGroupFixture
+from fuchsiacart.control.commands import SetEvacuation
+from fuchsiacart.control.order_positions import OrderPositions
+from fuchsiacart.control.outcomes import Outcome
+from fuchsiacart.control.pauses import PauseWatch
+from fuchsiacart.control.route_control import RouteControl
+from fuchsiacart.control.states import ReplicatedState
+from fuchsiacart.exceptions import ChangeError
+from fuchsiacart.exceptions import ErrorKind
+from fuchsiacart.exceptions import Run
+from fuchsiacart.messages import ProposeReply
+from fuchsiacart.messages import ProposeRequest
+from fuchsiacart.platform.calls import make_control_application
+
+APPLIED_INDEX = 17
+TICK_MS = 20
+# How long callers of a control host wait.
+CALL_TIMEOUT_S = 1.0
+FREEZE_S = 4.0
+SETTLE_S = 0.5
+
+
+class StandInReplica:
+    """A replica that follows a leader and has applied some entries."""
+
+    applied_index = APPLIED_INDEX
+
+    def __init__(self):
+        self.replicated_state = ReplicatedState()
+        self.is_after_pause = False
+
+    def was_paused(self):
+        """Return True if a scenario says so."""
+        return self.is_after_pause
+
+
+class StandInService:
+    """Keeps the requests to the leader and accepts each."""
+
+    def __init__(self):
+        self.requests = []
+
+    def register_handler(self, kind, handler):
+        """Ignore the handlers of a leader."""
+
+    async def on_propose(self, request):
+        """See :meth:`ControlService.on_propose`."""
+        self.requests.append(request)
+        return ProposeReply(Outcome(revision=1))
+
+
+class ControlInterface:
+    """The HTTP interface of a control host, without a control group."""
+
+    def __init__(self, group):
+        self.run = group.run
+        self.replica = StandInReplica()
+        self.service = StandInService()
+        control = RouteControl(None, self.replica, self.service)
+        self._server = HTTPServer(make_control_application(control))
+        sockets = bind_sockets(0, '127.0.0.1')
+        self._address = sockets[0].getsockname()
+        self.run(self._listen(sockets))
+
+    async def _listen(self, sockets):
+        self._server.add_sockets(sockets)
+
+    async def send(self, call, body=b''):
+        """Send a call over a new connection.
+
+        :return: the reader and the writer of the connection.
+        """
+        reader, writer = await open_connection(*self._address)
+        head = f'{call} HTTP/1.1\r\nHost: c\r\nContent-Length: {len(body)}'
+        writer.write(head.encode() + b'\r\n\r\n' + body)
+        await writer.drain()
+        return reader, writer
+
+    def close(self):
+        """Stop listening."""
+        self._server.stop()
+
+
+@given('a leader whose log had {count:d} entries when its term began')
+def given_positions(context, count):
+    context.positions = OrderPositions()
+    context.positions.start_term(3, count)
+
+
+@when('it appends an order for {subject} at {index:d}')
+def when_noted(context, subject, index):
+    context.positions.note(subject, index)
+    context.last_index = index
+
+
+@when('it appends orders for {count:d} other subjects after it')
+def when_many_noted(context, count):
+    for offset in range(1, count + 1):
+        context.positions.note(f'other-{offset}', context.last_index + offset)
+    context.noted_count = count
+
+
+@when('it leads again in a later term, with {count:d} entries')
+def when_next_term(context, count):
+    context.positions.start_term(5, count)
+
+
+@then('an order for {subject} that was read at {index:d} is outdated')
+def then_outdated(context, subject, index):
+    assert context.positions.is_outdated(subject, index)
+
+
+@then('an order for {subject} that was read at {index:d} is not')
+def then_current(context, subject, index):
+    assert not context.positions.is_outdated(subject, index)
+
+
+@then('an order of a host that does not say when it was read is not')
+def then_unconditional(context):
+    assert not context.positions.is_outdated('cymru-a', None)
+
+
+@then('{count:d} orders are remembered')
+def then_remembered(context, count):
+    """Count the other subjects for which an early index is outdated alone.
+
+    All that are not remembered share one index, that of the newest of them.
+    """
+    first = context.last_index + context.noted_count - count + 1
+    newest_forgotten = first - 1
+    for offset in range(1, context.noted_count + 1):
+        index = max(context.last_index + offset, newest_forgotten)
+        subject = f'other-{offset}'
+        assert not context.positions.is_outdated(subject, index), subject
+        assert context.positions.is_outdated(subject, index - 1), subject
+
+
+@given('an event loop that runs until {now_ms:d} ms')
+def given_loop(context, now_ms):
+    context.pauses = PauseWatch(0.0)
+    for tick_ms in range(TICK_MS, now_ms + 1, TICK_MS):
+        context.pauses.tick(float(tick_ms))
+    assert not context.pauses.was_paused(float(now_ms))
+    context.ticked_ms = now_ms
+
+
+@when('it stands still until {now_ms:d} ms')
+def when_stands_still(context, now_ms):
+    context.pauses.tick(float(now_ms))
+    context.ticked_ms = now_ms
+
+
+@then('what is read at {now_ms:d} ms may have waited')
+def then_may_have_waited(context, now_ms):
+    assert is_doubtful(context, now_ms)
+
+
+@then('what is read at {now_ms:d} ms is taken as current')
+def then_taken_as_current(context, now_ms):
+    assert not is_doubtful(context, now_ms)
+
+
+def is_doubtful(context, now_ms):
+    """Return what the watch says after the ticks up to a time.
+
+    An event loop that has not ticked at all since is one that was paused.
+    """
+    is_running = now_ms - context.ticked_ms <= CALL_TIMEOUT_S * 1000 * 2
+    if context.ticked_ms > 10_000 and is_running:
+        first_ms = context.ticked_ms + TICK_MS
+        for tick_ms in range(first_ms, now_ms + 1, TICK_MS):
+            context.pauses.tick(float(tick_ms))
+    return context.pauses.was_paused(float(now_ms))
+
+
+@given('a control host whose HTTP interface is open')
+def given_interface(context):
+    group = ControlGroupFixture()
+    context.resources.callback(group.close)
+    context.interface = ControlInterface(group)
+    context.resources.callback(context.interface.close)
+
+
+@given('it was paused a moment ago')
+def given_paused(context):
+    context.interface.replica.is_after_pause = True
+
+
+@when('a caller sends {call} and closes its connection at once')
+def when_sent_and_closed(context, call):
+    interface = context.interface
+
+    async def send():
+        _, writer = await interface.send(call)
+        writer.close()
+        await sleep(CALL_TIMEOUT_S)
+
+    interface.run(send())
+
+
+@when('a caller sends {call} and waits')
+def when_sent(context, call):
+    interface = context.interface
+
+    async def send():
+        reader, writer = await interface.send(call)
+        line = await wait_for(reader.readline(), CALL_TIMEOUT_S)
+        writer.close()
+        return int(line.split()[1])
+
+    context.status = interface.run(send())
+
+
+@then('nothing is proposed to the leader')
+def then_not_proposed(context):
+    assert not context.interface.service.requests
+
+
+@then('it is refused with {status:d}')
+@then('it is answered with {status:d}')
+def then_status(context, status):
+    assert context.status == status, context.status
+
+
+@then('the leader is told the index that was applied when it was read')
+def then_index_told(context):
+    (request,) = context.interface.service.requests
+    assert request.seen_index == APPLIED_INDEX, request
+
+
+@when('an order to evacuate {domain} is read, and its end is ordered first')
+def when_overtaken(context, domain):
+    control = context.control
+    service = control.services[control.first_leader]
+    replica = control.network.replicas[control.first_leader]
+    context.error = None
+
+    async def order():
+        seen_index = replica.applied_index
+        end = SetEvacuation(domain, False, 2)
+        await service.on_propose(ProposeRequest(end, seen_index=seen_index))
+        start = SetEvacuation(domain, True, 1)
+        await service.on_propose(ProposeRequest(start, seen_index=seen_index))
+
+    try:
+        control.run(order())
+    except ChangeError as error:
+        context.error = error
+
+
+@then('the first is refused as outdated and not run')
+def then_first_refused(context):
+    assert context.error is not None
+    assert context.error.kind is ErrorKind.OUTDATED, context.error
+    assert context.error.run is Run.NO
+
+
+@then('{domain} is not evacuated')
+def then_not_evacuated(context, domain):
+    control = context.control
+    replica = control.network.replicas[control.first_leader]
+    assert domain not in replica.replicated_state.stored.routes.evacuated
+
+
+@when('the operator evacuates {domain}')
+def when_evacuated(context, domain):
+    fixture = context.platform
+    context.domain_path = f'/api/evacuate/{domain}'
+    reply = fixture.run(fixture.control('POST', context.domain_path))
+    assert reply is not None and reply.code == 200, reply
+
+
+def find_leader(fixture):
+    """Return the control host that was elected last, by its log."""
+    terms = {}
+    for ip in fixture.seeds:
+        log = (fixture.folder / f'{ip}.log').read_text()
+        for line in log.splitlines():
+            if 'leader_elected' in line:
+                terms[int(line.split('term=')[1].split()[0])] = ip
+    return terms[max(terms)]
+
+
+@when('{host} is frozen and holds the order to end that')
+def when_frozen(context, host):
+    """Freeze a host, send it the order and give that up after a second."""
+    fixture = context.platform
+    leader = find_leader(fixture)
+    followers = [ip for ip in fixture.seeds if ip != leader]
+    context.frozen = leader if host == 'the leader' else followers[0]
+    process = fixture.processes[context.frozen]
+    process.send_signal(SIGSTOP)
+    context.frozen_s = monotonic()
+    # The seeds are asked in this order.
+    others = [ip for ip in fixture.seeds if ip != context.frozen]
+    fixture.seeds = others
+
+    async def send():
+        _, writer = await open_connection(
+            context.frozen, fixture.ports['control']
+        )
+        head = f'DELETE {context.domain_path} HTTP/1.1\r\nHost: c\r\n\r\n'
+        writer.write(head.encode())
+        await sleep(CALL_TIMEOUT_S)
+        writer.close()
+
+    fixture.run(send())
+
+
+@when('the operator ends it elsewhere and evacuates {domain} again')
+def when_evacuated_again(context, domain):
+    fixture = context.platform
+    for method in ('DELETE', 'POST'):
+        reply = fixture.run(fixture.control(method, context.domain_path))
+        assert reply is not None and reply.code == 200, reply
+
+
+@when('the host wakes')
+def when_woken(context):
+    fixture = context.platform
+    left_s = context.frozen_s + FREEZE_S - monotonic()
+    fixture.run(sleep(max(0.0, left_s)))
+    fixture.processes[context.frozen].send_signal(SIGCONT)
+    fixture.run(sleep(SETTLE_S))
+
+
+@then('for {duration_s:d} seconds no request reaches an instance')
+def then_unreached(context, duration_s):
+    """Send requests through all gateways all the time."""
+    fixture = context.platform
+    before = [len(each.served) for each in fixture.instances]
+
+    async def send():
+        end_s = monotonic() + duration_s
+        while monotonic() < end_s:
+            await gather(
+                *(fixture.send_request(ip) for ip in fixture.gateways)
+            )
+            await sleep(SETTLE_S)
+
+    fixture.run(send())
+    after = [len(each.served) for each in fixture.instances]
+    assert after == before, (before, after)
--- a/features/steps/route_control_steps.py
+++ b/features/steps/route_control_steps.py
@@ -30,6 +30,8 @@
 class StandInReplica:
     """A replica that is in contact with a leader and has an empty state."""
 
+    applied_index = 0
+
     def __init__(self):
         self.replicated_state = ReplicatedState()
 
@@ -37,6 +39,10 @@
         """Return True."""
         return True
 
+    def was_paused(self):
+        """Return False."""
+        return False
+
 
 class StandInService:
     """Passes requests to a leader that answers after a delay.
@@ -101,7 +107,10 @@
 
 @when('an operator evacuates a failure domain')
 def when_evacuated(context):
-    call(context, lambda control: control.set_evacuation('cymru-a', True))
+    call(
+        context,
+        lambda control: control.set_evacuation('cymru-a', True, lambda: False),
+    )
 
 
 @when('an operator reads the configuration')
--- a/fuchsiacart/control/leaders.py
+++ b/fuchsiacart/control/leaders.py
@@ -159,7 +159,10 @@
         handler = self._request_handlers.get(type(request))
         if handler is not None:
             return await handler(request)
-        return ProposeReply(await self._replica.propose(request.command))
+        outcome = await self._replica.propose(
+            request.command, seen_index=request.seen_index
+        )
+        return ProposeReply(outcome)
 
     async def on_pull(self, request):
         """Return the changes after a revision; waits for the first one."""
--- a/fuchsiacart/control/replica_events.py
+++ b/fuchsiacart/control/replica_events.py
@@ -26,11 +26,14 @@
 class Proposal(Struct, frozen=True):
     """A command to commit, as :func:`encode_command` returns it.
 
-    ``future`` is resolved with its :class:`Outcome`.
+    ``future`` is resolved with its :class:`Outcome`.  ``subject`` and
+    ``seen_index`` are those of :class:`OrderPositions`.
     """
 
     body: bytes
     future: Future
+    subject: str = ''
+    seen_index: int | None = None
 
 
 class GroupProposal(Struct, frozen=True):
@@ -137,6 +140,6 @@
         future.set_result(result)
 
 
-def set_error(future, detail, run=Run.NO):
+def set_error(future, detail, run=Run.NO, kind=ErrorKind.NO_QUORUM):
     if not future.done():
-        future.set_exception(ChangeError(detail, ErrorKind.NO_QUORUM, run))
+        future.set_exception(ChangeError(detail, kind, run))
--- a/fuchsiacart/control/replicas.py
+++ b/fuchsiacart/control/replicas.py
@@ -10,6 +10,7 @@
 
 from msgspec.structs import replace
 
+from fuchsiacart.clocks import boot_ms
 from fuchsiacart.clocks import steady_ms
 from fuchsiacart.control.addresses import FOUNDER
 from fuchsiacart.control.addresses import founding_voters
@@ -20,6 +21,9 @@
 from fuchsiacart.control.election_rules import Step
 from fuchsiacart.control.journals import Journal
 from fuchsiacart.control.leadership_barriers import LeadershipBarriers
+from fuchsiacart.control.order_positions import find_subject
+from fuchsiacart.control.pauses import PauseWatch
+from fuchsiacart.control.proposals import ProposalProcessor
 from fuchsiacart.control.pulls import ViewPacker
 from fuchsiacart.control.replica_events import Barrier
 from fuchsiacart.control.replica_events import Bootstrap
@@ -79,7 +83,11 @@
             steady_ms(),
         )
         self._pending_entries = PendingEntries()
+        self._proposals = ProposalProcessor(
+            self._steps.rules, self._pending_entries
+        )
         self._barriers = LeadershipBarriers(self._steps.rules)
+        self._pauses = PauseWatch(boot_ms())
         self._snapshot = b''
         self._applied_index = 0
         self.notifier = RevisionNotifier(
@@ -126,6 +134,15 @@
         addresses = [self._addresses.get(host_of(each)) for each in members]
         return tuple(address for address in addresses if address)
 
+    @property
+    def applied_index(self):
+        """Return the index up to which the log is applied."""
+        return self._applied_index
+
+    def was_paused(self):
+        """Return True if what is read now may have waited in a pause."""
+        return self._pauses.was_paused(boot_ms())
+
     def has_contact(self):
         """See :meth:`TimedConsensus.has_contact`."""
         return self._steps.has_contact(self._state, steady_ms())
@@ -148,17 +165,21 @@
         self._inbox.put_nowait(InboundMessage(message, response))
         return await response
 
-    async def propose(self, command, timeout_s=5.0):
+    async def propose(self, command, timeout_s=5.0, seen_index=None):
         """Commit a command as the leader.
 
         :param command: the command.
         :param timeout_s: seconds to wait.
+        :param seen_index: see :class:`OrderPositions`.
         :return: its :class:`Outcome`.
-        :raises ChangeError: if the command cannot be stored or this replica
-            does not lead (not run), or no quorum answers in time (unknown).
+        :raises ChangeError: if the command cannot be stored, may be outdated
+            or this replica does not lead (not run), or no quorum answers in
+            time (unknown).
         """
         future = get_running_loop().create_future()
-        proposal = Proposal(encode_command(command), future)
+        proposal = Proposal(
+            encode_command(command), future, find_subject(command), seen_index
+        )
         return await self._submit(proposal, future, timeout_s)
 
     async def change_group(self, group, timeout_s=10.0):
@@ -242,6 +263,7 @@
     async def _tick(self):
         while True:
             await sleep(TICK_S)
+            self._pauses.tick(boot_ms())
             if self._inbox.qsize() < BATCH_EVENTS:
                 self._inbox.put_nowait(Tick())
 
@@ -281,9 +303,9 @@
         if isinstance(event, InboundMessage):
             return self._process_message(state, event.message)
         if isinstance(event, list):
-            return self._process_proposals(state, event)
+            return self._proposals.process(state, event)
         if isinstance(event, GroupProposal):
-            return self._process_group(state, event)
+            return self._proposals.process_group(state, event)
         if isinstance(event, Bootstrap):
             return self._process_bootstrap(state, event)
         if isinstance(event, Barrier):
@@ -304,29 +326,6 @@
         self._applied_index = message.index
         log_event('snapshot_installed', index=message.index)
 
-    def _process_proposals(self, state, proposals):
-        if state.role is not Role.LEADER:
-            for proposal in proposals:
-                set_error(proposal.future, 'this control host does not lead')
-            return Step(state)
-        bodies = [proposal.body for proposal in proposals]
-        step = self._steps.rules.propose(state, bodies)
-        index = state.last_index
-        for proposal in proposals:
-            index += 1
-            self._pending_entries.add(index, step.state.term, proposal.future)
-        return step
-
-    def _process_group(self, state, event):
-        step = self._steps.rules.propose_group(state, event.group)
-        if step.state is state:
-            set_error(event.future, 'the members cannot be changed now')
-            return step
-        self._pending_entries.add(
-            step.state.last_index, step.state.term, event.future
-        )
-        return step
-
     def _process_bootstrap(self, state, event):
         if state.group == event.group:
             set_result(event.future, None)
--- a/fuchsiacart/control/route_control.py
+++ b/fuchsiacart/control/route_control.py
@@ -12,6 +12,8 @@
 from fuchsiacart.control.commands import RecordServer
 from fuchsiacart.control.commands import SetEvacuation
 from fuchsiacart.control.directory import find_gateways
+from fuchsiacart.control.order_checks import CLOSE_NOTICE_S
+from fuchsiacart.control.order_checks import confirm_caller
 from fuchsiacart.exceptions import ChangeError
 from fuchsiacart.exceptions import ErrorKind
 from fuchsiacart.exceptions import FuchsiacartError
@@ -96,15 +98,18 @@
         reply = await self._call_leader(ConfigurationQuery())
         return reply.configuration
 
-    async def set_evacuation(self, domain, evacuated):
+    async def set_evacuation(self, domain, evacuated, has_left):
         """Start or end the evacuation of a failure domain.
 
         :param domain: the failure domain.
         :param evacuated: True to start, False to end it.
-        :raises ChangeError: if the outcome is unknown.
+        :param has_left: function that returns True once the operator waits
+            no longer.
+        :raises ChangeError: if the order may be outdated (not run), or its
+            outcome is unknown.
         """
-        outcome = await self._commit(
-            SetEvacuation(domain, evacuated, wall_ms())
+        outcome = await self._commit_current(
+            SetEvacuation(domain, evacuated, wall_ms()), has_left
         )
         log_event(
             'evacuation_order',
@@ -223,6 +228,22 @@
         await self._replica.confirm_leadership(ANSWER_TIMEOUT_S)
         return ConfigurationReply(self.routes.configuration)
 
+    async def _commit_current(self, command, has_left):
+        """Commit an order without version or age if its caller still waits.
+
+        :param command: the command.
+        :param has_left: function that returns True once the caller is gone.
+        :return: the :class:`Outcome`.
+        :raises ChangeError: if the order may be outdated (not run), or its
+            outcome is unknown.
+        """
+        seen_index = await confirm_caller(self._replica, has_left)
+        reply = await self._call_leader(
+            ProposeRequest(command, seen_index=seen_index),
+            ANSWER_TIMEOUT_S - CLOSE_NOTICE_S,
+        )
+        return reply.outcome
+
     async def _commit(self, command, timeout_s=ANSWER_TIMEOUT_S):
         reply = await self._call_leader(ProposeRequest(command), timeout_s)
         return reply.outcome
--- a/fuchsiacart/exceptions.py
+++ b/fuchsiacart/exceptions.py
@@ -27,6 +27,7 @@
     DRAINING = 'draining'
     DEADLINE = 'deadline'
     NO_QUORUM = 'no_quorum'
+    OUTDATED = 'outdated'
     OUTCOME_UNKNOWN = 'outcome_unknown'
     QUARANTINED = 'quarantined'
     INVALID_SETTINGS = 'invalid_settings'
@@ -92,6 +93,9 @@
     ErrorKind.NO_QUORUM: Answer(
         503, 9, 'No quorum of control hosts can be reached'
     ),
+    ErrorKind.OUTDATED: Answer(
+        503, 9, 'The order may be outdated; send it again'
+    ),
     ErrorKind.OUTCOME_UNKNOWN: Answer(
         502, 8, 'The request may have run; its answer is lost'
     ),
--- a/fuchsiacart/messages.py
+++ b/fuchsiacart/messages.py
@@ -172,10 +172,14 @@
     """Proposes a command for the replicated log.
 
     ``relayed`` is True if another control host has passed the request on.
+    ``seen_index`` is the index up to which the sender had applied the log
+    when it read the order, see :class:`OrderPositions`; None if the command
+    holds whatever came between.
     """
 
     command: Command
     relayed: bool = False
+    seen_index: int | None = None
 
 
 class ProposeReply(Struct, frozen=True, tag=True):
--- a/fuchsiacart/metrics.py
+++ b/fuchsiacart/metrics.py
@@ -73,6 +73,11 @@
 COMMIT_INDEX = Gauge(
     'fuchsiacart_commit_index', 'Last index known to be committed'
 )
+ORDERS_OUTDATED = Counter(
+    'fuchsiacart_orders_outdated_total',
+    'Orders refused since they may be outdated, by reason',
+    ['reason'],
+)
 QUARANTINED = Counter(
     'fuchsiacart_quarantined_total', 'Requests put into quarantine'
 )
--- a/fuchsiacart/platform/calls.py
+++ b/fuchsiacart/platform/calls.py
@@ -48,6 +48,10 @@
         """Store the :class:`RouteControl` that the application passes."""
         self.control = control
 
+    def has_left(self):
+        """Return True once the caller has closed its connection."""
+        return self.request.connection.stream.closed()
+
     def answer(self, document):
         """Answer with a document as JSON."""
         self.set_header('Content-Type', 'application/json')
@@ -116,12 +120,12 @@
 
     async def post(self, zone):
         """Start the evacuation of a zone."""
-        await self.control.set_evacuation(zone, True)
+        await self.control.set_evacuation(zone, True, self.has_left)
         self.answer(Acknowledged())
 
     async def delete(self, zone):
         """Cancel the evacuation of a zone."""
-        await self.control.set_evacuation(zone, False)
+        await self.control.set_evacuation(zone, False, self.has_left)
         self.answer(Acknowledged())
 
 
--- a/models/check.py
+++ b/models/check.py
@@ -16,6 +16,8 @@
 from models import changes
 from models.changes import ChangesModel
 from models.changes import ClaimsModel
+from models import orders
+from models.orders import OrdersModel
 from models import replication
 from models.replication import Bounds
 from models.replication import replacement_of
@@ -129,6 +131,15 @@
     )
 
 
+def orders_case(count, copies, **faults):
+    """Return a case of orders that are read late."""
+    title = f'orders: {count} orders, {copies} copies'
+    if faults:
+        title += f', fault {" ".join(faults)}'
+    model = (OrdersModel, count, copies, orders.Faults(**faults))
+    return Case(title, model, not faults)
+
+
 CASES = (
     replication_case(SECOND_LOSS),
     replication_case(CRASHES),
@@ -142,6 +153,7 @@
     replication_case(PLANNED_SECOND_LOSS),
     changes_case(5, 2),
     claims_case(6),
+    orders_case(3, 3),
     replication_case(CRASHES, vote_not_synced=True),
     replication_case(CRASHES, log_not_synced=True),
     replication_case(EARLIER_TERMS, commits_earlier_term=True),
@@ -153,6 +165,10 @@
     claims_case(6, closed_key_runs_again=True),
     claims_case(6, forgets_on_snapshot=True),
     claims_case(6, close_not_kept=True),
+    orders_case(3, 3, noted_after_check=True),
+    orders_case(3, 3, caller_not_checked=True),
+    orders_case(3, 3, index_not_checked=True),
+    orders_case(3, 3, forgotten_on_new_term=True),
 )
 
 
--- a/soak/operators.py
+++ b/soak/operators.py
@@ -21,6 +21,9 @@
 RACE_PROBABILITY = 0.2
 EVACUATION_PROBABILITY = 0.2
 EVACUATION_RANGE_S = (3.0, 8.0)
+# An evacuation that follows the end of another one at once shows orders that
+# are read late.
+AGAIN_PROBABILITY = 0.5
 
 
 def make_configuration(version, parent_version, service):
@@ -161,6 +164,11 @@
     async def _evacuate(self):
         domain = self._soak.random.choice(self._soak.evacuable_domains)
         path = f'/api/evacuate/{domain}'
+        await self._evacuate_once(domain, path)
+        while self._soak.random.random() < AGAIN_PROBABILITY:
+            await self._evacuate_once(domain, path)
+
+    async def _evacuate_once(self, domain, path):
         reply = await self._send_until_decided('POST', path)
         if reply is not None and reply.code == 200:
             evacuation = Evacuation(domain, monotonic())
