Let no late departure end a later start of a server

A departure without `born` ends whatever start of the server is registered, and a control host that was frozen may read it after the server has started again and registered elsewhere; its tombstone then keeps the new start out for good.

Cause and fix are those of the evacuation: the departure is taken only if its caller still waits and no registration of the server is behind the index up to which the reading host had applied the log. A departure with `born` is ordered by its start and is taken as before.

Tests: late_orders, "a late departure that names no start spares a later start" and examples for a caller that left and for a pause. They were written with the change; with the old rule put back (two seeded faults) they fail.

--- a/features/late_orders.feature
+++ b/features/late_orders.feature
@@ -49,6 +49,7 @@
       | call                           |
       | POST /api/evacuate/cymru-a     |
       | DELETE /api/evacuate/cymru-a   |
+      | DELETE /api/instances/i-1      |
 
   Scenario Outline: an order that may have waited in a pause is refused
     Given a control host whose HTTP interface is open
@@ -61,6 +62,20 @@
       | call                           |
       | POST /api/evacuate/cymru-a     |
       | DELETE /api/evacuate/cymru-a   |
+      | DELETE /api/instances/i-1      |
+
+  Scenario: a departure that names its start is taken however late it is read
+    Given a control host whose HTTP interface is open
+    And it was paused a moment ago
+    When an instance leaves by a call that names its start
+    Then it is answered with 200
+
+  Scenario: a late departure that names no start spares a later start
+    Given 3 control hosts on a network that can be cut
+    And a leader has been elected
+    When a departure of a server is read, and the server starts again first
+    Then the first is refused as outdated and not run
+    And the server is registered
 
   Scenario: an order whose sender waits is carried out
     Given a control host whose HTTP interface is open
--- a/features/steps/late_order_steps.py
+++ b/features/steps/late_order_steps.py
@@ -11,10 +11,15 @@
 from behave import given
 from behave import then
 from behave import when
+from msgspec.json import encode
+from msgspec.structs import replace
 from tornado.httpserver import HTTPServer
 from tornado.netutil import bind_sockets
 
 from features.steps.control_group_steps import ControlGroupFixture
+from features.steps.route_steps import SERVER
+from fuchsiacart.control.commands import ForgetServer
+from fuchsiacart.control.commands import RecordServer
 from fuchsiacart.control.commands import SetEvacuation
 from fuchsiacart.control.order_positions import OrderPositions
 from fuchsiacart.control.outcomes import Outcome
@@ -227,6 +232,39 @@
     context.status = interface.run(send())
 
 
+@when('an instance leaves by a call that names its start')
+def when_left_with_start(context):
+    interface = context.interface
+    body = encode({'born': SERVER.born_ms})
+
+    async def send():
+        reader, writer = await interface.send(
+            f'DELETE /api/instances/{SERVER.name}', body
+        )
+        line = await wait_for(reader.readline(), CALL_TIMEOUT_S)
+        writer.close()
+        return int(line.split()[1])
+
+    context.status = interface.run(send())
+
+
+@when('a departure of a server is read, and the server starts again first')
+def when_restarted(context):
+    restarted = replace(SERVER, born_ms=SERVER.born_ms + 1000)
+    propose_in_turn(
+        context,
+        RecordServer(restarted, 2),
+        ForgetServer(SERVER.name, 0, True, 1),
+    )
+
+
+@then('the server is registered')
+def then_registered(context):
+    control = context.control
+    replica = control.network.replicas[control.first_leader]
+    assert SERVER.name in replica.replicated_state.stored.routes.servers
+
+
 @then('nothing is proposed to the leader')
 def then_not_proposed(context):
     assert not context.interface.service.requests
@@ -246,20 +284,29 @@
 
 @when('an order to evacuate {domain} is read, and its end is ordered first')
 def when_overtaken(context, domain):
+    propose_in_turn(
+        context,
+        SetEvacuation(domain, False, 2),
+        SetEvacuation(domain, True, 1),
+    )
+
+
+def propose_in_turn(context, *commands):
+    """Propose commands that were all read before the first is appended."""
     control = context.control
     service = control.services[control.first_leader]
     replica = control.network.replicas[control.first_leader]
     context.error = None
 
-    async def order():
+    async def propose():
         seen_index = replica.applied_index
-        end = SetEvacuation(domain, False, 2)
-        await service.on_propose(ProposeRequest(end, seen_index=seen_index))
-        start = SetEvacuation(domain, True, 1)
-        await service.on_propose(ProposeRequest(start, seen_index=seen_index))
+        for command in commands:
+            await service.on_propose(
+                ProposeRequest(command, seen_index=seen_index)
+            )
 
     try:
-        control.run(order())
+        control.run(propose())
     except ChangeError as error:
         context.error = error
 
--- a/features/steps/route_control_steps.py
+++ b/features/steps/route_control_steps.py
@@ -139,7 +139,9 @@
 def when_left(context):
     call(
         context,
-        lambda control: control.deregister(SERVER.name, SERVER.born_ms),
+        lambda control: control.deregister(
+            SERVER.name, SERVER.born_ms, lambda: False
+        ),
     )
 
 
--- a/fuchsiacart/control/route_control.py
+++ b/fuchsiacart/control/route_control.py
@@ -144,16 +144,22 @@
             revision=outcome.revision,
         )
 
-    async def deregister(self, name, born_ms):
+    async def deregister(self, name, born_ms, has_left):
         """Remove a backend server that announces that it leaves.
 
         :param name: the server.
-        :param born_ms: its start time; 0 for any.
-        :raises ChangeError: if the change cannot be committed.
+        :param born_ms: its start time; 0 if it is not known, in which case a
+            later start must not be meant.
+        :param has_left: function that returns True once the server waits no
+            longer.
+        :raises ChangeError: if the change may be outdated (not run) or
+            cannot be committed.
         """
-        outcome = await self._commit(
-            ForgetServer(name, born_ms, True, wall_ms())
-        )
+        command = ForgetServer(name, born_ms, True, wall_ms())
+        if born_ms:
+            outcome = await self._commit(command)
+        else:
+            outcome = await self._commit_current(command, has_left)
         log_event('server_left', server=name, revision=outcome.revision)
 
     def find_gateways(self, region, domain, caller):
--- a/fuchsiacart/platform/calls.py
+++ b/fuchsiacart/platform/calls.py
@@ -91,7 +91,7 @@
     async def delete(self, name):
         """Record the departure of an instance."""
         born_ms = read_departure(self.request.body)
-        await self.control.deregister(name, born_ms)
+        await self.control.deregister(name, born_ms, self.has_left)
         self.answer(Acknowledged())
 
 
--- a/tools/seeded_faults/control.py
+++ b/tools/seeded_faults/control.py
@@ -313,4 +313,18 @@
         'if False:',
         'late_orders',
     ),
+    Fault(
+        'a departure that names no start is taken however late it is read',
+        'control/route_control.py',
+        'if born_ms:\n            outcome',
+        'if True:\n            outcome',
+        'late_orders',
+    ),
+    Fault(
+        'a registration does not overtake a departure',
+        'control/order_positions.py',
+        "return f'server/{command.record.name}'",
+        "return ''",
+        'late_orders',
+    ),
 )
