Undo no drain by a change that its operator has given up

Drains of the own interface have a change id, by which a repeated change is known, but an operator who gives a change up and makes another one could still see the first one applied later, by a leader that did not answer meanwhile.

A change of a drain is now checked like an evacuation: its sender still waits, and the log has no later change of the same drain. Contracts have an expected version and are only checked for a sender that has left.

Tests: late_orders, "a late change of a drain does not undo a later one". They were written with the change; the seeded fault, which puts the old rule back, was not run before this commit.

--- a/features/late_orders.feature
+++ b/features/late_orders.feature
@@ -77,6 +77,18 @@
     Then the first is refused as outdated and not run
     And the server is registered
 
+  Scenario Outline: a late change of a drain does not undo a later one
+    Given 3 control hosts on a network that can be cut
+    And a leader has been elected
+    When the cancellation of a drain <trouble>, and the drain was started again
+    Then the first is refused as outdated and not run
+    And the drain holds
+
+    Examples:
+      | trouble                           |
+      | is read after its sender has left |
+      | waits on its way to the log       |
+
   Scenario: an order whose sender waits is carried out
     Given a control host whose HTTP interface is open
     When a caller sends DELETE /api/evacuate/cymru-a and waits
--- a/features/steps/late_order_steps.py
+++ b/features/steps/late_order_steps.py
@@ -18,9 +18,12 @@
 
 from features.steps.control_group_steps import ControlGroupFixture
 from features.steps.route_steps import SERVER
+from fuchsiacart.control.commands import CancelDrain
+from fuchsiacart.control.commands import Change
 from fuchsiacart.control.commands import ForgetServer
 from fuchsiacart.control.commands import RecordServer
 from fuchsiacart.control.commands import SetEvacuation
+from fuchsiacart.control.commands import StartDrain
 from fuchsiacart.control.order_positions import OrderPositions
 from fuchsiacart.control.outcomes import Outcome
 from fuchsiacart.control.pauses import PauseWatch
@@ -31,6 +34,8 @@
 from fuchsiacart.exceptions import Run
 from fuchsiacart.messages import ProposeReply
 from fuchsiacart.messages import ProposeRequest
+from fuchsiacart.models import Drain
+from fuchsiacart.models import DrainScope
 from fuchsiacart.platform.calls import make_control_application
 
 APPLIED_INDEX = 17
@@ -265,6 +270,35 @@
     assert SERVER.name in replica.replicated_state.stored.routes.servers
 
 
+@when('the cancellation of a drain {trouble}, and the drain was started again')
+def when_drain_restarted(context, trouble):
+    drain = Drain(DrainScope.FAILURE_DOMAIN, 'cymru-a')
+    start = StartDrain(Change('start-again', 'ann', 2), drain)
+    cancel = CancelDrain(Change('cancel', 'ann', 1), drain)
+    if trouble == 'waits on its way to the log':
+        propose_in_turn(context, start, cancel)
+        return
+    control = context.control
+    service = control.services[control.first_leader]
+    context.error = None
+
+    async def commit():
+        await service.commit(start, lambda: False)
+        await service.commit(cancel, lambda: True)
+
+    try:
+        control.run(commit())
+    except ChangeError as error:
+        context.error = error
+
+
+@then('the drain holds')
+def then_drain_holds(context):
+    control = context.control
+    replica = control.network.replicas[control.first_leader]
+    assert len(replica.replicated_state.stored.drains) == 1
+
+
 @then('nothing is proposed to the leader')
 def then_not_proposed(context):
     assert not context.interface.service.requests
--- a/fuchsiacart/client/sessions.py
+++ b/fuchsiacart/client/sessions.py
@@ -295,4 +295,8 @@
 
 
 def _may_succeed_elsewhere(error):
-    return error.kind in (ErrorKind.NO_QUORUM, ErrorKind.UNREACHABLE)
+    return error.kind in (
+        ErrorKind.NO_QUORUM,
+        ErrorKind.OUTDATED,
+        ErrorKind.UNREACHABLE,
+    )
--- a/fuchsiacart/control/leaders.py
+++ b/fuchsiacart/control/leaders.py
@@ -14,6 +14,7 @@
 from fuchsiacart.control.commands import MarkInForce
 from fuchsiacart.control.gateway_reports import GatewayReports
 from fuchsiacart.control.limit_shares import ShareLedger
+from fuchsiacart.control.order_checks import confirm_caller
 from fuchsiacart.control.outcomes import Outcome
 from fuchsiacart.control.pulls import answer_pull
 from fuchsiacart.control.replacements import replace_replica
@@ -168,19 +169,22 @@
         """Return the changes after a revision; waits for the first one."""
         return await answer_pull(self._replica, request)
 
-    async def commit(self, command):
-        """Commit an operator's change.
+    async def commit(self, command, has_left):
+        """Commit an operator's change, if the operator still waits.
 
         :param command: the command that holds the change.
+        :param has_left: function that returns True once the operator waits
+            no longer.
         :return: its :class:`Outcome`.
-        :raises ChangeError: if this host does not lead, the change is
-            refused or its outcome is unknown.
+        :raises ChangeError: if this host does not lead, the change may be
+            outdated or is refused, or its outcome is unknown.
         """
         if not self._replica.is_leader:
             raise ChangeError(
                 'this control host does not lead', ErrorKind.NO_QUORUM
             )
-        outcome = await self._replica.propose(command)
+        seen_index = await confirm_caller(self._replica, has_left)
+        outcome = await self._replica.propose(command, seen_index=seen_index)
         if outcome.error is not None:
             raise ChangeError(outcome.detail, outcome.error)
         log_event(
--- a/fuchsiacart/control/operators.py
+++ b/fuchsiacart/control/operators.py
@@ -94,6 +94,10 @@
         actor = self.request.headers.get(ACTOR_HEADER, 'operator')
         return Change(ChangeId(change_id), actor, wall_ms())
 
+    def has_left(self):
+        """Return True once the operator has closed the connection."""
+        return self.request.connection.stream.closed()
+
     def decode_body(self, kind):
         """Decode the JSON body into a type.
 
@@ -141,7 +145,7 @@
                 ErrorKind.BAD_REQUEST,
             )
         command = PutContract(self.change(), int(expected), contract)
-        self.reply(await self.service.commit(command))
+        self.reply(await self.service.commit(command, self.has_left))
 
 
 class DrainsHandler(OperatorHandler):
@@ -154,12 +158,12 @@
     async def post(self):
         """Start a drain."""
         command = StartDrain(self.change(), self.decode_body(Drain))
-        self.reply(await self.service.commit(command))
+        self.reply(await self.service.commit(command, self.has_left))
 
     async def delete(self):
         """Cancel a drain."""
         command = CancelDrain(self.change(), self.decode_body(Drain))
-        self.reply(await self.service.commit(command))
+        self.reply(await self.service.commit(command, self.has_left))
 
 
 class AuditHandler(OperatorHandler):
--- a/fuchsiacart/control/order_positions.py
+++ b/fuchsiacart/control/order_positions.py
@@ -7,9 +7,11 @@
 if the log has no later one for the same subject.
 """
 
+from fuchsiacart.control.commands import CancelDrain
 from fuchsiacart.control.commands import ForgetServer
 from fuchsiacart.control.commands import RecordServer
 from fuchsiacart.control.commands import SetEvacuation
+from fuchsiacart.control.commands import StartDrain
 
 SUBJECT_LIMIT = 4096
 
@@ -71,6 +73,8 @@
     """
     if isinstance(command, SetEvacuation):
         return f'evacuation/{command.failure_domain}'
+    if isinstance(command, (StartDrain, CancelDrain)):
+        return f'drain/{command.drain.scope.value}/{command.drain.name}'
     if isinstance(command, RecordServer):
         return f'server/{command.record.name}'
     if isinstance(command, ForgetServer):
--- a/tools/seeded_faults/control.py
+++ b/tools/seeded_faults/control.py
@@ -327,4 +327,11 @@
         "return ''",
         'late_orders',
     ),
+    Fault(
+        'a change of a drain does not overtake another',
+        'control/order_positions.py',
+        "return f'drain/{command.drain.scope.value}/{command.drain.name}'",
+        "return ''",
+        'late_orders',
+    ),
 )
