Apply the limits in force to requests on kept connections

Cause: a connection took the limits when it began to wait for its next request. The class is a value of the configuration that is read when something begins to wait and used when the wait ends. The limit of heads was held in the same way, and the idle timer ran by the timeout in force at the last answer.

Evidence: only connections that waited through the change were refused. A gateway without the configuration is ruled out, as it served new connections by it at the same time.

Fix: the limit of a head is taken when its first byte has arrived, that of a body when its head is complete, and a changed idle timeout is applied to connections that are idle. Nothing between processes changes.

--- a/features/pipelining.feature
+++ b/features/pipelining.feature
@@ -61,6 +61,35 @@
     Then the answers arrive whole and in order
     And a further request on the connection is answered
 
+  Scenario Outline: a kept connection applies the limits that are in force
+    Given a gateway that answers each request after its own time
+    And callers may send <part> of <before> bytes
+    When a caller pipelines requests that take 20 ms
+    Then the answers arrive whole and in order
+    When callers may send <part> of <after> bytes
+    And the caller sends <part> of <sent> bytes on the same connection
+    Then it is <verdict>
+
+    Examples:
+      | part   | before | after  | sent  | verdict  |
+      | bodies | 4096   | 100000 | 7000  | answered |
+      | bodies | 100000 | 4096   | 7000  | refused  |
+      | heads  | 4096   | 100000 | 7000  | answered |
+      | heads  | 100000 | 4096   | 7000  | refused  |
+
+  Scenario Outline: a changed idle timeout holds for connections that are idle
+    Given a gateway that answers each request after its own time
+    And connections are closed after <before> ms without a request
+    When a caller pipelines requests that take 20 ms
+    Then the answers arrive whole and in order
+    When connections are closed after <after> ms without a request
+    Then <verdict>
+
+    Examples:
+      | before | after | verdict                                          |
+      | 300    | 5000  | a request on the connection is served after 600 ms |
+      | 5000   | 300   | the connection ends within 600 ms                |
+
   Scenario: an idle connection is closed, a busy one is not
     Given a gateway that answers each request after its own time
     And connections are closed after 200 ms without a request
--- a/features/steps/pipelining_steps.py
+++ b/features/steps/pipelining_steps.py
@@ -83,6 +83,15 @@
             *address, limit=READ_LIMIT_BYTES
         )
 
+    async def set_limits(
+        self,
+        header_bytes=LIMIT_BYTES,
+        body_bytes=LIMIT_BYTES,
+        idle_timeout_s=WAIT_TIMEOUT_S,
+    ):
+        """Change the limits for callers."""
+        self.callers.set_limits(header_bytes, body_bytes, idle_timeout_s)
+
     def add_request(self, duration_ms, headers='', body=b''):
         """Write a request without waiting for its answer."""
         path = f'/{duration_ms}/{len(self.sent)}'
@@ -146,8 +155,48 @@
 
 
 @given('connections are closed after {idle_ms:d} ms without a request')
+@when('connections are closed after {idle_ms:d} ms without a request')
 def given_idle_timeout(context, idle_ms):
-    context.pipeline.callers.idle_timeout_s = idle_ms / 1000
+    """Set the limit as a new configuration does."""
+    context.pipeline.run(
+        context.pipeline.set_limits(idle_timeout_s=idle_ms / 1000)
+    )
+
+
+@given('callers may send {part} of {limit:d} bytes')
+@when('callers may send {part} of {limit:d} bytes')
+def given_size_limit(context, part, limit):
+    """Set the limit as a new configuration does."""
+    sizes = {'heads': (limit, LIMIT_BYTES), 'bodies': (LIMIT_BYTES, limit)}
+    context.pipeline.run(context.pipeline.set_limits(*sizes[part]))
+
+
+@when('the caller sends {part} of {size:d} bytes on the same connection')
+def when_large_sent(context, part, size):
+    if part == 'bodies':
+        context.pipeline.add_request(QUICK_MS, body=bytes(size))
+    else:
+        context.pipeline.add_request(QUICK_MS, f'X-Filler: {"a" * size}\r\n')
+
+
+@then('it is answered')
+def then_answered(context):
+    context.pipeline.run(context.pipeline.read_answers(1))
+
+
+@then('it is refused')
+def then_refused(context):
+    """Check that the connection ends, after an error or without one."""
+    pipeline = context.pipeline
+    answer = pipeline.run(pipeline.reader.read())
+    assert not answer or b' 400 ' in answer, answer
+    assert len(pipeline.forwarder.started_s) == 1
+
+
+@then('a request on the connection is served after {pause_ms:d} ms')
+def then_served_after(context, pause_ms):
+    context.pipeline.run(sleep(pause_ms / 1000))
+    then_further(context)
 
 
 @when('a caller pipelines requests that take {times} ms')
--- a/fuchsiacart/gateway/caller_connections.py
+++ b/fuchsiacart/gateway/caller_connections.py
@@ -44,18 +44,30 @@
     The parser writes an answer of its own to a malformed request and closes
     the stream.  While earlier requests are unanswered, such bytes are held
     and the connection stays open.
+
+    :param stream: tornado's stream.
+    :param parameters: function that returns the
+        :class:`HTTP1ConnectionParameters` in force.
     """
 
-    def __init__(self, stream):
+    def __init__(self, stream, parameters):
         self._stream = stream
+        self._parameters = parameters
         self.io_loop = stream.io_loop
         self.max_buffer_size = stream.max_buffer_size
         self.is_held = True
         self.held = b''
 
-    def read_until_regex(self, regex, max_bytes=None):
-        """See :class:`BaseIOStream`."""
-        return self._stream.read_until_regex(regex, max_bytes)
+    async def read_until_regex(self, regex, max_bytes=None):
+        """Read the head of a request.
+
+        Its limit is the one in force when its first byte arrives, as a kept
+        connection may wait for that through changes of the limits.
+        """
+        first = await self._stream.read_bytes(1)
+        limit_bytes = self._parameters().max_header_size
+        rest = await self._stream.read_until_regex(regex, limit_bytes - 1)
+        return first + rest
 
     def read_until(self, delimiter, max_bytes=None):
         """See :class:`BaseIOStream`."""
@@ -93,13 +105,16 @@
     """One request of a connection and the place of its response.
 
     :param connection: the :class:`CallerConnection`.
-    :param parameters: the :class:`HTTP1ConnectionParameters`.
+    :param stream: tornado's stream.
+    :param parameters: function that returns the
+        :class:`HTTP1ConnectionParameters` in force.
     """
 
     def __init__(self, connection, stream, parameters):
         self.connection = connection
-        self.message = _MessageStream(stream)
-        self._parser = HTTP1Connection(self.message, False, parameters)
+        self.message = _MessageStream(stream, parameters)
+        self._parameters = parameters
+        self._parser = HTTP1Connection(self.message, False, parameters())
         self.start_line = None
         self.headers = None
         self.body = b''
@@ -122,6 +137,8 @@
     def headers_received(self, start_line, headers):
         """See :class:`HTTPMessageDelegate`."""
         self.received_s = monotonic()
+        # The parser checks the length of the body after this call.
+        self._parser.set_max_body_size(self._parameters().max_body_size)
         self.start_line = start_line
         self.headers = headers
         self.connection.on_head()
@@ -198,6 +215,7 @@
         self._answered = Event()
         self._closed = Event()
         self._idle_timer = None
+        self._idle_since_s = 0.0
         stream.set_close_callback(self._on_close)
 
     @property
@@ -272,6 +290,13 @@
         while self._exchanges:
             await self._next_answer()
 
+    def apply_idle_timeout(self):
+        """Let a changed idle timeout count from the last answer."""
+        if self.is_busy or self.is_closed:
+            return
+        self._stop_idle_timer()
+        self._start_idle_timer()
+
     def pause(self):
         """Stop reading for a moment, see :meth:`CallerServer.close_idle`."""
         self._set_polled_events(IOLoop.ERROR)
@@ -295,7 +320,7 @@
 
         :return: True if further requests may follow it.
         """
-        exchange = Exchange(self, self._stream, self._server.parameters())
+        exchange = Exchange(self, self._stream, self._server.parameters)
         if await exchange.read():
             return not self._is_closing
         self._is_receiving = False
@@ -353,11 +378,16 @@
                 exchange.task.cancel()
 
     def _restart_idle_timer(self):
+        self._idle_since_s = monotonic()
         self._stop_idle_timer()
         if self._server.idle_timeout_s is None or self._stream.closed():
             return
+        self._start_idle_timer()
+
+    def _start_idle_timer(self):
+        end_s = self._idle_since_s + self._server.idle_timeout_s
         self._idle_timer = get_running_loop().call_later(
-            self._server.idle_timeout_s, self._on_idle
+            max(0.0, end_s - monotonic()), self._on_idle
         )
 
     def _stop_idle_timer(self):
--- a/fuchsiacart/gateway/callers.py
+++ b/fuchsiacart/gateway/callers.py
@@ -77,7 +77,9 @@
         )
 
     def set_limits(self, header_bytes, body_bytes, idle_timeout_s):
-        """Set the limits of requests that are read from now on.
+        """Set the limits of all requests that have not begun to arrive.
+
+        The idle timeout counts for connections that are idle now, too.
 
         :param header_bytes: bytes of the head of a request.
         :param body_bytes: bytes of its body.
@@ -86,10 +88,14 @@
         self._parameters = HTTP1ConnectionParameters(
             max_header_size=header_bytes, max_body_size=body_bytes
         )
+        if idle_timeout_s == self.idle_timeout_s:
+            return
         self.idle_timeout_s = idle_timeout_s
+        for connection in tuple(self._connections):
+            connection.apply_idle_timeout()
 
     def parameters(self):
-        """Return the :class:`HTTP1ConnectionParameters` of a request."""
+        """Return the :class:`HTTP1ConnectionParameters` in force."""
         return self._parameters
 
     async def handle_stream(self, stream, address):
--- a/tools/seeded_faults/gateway.py
+++ b/tools/seeded_faults/gateway.py
@@ -358,4 +358,26 @@
         'pass',
         'suspects',
     ),
+    Fault(
+        'a kept connection holds the limit of heads of before',
+        'gateway/caller_connections.py',
+        'limit_bytes = self._parameters().max_header_size',
+        'limit_bytes = max_bytes',
+        'pipelining',
+    ),
+    Fault(
+        'a kept connection holds the limit of bodies of before',
+        'gateway/caller_connections.py',
+        'self._parser.set_max_body_size(self._parameters().max_body_size)',
+        'pass',
+        'pipelining',
+    ),
+    Fault(
+        'an idle connection holds the timeout of before',
+        'gateway/callers.py',
+        'for connection in tuple(self._connections):\n'
+        '            connection.apply_idle_timeout()',
+        'pass',
+        'pipelining',
+    ),
 )
