Bound the bodies that an entry host receives

Report of another operator: a faulty instance sent bytes without end, in a head or in a body, until the caller closed; the machine kept them all and ran out of memory.

Could it happen here? At an entry host of the own interface yes: each response might have 64 MiB, without a common bound. Heads and interim responses were bounded already.

Fix: all responses that an entry host receives are charged to one budget of 64 MiB; when it is used up, the largest is given up and its connection closed at its next piece. Answers to probes and cancellations may have 4 KiB. An attempt that is cancelled collects nothing more; before, its connection read on until its deadline.

--- a/fuchsiacart/entry/backends.py
+++ b/fuchsiacart/entry/backends.py
@@ -8,12 +8,14 @@
 from msgspec import Struct
 from tornado.httpclient import HTTPRequest
 from tornado.httputil import HTTPHeaders
+from tornado.httputil import HTTPInputError
 from tornado.simple_httpclient import HTTPTimeoutError
 from tornado.simple_httpclient import SimpleAsyncHTTPClient
 
 from fuchsiacart.exceptions import ErrorKind
 from fuchsiacart.exceptions import Run
 from fuchsiacart.failure_kinds import FailureKind
+from fuchsiacart.gateway.body_budgets import BodyBudget
 from fuchsiacart.gateway.hop_headers import HOP_HEADERS
 from fuchsiacart.messages import ForwardReply
 from fuchsiacart.messages import Header
@@ -27,7 +29,10 @@
 RUNNING_PATH = '/fuchsiacart/running'
 PROBE_TIMEOUT_S = 1.0
 MAX_CLIENTS = 100_000
+# Bound of the largest body, and of all bodies in flight together.
 BODY_LIMIT_BYTES = 64 * 1024 * 1024
+# Far more than the response to a probe or a cancellation has.
+PROBE_LIMIT_BYTES = 4096
 STATUS_UNAVAILABLE = 503
 # Headers of the callers' interface that are not forwarded.
 UNFORWARDED_HEADERS = frozenset(('host', 'authorization'))
@@ -71,6 +76,41 @@
     )
 
 
+class _BodyReader:
+    """Collects the body of a response within a :class:`BodyBudget`.
+
+    :param server_name: name of the server.
+    :param budget: the budget.
+    """
+
+    def __init__(self, server_name, budget):
+        self.server_name = server_name
+        self._budget = budget
+        self._chunks = []
+        self._is_aborted = False
+
+    def receive(self, chunk):
+        """Take a piece of the body.
+
+        :raises HTTPInputError: if the body was given up; tornado then closes
+            the connection.
+        """
+        if not self._is_aborted:
+            self._chunks.append(chunk)
+            self._budget.add(self, len(chunk))
+        if self._is_aborted:
+            raise HTTPInputError('the response is too large')
+
+    def abort(self):
+        """Give the body up; the next piece closes the connection."""
+        self._is_aborted = True
+        self._chunks = []
+
+    def read_body(self):
+        """Return the whole body."""
+        return b''.join(self._chunks)
+
+
 class BackendClient:
     """Sends each request to a backend server over a new connection.
 
@@ -87,6 +127,12 @@
             max_clients=MAX_CLIENTS,
             max_body_size=BODY_LIMIT_BYTES,
         )
+        self._budget = BodyBudget(BODY_LIMIT_BYTES)
+
+    @property
+    def held_bytes(self):
+        """Bytes of all response bodies that are being received."""
+        return self._budget.held_bytes
 
     async def send(self, server, request, left_ms):
         """Send a request and read the complete response.
@@ -96,12 +142,15 @@
         :param left_ms: milliseconds left until the deadline.
         :return: the :class:`AttemptResult`, also for a failed attempt.
         """
+        reader = _BodyReader(server.name, self._budget)
+        http_request = self._make_http_request(server, request, left_ms)
+        http_request.streaming_callback = reader.receive
         try:
             response = await self._client.fetch(
-                self._make_http_request(server, request, left_ms),
-                raise_error=False,
+                http_request, raise_error=False
             )
         except CancelledError:
+            reader.abort()
             raise
         except HTTPTimeoutError as error:
             if 'connecting' in str(error) or 'queue' in str(error):
@@ -117,7 +166,9 @@
             )
         except Exception as error:
             return _make_failed_result(server, FailureKind.BROKEN, repr(error))
-        return self._read_result(server, response)
+        finally:
+            self._budget.release(reader)
+        return self._read_result(server, response, reader.read_body())
 
     async def probe(self, server, request_id):
         """Ask a server over a new connection whether it runs a request.
@@ -132,9 +183,10 @@
             connect_timeout=PROBE_TIMEOUT_S,
             request_timeout=PROBE_TIMEOUT_S,
         )
+        reader = _limit_body(request, server)
         try:
-            response = await self._client.fetch(request)
-            document = decode(response.body, type=RunningDocument)
+            await self._client.fetch(request)
+            document = decode(reader.read_body(), type=RunningDocument)
         except Exception:
             return ProbeResult.UNKNOWN
         return (
@@ -159,6 +211,7 @@
             connect_timeout=CANCEL_TIMEOUT_S,
             request_timeout=CANCEL_TIMEOUT_S,
         )
+        _limit_body(request, server)
         try:
             await self._client.fetch(request, raise_error=False)
         except Exception:
@@ -187,7 +240,7 @@
             request_timeout=left_ms / 1000,
         )
 
-    def _read_result(self, server, response):
+    def _read_result(self, server, response, body):
         headers = response.headers
         if _is_shed(response):
             refusal = Refusal(
@@ -208,11 +261,21 @@
             server.name,
             response.code,
             select_forwarded_headers(headers),
-            response.body or b'',
+            body,
         )
         return AttemptResult(reply)
 
 
+def _limit_body(request, server):
+    """Let a request read a small response only.
+
+    :return: the :class:`_BodyReader` of its body.
+    """
+    reader = _BodyReader(server.name, BodyBudget(PROBE_LIMIT_BYTES))
+    request.streaming_callback = reader.receive
+    return reader
+
+
 def _is_shed(response):
     if response.code != STATUS_UNAVAILABLE:
         return False
--- a/tools/seeded_faults/entry.py
+++ b/tools/seeded_faults/entry.py
@@ -74,4 +74,18 @@
         'if False:',
         'outcomes',
     ),
+    Fault(
+        'bodies without end are collected by an entry host',
+        'entry/backends.py',
+        'self._budget.add(self, len(chunk))',
+        'pass',
+        'body_budgets',
+    ),
+    Fault(
+        'a cancelled attempt goes on to collect its response',
+        'entry/backends.py',
+        'except CancelledError:\n            reader.abort()',
+        'except CancelledError:\n            pass',
+        'body_budgets',
+    ),
 )
