Check an order anew that waited for a new leader

Their operators had to ask another host, after a pause. The host now checks such an order again, with the index that it has applied meanwhile, while there is time.

Tests: late_orders, "an order that waited for a new leader is checked anew" (answered 503 before) and "an order that stays outdated is refused in time".

--- a/features/late_orders.feature
+++ b/features/late_orders.feature
@@ -77,6 +77,19 @@
     Then the first is refused as outdated and not run
     And the server is registered
 
+  Scenario: an order that waited for a new leader is checked anew
+    Given a control host whose HTTP interface is open
+    And the leader takes the first order for outdated
+    When a caller sends POST /api/evacuate/cymru-a and waits
+    Then it is answered with 200
+    And the leader got it twice, the second time with a later index
+
+  Scenario: an order that stays outdated is refused in time
+    Given a control host whose HTTP interface is open
+    And the leader takes all orders for outdated
+    When a caller sends POST /api/evacuate/cymru-a and waits
+    Then it is refused with 503
+
   Scenario Outline: a late change of a drain does not undo a later one
     Given 3 control hosts on a network that can be cut
     And a leader has been elected
--- a/features/steps/late_order_steps.py
+++ b/features/steps/late_order_steps.py
@@ -61,10 +61,15 @@
 
 
 class StandInService:
-    """Keeps the requests to the leader and accepts each."""
+    """Keeps the requests to the leader and accepts all but the first ones.
 
-    def __init__(self):
+    :param replica: the :class:`StandInReplica`, which goes on with each.
+    """
+
+    def __init__(self, replica):
         self.requests = []
+        self.refused_count = 0
+        self._replica = replica
 
     def register_handler(self, kind, handler):
         """Ignore the handlers of a leader."""
@@ -72,6 +77,9 @@
     async def on_propose(self, request):
         """See :meth:`ControlService.on_propose`."""
         self.requests.append(request)
+        self._replica.applied_index += 1
+        if len(self.requests) <= self.refused_count:
+            raise ChangeError('later order', ErrorKind.OUTDATED)
         return ProposeReply(Outcome(revision=1))
 
 
@@ -81,7 +89,7 @@
     def __init__(self, group):
         self.run = group.run
         self.replica = StandInReplica()
-        self.service = StandInService()
+        self.service = StandInService(self.replica)
         control = RouteControl(None, self.replica, self.service)
         self._server = HTTPServer(make_control_application(control))
         sockets = bind_sockets(0, '127.0.0.1')
@@ -212,6 +220,22 @@
     context.interface.replica.is_after_pause = True
 
 
+@given('the leader takes the first order for outdated')
+def given_first_outdated(context):
+    context.interface.service.refused_count = 1
+
+
+@given('the leader takes all orders for outdated')
+def given_all_outdated(context):
+    context.interface.service.refused_count = 1000
+
+
+@then('the leader got it twice, the second time with a later index')
+def then_got_twice(context):
+    first, second = context.interface.service.requests
+    assert first.seen_index < second.seen_index, (first, second)
+
+
 @when('a caller sends {call} and closes its connection at once')
 def when_sent_and_closed(context, call):
     interface = context.interface
--- a/fuchsiacart/control/route_control.py
+++ b/fuchsiacart/control/route_control.py
@@ -237,18 +237,29 @@
     async def _commit_current(self, command, has_left):
         """Commit an order without version or age if its caller still waits.
 
+        If the leader takes it for outdated, as a new one does with all that
+        was read before its election, it is checked anew while there is time.
+
         :param command: the command.
         :param has_left: function that returns True once the caller is gone.
         :return: the :class:`Outcome`.
         :raises ChangeError: if the order may be outdated (not run), or its
             outcome is unknown.
         """
-        seen_index = await confirm_caller(self._replica, has_left)
-        reply = await self._call_leader(
-            ProposeRequest(command, seen_index=seen_index),
-            ANSWER_TIMEOUT_S - CLOSE_NOTICE_S,
-        )
-        return reply.outcome
+        deadline_s = monotonic() + ANSWER_TIMEOUT_S
+        while True:
+            seen_index = await confirm_caller(self._replica, has_left)
+            request = ProposeRequest(command, seen_index=seen_index)
+            try:
+                reply = await self._call_leader(
+                    request, deadline_s - monotonic()
+                )
+                return reply.outcome
+            except ChangeError as error:
+                left_s = deadline_s - monotonic()
+                is_outdated = error.kind is ErrorKind.OUTDATED
+                if not is_outdated or left_s < 2 * CLOSE_NOTICE_S:
+                    raise
 
     async def _commit(self, command, timeout_s=ANSWER_TIMEOUT_S):
         reply = await self._call_leader(ProposeRequest(command), timeout_s)
