--- a/features/soak_ledger.feature
+++ b/features/soak_ledger.feature
@@ -10,6 +10,22 @@
       | is undisturbed      | 1     |
       | stops all the while | 0     |
 
+  Scenario Outline: requests with a body of 7000 bytes
+    Given a configuration that allows bodies of <before> bytes, acknowledged at 0 s
+    And another that allows bodies of <after> bytes, acknowledged at 10 s
+    And a request with a large body that is sent at <sent_s> s and answered <status>
+    Then the ledger reports <count> broken promises
+
+    Examples:
+      | before | after  | sent_s | status | count |
+      | 4096   | 100000 | 9      | 400    | 0     |
+      | 4096   | 100000 | 11     | 400    | 0     |
+      | 4096   | 100000 | 13     | 400    | 1     |
+      | 4096   | 100000 | 13     | 200    | 0     |
+      | 100000 | 4096   | 13     | 200    | 1     |
+      | 100000 | 4096   | 11     | 200    | 0     |
+      | 100000 | 4096   | 13     | 400    | 0     |
+
   Scenario Outline: runs of a request that crashes servers
     Given a request that crashed 3 servers by 5 s
     And <count> requests of its kind that run from <start_s> s on
--- a/features/steps/soak_ledger_steps.py
+++ b/features/steps/soak_ledger_steps.py
@@ -3,12 +3,15 @@
 from behave import given
 from behave import then
 
-from soak.ledger import CRASHING_OBJECT
-from soak.ledger import GatewayCut
+from soak.body_limits import FIRST_LARGE_OBJECT
+from soak.body_limits import LARGE_PREFIX
 from soak.ledger import Ledger
-from soak.ledger import PlannedStop
-from soak.ledger import RequestRun
-from soak.ledger import SentRequest
+from soak.records import CRASHING_OBJECT
+from soak.records import GatewayCut
+from soak.records import Order
+from soak.records import PlannedStop
+from soak.records import RequestRun
+from soak.records import SentRequest
 
 CUT_OFF = '127.0.0.11:80'
 OTHER = '127.0.0.12:80'
@@ -88,6 +91,48 @@
         context.ledger.record_request(sent)
 
 
+@given(
+    'a configuration that allows bodies of {limit:d} bytes, acknowledged at'
+    ' {acked_s:d} s'
+)
+def given_first_limit(context, limit, acked_s):
+    context.ledger = Ledger(lambda *span: False)
+    given_next_limit(context, limit, acked_s)
+
+
+@given(
+    'another that allows bodies of {limit:d} bytes, acknowledged at'
+    ' {acked_s:d} s'
+)
+def given_next_limit(context, limit, acked_s):
+    orders = context.ledger.orders
+    sent_s = acked_s - INTERVAL_S
+    orders.append(
+        Order(
+            len(orders) + 1, len(orders), 'stock', b'', sent_s, limit, acked_s
+        )
+    )
+
+
+@given(
+    'a request with a large body that is sent at {sent_s:d} s and answered'
+    ' {status:d}'
+)
+def given_large(context, sent_s, status):
+    sent = SentRequest(
+        'large',
+        'POST',
+        f'{LARGE_PREFIX}{FIRST_LARGE_OBJECT}',
+        OTHER,
+        float(sent_s),
+        TIMEOUT_S,
+        False,
+        sent_s + INTERVAL_S,
+        status,
+    )
+    context.ledger.record_request(sent)
+
+
 @then('the ledger reports {count:d} broken promises')
 def then_broken(context, count):
     violations = context.ledger.check_promises(timed=True)
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -13,7 +13,7 @@
 from fuchsiacart.gateway.exchanges import request_line
 from fuchsiacart.gateway.exchanges import ServerConnection
 from soak.calls import fetch
-from soak.ledger import SentRequest
+from soak.records import SentRequest
 
 CONNECT_TIMEOUT_S = 1.0
 DEADLINE_S = 2.0
@@ -35,6 +35,9 @@
         sends each request over a new connection to any of them.
     """
 
+    body = b''
+    pause_range_s = PAUSE_RANGE_S
+
     def __init__(self, soak, number, fixed_addresses=()):
         self._soak = soak
         self._number = number
@@ -50,7 +53,7 @@
         """Send requests until the run is finished."""
         while not self._soak.is_finished:
             await self._send_one()
-            await sleep(self._soak.random.uniform(*PAUSE_RANGE_S))
+            await sleep(self._soak.random.uniform(*self.pause_range_s))
         self._close_connection()
 
     def _choose_target(self):
@@ -120,14 +123,18 @@
                     'X-Attempt-Id': sent.request_id,
                     'X-Deadline-Ms': str(int(DEADLINE_S * 1000)),
                     'Cookie': f'X-Affinity-Key={sent.path}',
-                    'Content-Length': '0',
+                    'Content-Length': str(len(self.body)),
                 }
             )
 
         line = request_line(sent.method, sent.path)
         # Refusals of a gateway name no request, but come in order.
         return OutboundRequest(
-            line, headers, None, sent.request_id, lambda _: sent.request_id
+            line,
+            headers,
+            self.body or None,
+            sent.request_id,
+            lambda _: sent.request_id,
         )
 
     async def _ensure_connection(self):
--- a/soak/crashing_callers.py
+++ b/soak/crashing_callers.py
@@ -3,7 +3,7 @@
 from asyncio import sleep
 
 from soak.callers import Caller
-from soak.ledger import CRASHING_OBJECT
+from soak.records import CRASHING_OBJECT
 
 START_RANGE_S = (0.0, 10.0)
 INTERVAL_RANGE_S = (0.2, 0.8)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -11,10 +11,10 @@
 from msgspec import Struct
 
 from soak.launch import Conditions
-from soak.ledger import GatewayCut
-from soak.ledger import PlannedStop
 from soak.ledger import RECONNECT_LIMIT_S
 from soak.proxies import LinkState
+from soak.records import GatewayCut
+from soak.records import PlannedStop
 from soak.server_cuts import ServerCut
 from soak.servers import ServerMode
 
--- a/soak/ledger.py
+++ b/soak/ledger.py
@@ -7,8 +7,9 @@
 from collections import defaultdict
 from time import monotonic
 
-from msgspec import field
-from msgspec import Struct
+from soak.body_limits import find_limit_error
+from soak.body_limits import is_large
+from soak.records import NEVER_S
 
 # Time limits and retry budget of the users' deployments.
 CONFIG_APPLY_LIMIT_S = 2.5
@@ -27,98 +28,13 @@
 RETRY_WINDOW_S = 10.0
 # Statuses which guarantee that the request has not run and never will.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
-NEVER_S = float('inf')
-# Each server that runs a request for this object crashes.  After so many were
-# lost under one, and another time, few more of its requests reach servers.
-CRASHING_OBJECT = 'crashing'
+# After so many servers were lost under a request that crashes them, and
+# another time, few more of its requests reach servers.
 CRASHED_LIMIT = 3
 CRASH_LEARNED_LIMIT_S = 4.0
 LATE_RUNS_LIMIT = 3
 
 
-class RequestRun(Struct, frozen=True):
-    """The start of a request's execution on a backend server."""
-
-    server: str
-    service: str
-    domain: str
-    method: str
-    path: str
-    at_s: float
-
-
-class SentRequest(Struct):
-    """One request of a caller; ``status`` is 0 without a complete response."""
-
-    request_id: str
-    method: str
-    path: str
-    gateway: str
-    sent_s: float
-    timeout_s: float
-    idempotent: bool
-    ended_s: float = NEVER_S
-    status: int = 0
-    detail: str = ''
-    runs: list[RequestRun] = field(default_factory=list)
-
-    @property
-    def crashes_servers(self):
-        """True if each server that runs the request crashes."""
-        return self.path.endswith(CRASHING_OBJECT)
-
-
-class Order(Struct):
-    """A configuration that an operator has sent."""
-
-    version: int
-    parent_version: int
-    service: str
-    body: bytes
-    sent_s: float
-    acked_s: float = NEVER_S
-    refused: bool = False
-
-
-class Evacuation(Struct):
-    """An acknowledged evacuation of a failure domain, until its end."""
-
-    domain: str
-    acked_s: float
-    ended_s: float = NEVER_S
-
-
-class PlannedStop(Struct, frozen=True):
-    """A planned stop of a gateway, from the signal to the process's end."""
-
-    gateway: str
-    asked_s: float
-    ended_s: float
-
-
-class GatewayCut(Struct, frozen=True):
-    """A span in which gateways were cut off from all backend servers."""
-
-    gateways: frozenset[str]
-    start_s: float
-    end_s: float
-
-
-class LoopStall(Struct, frozen=True):
-    """A span in which the event loop of the soak was blocked."""
-
-    start_s: float
-    end_s: float
-
-
-class ConfigurationRead(Struct, frozen=True):
-    """A configuration version that a control host returned."""
-
-    address: str
-    version: int
-    sent_s: float
-
-
 class Ledger:
     """Observations of one run.
 
@@ -248,6 +164,10 @@
             self.record_violation(
                 'ANSWER', f'{sent.request_id} {late_s:.1f} s late'
             )
+        if is_large(sent):
+            error = find_limit_error(sent, self._possible_orders(sent))
+            if error:
+                self.record_violation('LIMITS', error)
         for run in sent.runs:
             self._check_run(sent, run)
 
@@ -281,12 +201,18 @@
     def _allowed_services(self, sent):
         """Return the services that may run a request of the ``move`` route.
 
-        These are the targets of the newest configuration that must have been
-        applied when the request was sent and of all later ones sent before
-        its end.  The result is empty for other routes.
+        The result is empty for other routes.
         """
         if not sent.path.startswith('/move/'):
             return set()
+        return {order.service for order in self._possible_orders(sent)}
+
+    def _possible_orders(self, sent):
+        """Return the configurations that may be in force for a request.
+
+        These are the newest one that must have been applied when it was sent
+        and all later ones sent before its end.
+        """
         applied = [
             order
             for order in self.orders
@@ -294,25 +220,27 @@
         ]
         newest = max((order.version for order in applied), default=0)
         end_s = min(sent.ended_s, sent.sent_s + sent.timeout_s)
-        return {
-            order.service
+        return [
+            order
             for order in self.orders
             if order.version >= newest
             and order.sent_s < end_s
             and not order.refused
-        }
+        ]
 
     def _check_cut(self, cut):
         """Check that callers at gateways that were cut off were served.
 
         Requests at gateways that another fault disturbed don't count, nor
-        those for which no undisturbed gateway reached the servers.
+        those for which no undisturbed gateway reached the servers, or whose
+        bodies a configuration may not allow.
         """
         gateways = {sent.gateway for sent in self.requests.values()}
         tries = [
             sent
             for sent in self.requests.values()
             if cut.start_s + CUT_OFF_LIMIT_S <= sent.sent_s < cut.end_s
+            and not is_large(sent)
             and self._was_calm(sent, sent.gateway)
             and any(
                 self._was_calm(sent, gateway)
--- a/soak/operators.py
+++ b/soak/operators.py
@@ -8,10 +8,11 @@
 from msgspec.json import decode
 from msgspec.json import encode
 
+from soak.body_limits import BODY_LIMITS
 from soak.calls import fetch
-from soak.ledger import ConfigurationRead
-from soak.ledger import Evacuation
-from soak.ledger import Order
+from soak.records import ConfigurationRead
+from soak.records import Evacuation
+from soak.records import Order
 
 ORDER_TIMEOUT_S = 12.0
 RETRY_INTERVAL_S = 0.1
@@ -19,6 +20,8 @@
 SERVICES = ('stock', 'orders')
 REFUSAL_STATUSES = range(400, 500)
 RACE_PROBABILITY = 0.2
+# Of an order that changes the limits of callers.
+LIMIT_PROBABILITY = 0.15
 EVACUATION_PROBABILITY = 0.2
 EVACUATION_RANGE_S = (3.0, 8.0)
 # An evacuation that follows the end of another one at once shows orders that
@@ -26,7 +29,7 @@
 AGAIN_PROBABILITY = 0.5
 
 
-def make_configuration(version, parent_version, service):
+def make_configuration(version, parent_version, service, body_bytes):
     """Return a configuration document.
 
     :param version: number of the version.
@@ -34,6 +37,7 @@
         none.
     :param service: target of the ``move`` route; the other routes are the
         same in all versions.
+    :param body_bytes: limit of the bodies of callers.
     """
     routes = [('stock', 'stock', 'idempotent')]
     routes.append(('orders', 'orders', 'non_idempotent'))
@@ -63,6 +67,9 @@
         }
         for name in SERVICES
     ]
+    limits = {'max_header_bytes': 16384, 'max_body_bytes': body_bytes}
+    limits |= {'header_timeout_s': 3, 'idle_timeout_s': 15}
+    resources.append({'type': 'limits', 'metadata': {}, 'spec': limits})
     return {
         'version': f'r{version}',
         'base_version': f'r{parent_version}' if parent_version else 0,
@@ -81,6 +88,7 @@
         self._version = 0
         self._base_version = 0
         self._service = SERVICES[0]
+        self._limits = list(BODY_LIMITS)
 
     async def put_first_configuration(self):
         """Put a configuration that has no base version."""
@@ -125,8 +133,10 @@
     def _next_order(self):
         self._version += self._soak.random.randint(1, 3)
         self._service = self._soak.random.choice(SERVICES)
+        if self._soak.random.random() < LIMIT_PROBABILITY:
+            self._limits.reverse()
         body = make_configuration(
-            self._version, self._base_version, self._service
+            self._version, self._base_version, self._service, self._limits[0]
         )
         return Order(
             self._version,
@@ -134,6 +144,7 @@
             self._service,
             encode(body),
             monotonic(),
+            self._limits[0],
         )
 
     async def _put(self, order):
--- a/soak/runs.py
+++ b/soak/runs.py
@@ -21,13 +21,14 @@
 from docopt import docopt
 from msgspec.json import decode
 
+from soak.body_limits import is_large
 from soak.callers import Caller
 from soak.crashing_callers import CrashingCaller
 from soak.faults import draw_plan
 from soak.faults import draw_server_cuts
 from soak.faults import FaultInjector
+from soak.large_callers import LargeCaller
 from soak.ledger import Ledger
-from soak.ledger import LoopStall
 from soak.operators import Operator
 from soak.operators import SERVICES
 from soak.processes import CONTROL_HOSTS
@@ -36,6 +37,7 @@
 from soak.processes import Ports
 from soak.processes import Role
 from soak.processes import SoakProcess
+from soak.records import LoopStall
 from soak.servers import StandInServer
 
 GATEWAYS = 3
@@ -43,6 +45,8 @@
 CALLERS = 8
 # Further callers, which use all gateways whatever a directory names.
 FIXED_CALLERS = 4
+# Callers whose bodies only some configurations allow.
+LARGE_CALLERS = 6
 SERVERS_PER_SERVICE = 2
 START_TIMEOUT_S = 30.0
 RECOVERY_TIMEOUT_S = 15.0
@@ -176,6 +180,11 @@
             Caller(self, CALLERS + number, addresses)
             for number in range(FIXED_CALLERS)
         ]
+        first = CALLERS + FIXED_CALLERS + 1
+        callers += [
+            LargeCaller(self, first + number)
+            for number in range(LARGE_CALLERS)
+        ]
         return [create_task(caller.run()) for caller in callers]
 
     def _start_crashing_caller(self):
@@ -208,7 +217,9 @@
             ended = [
                 sent
                 for sent in self.ledger.requests.values()
-                if sent.sent_s >= start_s and sent.ended_s < float('inf')
+                if sent.sent_s >= start_s
+                and sent.ended_s < float('inf')
+                and not is_large(sent)
             ]
             ended.sort(key=lambda sent: sent.ended_s)
             recent = ended[-SERVED_IN_A_ROW:]
--- a/soak/servers.py
+++ b/soak/servers.py
@@ -13,8 +13,8 @@
 from tornado.web import RequestHandler
 
 from soak.calls import fetch
-from soak.ledger import CRASHING_OBJECT
-from soak.ledger import RequestRun
+from soak.records import CRASHING_OBJECT
+from soak.records import RequestRun
 
 HEARTBEAT_INTERVAL_S = 0.5
 WORK_RANGE_S = (0.01, 0.08)
