Check that this build and the one in production read each other

Hosts of both builds run side by side while hosts are replaced. make compatibility, and a feature, lay the build in production out from the history and let each build read what the other one writes: messages, replica messages, commands, deltas, records, views, states and a data folder with a log. Samples are made from the types themselves, with a value in each field.

A proposal has one field more (seen_index), which passes over.

Not covered: values of enumerations beyond the first.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SEEDS = fresh
 JOBS = 2
 
-.PHONY: setup test lint behave format check-model prove-red demo bench commits capacity soak protos
+.PHONY: setup test lint behave format check-model prove-red demo bench commits capacity soak compatibility protos
 
 setup: $(VENV)/ready
 
@@ -48,5 +48,8 @@
 soak: setup
 	$(PYTHON) -m soak --jobs=$(JOBS) $(SEEDS)
 
+compatibility: setup
+	$(PYTHON) -m tools.compatibility
+
 protos: setup
 	$(PYTHON) -m grpc_tools.protoc -I. --python_out=. --grpc_python_out=. fuchsiacart/peering.proto
--- /dev/null
+++ b/features/compatibility.feature
@@ -0,0 +1,29 @@
+Feature: builds that run side by side
+
+  Scenario: this build reads what the build in production wrote
+    Given what the build in production wrote, as kept with its commit
+    Then this build reads all of it
+
+  Scenario: each of two builds reads what the other one writes
+    Given the build in production and this one
+    Then each reads all messages, commands, deltas and records of the other
+    And both come to the same state by the commands of each
+
+  Scenario: each of two builds reads the disk of the other one
+    Given the build in production and this one
+    When each writes a data folder with a log
+    Then the other one reads its whole log
+
+  Scenario: a proposal that names its index is a plain one to the build in production
+    Given the build in production and this one
+    Then this one writes proposals with seen_index
+    And the build in production writes them without
+
+  Scenario: two builds that cannot run side by side are told
+    Given the builds 0d0000d and 3bcc90a
+    Then the first cannot read KeepAliveRequest and KeepAliveReply of the second
+    And the second cannot read KeepAliveRequest and KeepAliveReply of the first
+
+  Scenario: a commit that is not in the history is named
+    When a build of 0000000 is laid out
+    Then the error names the commit
