Check an order anew also where another host leads

The stand-in leader of the scenario now raises what the adapter raises; "an order that waited for a new leader is checked anew" failed with it before (503).

--- a/features/steps/late_order_steps.py
+++ b/features/steps/late_order_steps.py
@@ -31,6 +31,7 @@
 from fuchsiacart.control.states import ReplicatedState
 from fuchsiacart.exceptions import ChangeError
 from fuchsiacart.exceptions import ErrorKind
+from fuchsiacart.exceptions import FuchsiacartError
 from fuchsiacart.exceptions import Run
 from fuchsiacart.messages import ProposeReply
 from fuchsiacart.messages import ProposeRequest
@@ -79,7 +80,8 @@
         self.requests.append(request)
         self._replica.applied_index += 1
         if len(self.requests) <= self.refused_count:
-            raise ChangeError('later order', ErrorKind.OUTDATED)
+            # As the adapter raises the refusal of another host.
+            raise FuchsiacartError('later order', ErrorKind.OUTDATED)
         return ProposeReply(Outcome(revision=1))
 
 
--- a/fuchsiacart/control/route_control.py
+++ b/fuchsiacart/control/route_control.py
@@ -255,7 +255,7 @@
                     request, deadline_s - monotonic()
                 )
                 return reply.outcome
-            except ChangeError as error:
+            except FuchsiacartError as error:
                 left_s = deadline_s - monotonic()
                 is_outdated = error.kind is ErrorKind.OUTDATED
                 if not is_outdated or left_s < 2 * CLOSE_NOTICE_S:
