--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -1,7 +1,7 @@
 """Runs seeds of the fault soak and prints the promises that each one broke.
 
 Usage:
-  soak [--jobs=N] [--untimed] [--keep=FOLDER] SEED...
+  soak [--jobs=N] [--untimed] [--keep=FOLDER] [--from=COMMIT] SEED...
   soak --help
 
 A SEED is a number or a range such as 1-50; `fresh` picks one at random.
@@ -10,6 +10,8 @@
   --jobs=N       Seeds that run side by side [default: 1].
   --untimed      Leave out the promises that name a time, as on a machine
                  whose load is not known.
+  --from=COMMIT  Start with the build of a commit; processes that are
+                 restarted run this tree, or the build again.
   --keep=FOLDER  Where the logs of failed seeds go [default: soak-failures].
 """
 
@@ -54,6 +56,8 @@
     command.append(options['--keep'])
     if options['--untimed']:
         command.append('--untimed')
+    if options['--from']:
+        command.append(f'--from={options["--from"]}')
     completed = run_program(command, stdout=PIPE, stderr=STDOUT, text=True)
     print(completed.stdout, end='', flush=True)
     return completed.returncode == 0
--- a/soak/processes.py
+++ b/soak/processes.py
@@ -221,7 +221,8 @@
                 | {
                     'FUCHSIACART_SETTINGS': str(path),
                     CONDITIONS_VARIABLE: str(self.folder / 'conditions.json'),
-                },
+                }
+                | self._soak.builds.environment(self.name),
                 stdout=log,
                 stderr=log,
             )
--- a/soak/runs.py
+++ b/soak/runs.py
@@ -1,7 +1,7 @@
 """Runs one seed of the soak and reports the promises that it broke.
 
 Usage:
-  runs SEED SLOT KEEP [--untimed]
+  runs SEED SLOT KEEP [--untimed] [--from=COMMIT]
 """
 
 from asyncio import CancelledError
@@ -22,6 +22,7 @@
 from msgspec.json import decode
 
 from soak.body_limits import is_large
+from soak.builds import BuildPlan
 from soak.callers import Caller
 from soak.crashing_callers import CrashingCaller
 from soak.faults import draw_plan
@@ -64,9 +65,11 @@
 
     :param seed: seed of the faults and of the traffic.
     :param slot: number that keeps the networks of concurrent runs apart.
+    :param commit: build that all processes start with; those that are
+        restarted may run this tree.  '' to run this tree only.
     """
 
-    def __init__(self, seed, slot):
+    def __init__(self, seed, slot, commit=''):
         self.random = Random(f'traffic {seed}')
         self.plan = sorted(
             draw_plan(Random(seed))
@@ -74,6 +77,7 @@
             key=lambda fault: fault.at_s,
         )
         self._crash_random = Random(f'crashes {seed}')
+        self.builds = BuildPlan(commit, Random(f'builds {seed}'))
         self.network = Network(slot)
         self.ports = Ports.find_free(self.network.private_address(1))
         self.folder = Path(mkdtemp(prefix=f'fuchsiacart-soak-{seed}-'))
@@ -282,7 +286,7 @@
     """Run one seed; exit with code 1 if it broke a promise."""
     options = docopt(__doc__)
     seed, slot = int(options['SEED']), int(options['SLOT'])
-    soak = Soak(seed, slot)
+    soak = Soak(seed, slot, options['--from'] or '')
     try:
         violations = run(
             wait_for(soak.execute(not options['--untimed']), RUN_TIMEOUT_S)
@@ -299,6 +303,8 @@
         f' {soak.ledger.proper_quarantined} proper requests quarantined,'
         f' {len(violations)} broken'
     )
+    for build, count in soak.builds.starts.items():
+        print(f'  {count} starts of {build}')
     if soak.ledger.stalls:
         stalled_s = sum(
             stall.end_s - stall.start_s for stall in soak.ledger.stalls
--- a/tools/check.py
+++ b/tools/check.py
@@ -17,6 +17,8 @@
 from msgspec.json import decode
 from msgspec import Struct
 
+from tools.compatibility import production_commit
+
 SOURCES = ('fuchsiacart', 'standins', 'models', 'features', 'tools', 'soak')
 # Seeds of the soak; those that have failed stay here as regression cases.
 # 7: responses were reported as late while the event loop of the soak was
@@ -24,6 +26,9 @@
 # what they had mapped.  521318, 215859: a refusal of another gateway was
 # passed on for a request that had run.
 SOAK_SEEDS = ('2', '7', '703', '871', '521318', '215859')
+# A seed in which processes change from the build in production to this tree
+# as they are restarted.
+BUILDS_SEED = '3501'
 CONCURRENT_SEEDS = 2
 # Features that run concurrently; they spend most of their time waiting.
 CONCURRENT_FEATURES = 3
@@ -71,19 +76,24 @@
 
 
 def run_soak():
-    """Run ``SOAK_SEEDS``; promises with time limits are not checked."""
+    """Run the seeds; promises with time limits are not checked."""
     print('running soak', flush=True)
+    commands = {f'soak seed {seed}': (seed,) for seed in SOAK_SEEDS}
+    commands[f'soak seed {BUILDS_SEED} on two builds'] = (
+        f'--from={production_commit()}',
+        BUILDS_SEED,
+    )
     with ThreadPoolExecutor(CONCURRENT_SEEDS) as pool:
-        codes = list(pool.map(_run_seed, SOAK_SEEDS))
+        codes = list(pool.map(_run_seed, commands.values()))
     return CheckResult(
         codes.count(0),
-        [f'soak seed {seed}' for seed, code in zip(SOAK_SEEDS, codes) if code],
+        [name for name, code in zip(commands, codes) if code],
     )
 
 
-def _run_seed(seed):
+def _run_seed(arguments):
     """Run a seed of the soak and return the exit code."""
-    command = (executable, '-m', 'soak', '--untimed', '--jobs=1', seed)
+    command = (executable, '-m', 'soak', '--untimed', '--jobs=1', *arguments)
     return run(command).returncode
 
 
