Wait for both gateways before a request is sent through them

The scenario left out the step by which the others of the platform wait until the directory names both gateways. Nothing that it checks has changed.

--- a/features/late_orders.feature
+++ b/features/late_orders.feature
@@ -119,7 +119,8 @@
     Given 3 control hosts and 2 gateways started for the first time
     And 2 instances of a service that send heartbeats
     When the operator puts a configuration
-    Then a request through each gateway gets a whole answer with its stamp
+    Then the directory names both gateways
+    And a request through each gateway gets a whole answer with its stamp
     When the operator evacuates cymru-a
     And <host> is frozen and holds the order to end that
     And the operator ends it elsewhere and evacuates cymru-a again
