Log why elections end and why votes are refused

Metrics for voters, elections and refused votes. Votes are granted and refused as before: find_refusal names the conditions that _on_pre_vote and _on_vote held.

--- a/features/elections.feature
+++ b/features/elections.feature
@@ -47,3 +47,9 @@
     Given groups of 5 control hosts in simulated time, seeds 1 to 1
     When two hosts that have lost the leader ask each other for a pre-vote
     Then the first by name goes on, and the other grants and waits
+
+  Scenario: a lost election names the voters that refused and those that were silent
+    Given a group of 5 voters of which one has a longer log
+    When a voter that is behind asks for pre-votes and two others do not run
+    Then its report names the one with the longer log as refusing and two as silent
+    And the one with the longer log gives "log_behind" as the reason
--- a/fuchsiacart/control/election_rules.py
+++ b/fuchsiacart/control/election_rules.py
@@ -5,6 +5,8 @@
 
 from abc import ABC
 from abc import abstractmethod
+from enum import Enum
+from enum import unique
 
 from msgspec import Struct
 from msgspec.structs import replace
@@ -25,6 +27,17 @@
     outbound: tuple[OutboundMessage, ...] = ()
 
 
+@unique
+class VoteRefusal(Enum):
+    """Why a replica refuses its vote or pre-vote."""
+
+    LEADER_HEARD = 'leader_heard'
+    TERM_PASSED = 'term_passed'
+    VOTED_FOR_ANOTHER = 'voted_for_another'
+    LOG_BEHIND = 'log_behind'
+    NOT_A_VOTER = 'not_a_voter'
+
+
 class ElectionRules(ABC):
     """Leader election with pre-vote.
 
@@ -57,6 +70,27 @@
         )
         return Step(state, self._messages_to_voters(state, request))
 
+    def find_refusal(self, state, request, leader_is_fresh=False):
+        """Return why a replica refuses to vote for a candidate.
+
+        :param state: the receiver's state.
+        :param request: the :class:`PreVoteRequest` or :class:`VoteRequest`.
+        :param leader_is_fresh: see :meth:`Consensus.receive`.
+        :return: the :class:`VoteRefusal`, None if the vote is granted.
+        """
+        if request.term > state.term:
+            if leader_is_fresh:
+                return VoteRefusal.LEADER_HEARD
+        elif isinstance(request, PreVoteRequest) or request.term < state.term:
+            return VoteRefusal.TERM_PASSED
+        elif state.voted_for not in (None, request.sender):
+            return VoteRefusal.VOTED_FOR_ANOTHER
+        if not self._is_up_to_date(state, request):
+            return VoteRefusal.LOG_BEHIND
+        if not self._may_vote(state):
+            return VoteRefusal.NOT_A_VOTER
+        return None
+
     def step_down(self, state):
         """Become a follower, as when no quorum answers any more."""
         return Step(
@@ -98,12 +132,7 @@
         return state.replica in state.group.voters
 
     def _on_pre_vote(self, state, message, leader_is_fresh):
-        granted = (
-            self._may_vote(state)
-            and not leader_is_fresh
-            and message.term > state.term
-            and self._is_up_to_date(state, message)
-        )
+        granted = self.find_refusal(state, message, leader_is_fresh) is None
         response = PreVoteResponse(
             state.replica, message.term, state.term, granted
         )
@@ -153,12 +182,7 @@
             return Step(state)
         if message.term > state.term:
             state = self._adopt_term(state, message.term)
-        granted = (
-            self._may_vote(state)
-            and message.term == state.term
-            and state.voted_for in (None, message.sender)
-            and self._is_up_to_date(state, message)
-        )
+        granted = self.find_refusal(state, message) is None
         if granted:
             state = replace(state, voted_for=message.sender)
         response = VoteResponse(state.replica, state.term, granted)
--- a/fuchsiacart/control/leaders.py
+++ b/fuchsiacart/control/leaders.py
@@ -39,6 +39,7 @@
 from fuchsiacart.metrics import IS_LEADER
 from fuchsiacart.metrics import REVISION
 from fuchsiacart.metrics import TERM
+from fuchsiacart.metrics import VOTERS
 
 RELAY_FAN_OUT = 8
 RELAY_TIMEOUT_S = 2.0
@@ -387,4 +388,5 @@
         TERM.set(state.term)
         IS_LEADER.set(int(self._replica.is_leader))
         COMMIT_INDEX.set(state.commit_index)
+        VOTERS.set(len(state.group.voters))
         REVISION.set(self._replica.replicated_state.stored.revision)
--- a/fuchsiacart/control/member_tasks.py
+++ b/fuchsiacart/control/member_tasks.py
@@ -4,6 +4,7 @@
 
 from fuchsiacart.adapters import Method
 from fuchsiacart.clocks import steady_ms
+from fuchsiacart.control.election_reports import describe_position
 from fuchsiacart.control.memberships import MemberCandidate
 from fuchsiacart.control.memberships import next_group
 from fuchsiacart.control_clients import ControlClient
@@ -63,7 +64,11 @@
                 )
                 self.add_seeds(reply.members)
             except FuchsiacartError as error:
-                log_event('join_request_failed', detail=error.detail)
+                log_event(
+                    'join_request_failed',
+                    detail=error.detail,
+                    **describe_position(self._replica.state),
+                )
 
     async def maintain_group(self):
         """Change the members while leading, one change at a time.
@@ -80,10 +85,18 @@
             log_event(
                 'members_change', voters=group.voters, learners=group.learners
             )
+            started_ms = steady_ms()
             try:
                 await self._replica.change_group(group)
             except ChangeError as error:
                 log_warning('members_not_changed', detail=error.detail)
+                continue
+            log_event(
+                'members_changed',
+                voters=len(group.voters),
+                learners=len(group.learners),
+                taken_ms=int(steady_ms() - started_ms),
+            )
 
     async def _on_join(self, request):
         self._join_requested_ms[request.replica] = steady_ms()
--- a/fuchsiacart/control/timed_consensus.py
+++ b/fuchsiacart/control/timed_consensus.py
@@ -7,13 +7,21 @@
 from msgspec.structs import replace
 
 from fuchsiacart.control.consensus import Consensus
+from fuchsiacart.control.election_reports import describe_position
+from fuchsiacart.control.election_reports import ElectionReport
+from fuchsiacart.control.election_reports import is_candidate
 from fuchsiacart.control.election_rules import Step
 from fuchsiacart.control.elections import ElectionTimer
 from fuchsiacart.control.replica_messages import AppendRequest
+from fuchsiacart.control.replica_messages import PreVoteRequest
 from fuchsiacart.control.replica_messages import SnapshotRequest
+from fuchsiacart.control.replica_messages import VoteRequest
 from fuchsiacart.control.replica_states import Role
 from fuchsiacart.control.voter_contacts import ContactLog
+from fuchsiacart.logs import log_event
 from fuchsiacart.logs import log_warning
+from fuchsiacart.metrics import ELECTIONS
+from fuchsiacart.metrics import VOTES_REFUSED
 
 
 class TimedConsensus:
@@ -32,6 +40,7 @@
         self._contacts = ContactLog(now_ms)
         self._last_heartbeat_ms = 0.0
         self._elected_ms = now_ms
+        self._report = ElectionReport()
         self.rules = Consensus()
 
     def receive(self, state, message, now_ms):
@@ -43,9 +52,11 @@
         :return: the :class:`Step`.
         """
         self._contacts.record(message.sender, now_ms)
-        step = self.rules.receive(
-            state, message, self.has_contact(state, now_ms)
-        )
+        has_contact = self.has_contact(state, now_ms)
+        if isinstance(message, PreVoteRequest | VoteRequest):
+            self._log_refusal(state, message, has_contact)
+        step = self.rules.receive(state, message, has_contact)
+        self._report.record(state, step.state, message)
         is_from_leader = isinstance(message, AppendRequest | SnapshotRequest)
         if is_from_leader and message.term == step.state.term:
             self._timer.on_leader_message(now_ms)
@@ -74,10 +85,19 @@
         if not self._timer.is_due(now_ms):
             return Step(state)
         self._timer.restart_as_candidate(now_ms)
-        return self.rules.start_election(state)
+        if is_candidate(state):
+            self._log_lost_election(state)
+        step = self.rules.start_election(state)
+        event = 'election_started'
+        if step.state is state:
+            event = 'election_not_started'
+        log_event(event, **describe_position(state))
+        self._report.start()
+        return step
 
     def on_elected(self, now_ms):
         """Record that this replica has become the leader."""
+        ELECTIONS.labels('won').inc()
         self._timer.on_elected(now_ms)
         self._elected_ms = now_ms
 
@@ -144,6 +164,29 @@
         self._last_heartbeat_ms = now_ms
         return self.rules.heartbeat(state)
 
+    def _log_refusal(self, state, request, has_contact):
+        refusal = self.rules.find_refusal(state, request, has_contact)
+        if refusal is None:
+            return
+        VOTES_REFUSED.labels(refusal.value).inc()
+        log_event(
+            'vote_refused',
+            candidate=request.sender,
+            kind=type(request).__name__,
+            reason=refusal.value,
+            candidate_term=request.term,
+            candidate_index=request.last_index,
+            **describe_position(state),
+        )
+
+    def _log_lost_election(self, state):
+        ELECTIONS.labels('lost').inc()
+        log_event(
+            'election_lost',
+            **self._report.describe(state),
+            **describe_position(state),
+        )
+
     def _adopt_silences(self, state, message, now_ms):
         if isinstance(message, AppendRequest):
             self._contacts.adopt(state.group.members, message.silences, now_ms)
--- a/fuchsiacart/metrics.py
+++ b/fuchsiacart/metrics.py
@@ -70,6 +70,19 @@
 )
 TERM = Gauge('fuchsiacart_term', 'Term of this replica')
 IS_LEADER = Gauge('fuchsiacart_is_leader', '1 where this replica leads')
+VOTERS = Gauge(
+    'fuchsiacart_voters', 'Voters of the control group, by the own log'
+)
+ELECTIONS = Counter(
+    'fuchsiacart_elections_total',
+    'Elections that this replica has started, by outcome',
+    ['outcome'],
+)
+VOTES_REFUSED = Counter(
+    'fuchsiacart_votes_refused_total',
+    'Votes and pre-votes that this replica has refused, by reason',
+    ['reason'],
+)
 COMMIT_INDEX = Gauge(
     'fuchsiacart_commit_index', 'Last index known to be committed'
 )
