Show a control group that stays without a leader after a promotion

Four voters and a learner; its promotion is committed on three voters. Two of these lose their disks, all others lose power. The three left are a majority of the five, but none leads after 20 fair elections of each.

--- /dev/null
+++ b/features/steps/replacement_steps.py
@@ -0,0 +1,118 @@
+"""Steps for disks that are lost while the control group's members change."""
+
+from collections import deque
+
+from behave import given
+from behave import then
+from behave import when
+
+from fuchsiacart.control.consensus import Consensus
+from fuchsiacart.control.replica_states import Entry
+from fuchsiacart.control.replica_states import Group
+from fuchsiacart.control.replica_states import latest_group
+from fuchsiacart.control.replica_states import ReplicaState
+from fuchsiacart.control.replica_states import Role
+
+ROUNDS = 20
+
+
+def restarted(state):
+    """Return a replica's state after a loss of power: what is durable."""
+    return ReplicaState(
+        state.replica,
+        term=state.term,
+        voted_for=state.voted_for,
+        log=state.log,
+        group=state.group,
+    )
+
+
+class FairElections:
+    """Elections among replicas that all reach each other.
+
+    Each starts an election in its turn, and all messages arrive before the
+    next one does.
+
+    :param states: state of each running replica.
+    :param rules: the :class:`Consensus`.
+    """
+
+    def __init__(self, states, rules):
+        self._states = {state.replica: state for state in states}
+        self._rules = rules
+        self._messages = deque()
+
+    def elect(self, rounds):
+        """Run elections until a leader has committed an entry of its term.
+
+        :param rounds: number of elections that each replica may start.
+        :return: the leader's state, None if there is none.
+        """
+        for _ in range(rounds):
+            for name in tuple(self._states):
+                leader = self._run_election(name)
+                if leader is not None:
+                    return leader
+        return None
+
+    def _run_election(self, name):
+        self._apply(name, self._rules.start_election(self._states[name]))
+        while self._messages:
+            each = self._messages.popleft()
+            if each.to in self._states:
+                step = self._rules.receive(self._states[each.to], each.message)
+                self._apply(each.to, step)
+        state = self._states[name]
+        if state.role is not Role.LEADER:
+            return None
+        if state.term_at(state.commit_index) != state.term:
+            return None
+        return state
+
+    def _apply(self, name, step):
+        self._states[name] = step.state
+        self._messages.extend(step.outbound)
+
+
+@given(
+    'four voters and a learner, whose promotion is committed on three voters'
+)
+def given_promotion(context):
+    voters, learner = ('a', 'b', 'c', 'd'), 'e'
+    before = (Entry(1, group=Group(voters, (learner,))),)
+    after = before + (Entry(1, group=Group(voters + (learner,))),)
+    logs = {'a': after, 'b': after, 'c': after, 'd': before, 'e': before}
+    context.states = {
+        name: ReplicaState(
+            name, term=1, log=log, group=latest_group(Group(), log)
+        )
+        for name, log in logs.items()
+    }
+    context.promotion = after[-1]
+
+
+@when('two of these lose their disks and all others lose power')
+def when_two_lost(context):
+    context.running = [
+        restarted(context.states[name]) for name in ('c', 'd', 'e')
+    ]
+
+
+@when('three of these lose their disks and come back with new ones')
+def when_three_wiped(context):
+    context.running = [
+        ReplicaState(f'{name}/2') for name in ('a', 'b', 'c')
+    ] + [restarted(context.states[name]) for name in ('d', 'e')]
+
+
+@then('the three hosts left elect a leader that holds the promotion')
+def then_elected(context):
+    leader = FairElections(context.running, Consensus()).elect(ROUNDS)
+    assert leader is not None, 'no leader'
+    assert context.promotion in leader.log, leader.log
+
+
+@then('no leader is elected among all five')
+def then_not_elected(context):
+    leader = FairElections(context.running, Consensus()).elect(ROUNDS)
+    assert leader is None, leader
