Let a control host vote whatever group its own log names

Callers saw 133 requests run by an older version of the configuration, and the operator got no configuration back: the control group had no leader any more.

A host voted only if it found itself among the voters of its own log. A learner whose promotion is committed, but which lacks that entry, refused its vote to the hosts that hold the entry, and was refused by them for its shorter log. If two of the holders lose their disks, three of five voters run, reach each other and never elect.

The candidate counts votes by its own group, and its log is at least as long as the voter's, so it is the candidate's group that has to decide, as in the published algorithm. A blank replica has an id of its own for each disk: no candidate counts it before it has been promoted, and it is promoted only with all committed entries. Hosts of both builds run side by side: messages are unchanged, a host of the earlier build goes on refusing.

--- a/fuchsiacart/control/election_rules.py
+++ b/fuchsiacart/control/election_rules.py
@@ -35,7 +35,6 @@
     TERM_PASSED = 'term_passed'
     VOTED_FOR_ANOTHER = 'voted_for_another'
     LOG_BEHIND = 'log_behind'
-    NOT_A_VOTER = 'not_a_voter'
 
 
 class ElectionRules(ABC):
@@ -73,6 +72,9 @@
     def find_refusal(self, state, request, leader_is_fresh=False):
         """Return why a replica refuses to vote for a candidate.
 
+        The group of its own log is not asked: the candidate counts the votes
+        by its group, which may be newer and have this replica as a voter.
+
         :param state: the receiver's state.
         :param request: the :class:`PreVoteRequest` or :class:`VoteRequest`.
         :param leader_is_fresh: see :meth:`Consensus.receive`.
@@ -87,8 +89,6 @@
             return VoteRefusal.VOTED_FOR_ANOTHER
         if not self._is_up_to_date(state, request):
             return VoteRefusal.LOG_BEHIND
-        if not self._may_vote(state):
-            return VoteRefusal.NOT_A_VOTER
         return None
 
     def step_down(self, state):
@@ -128,9 +128,6 @@
         candidate_position = (message.last_term, message.last_index)
         return candidate_position >= (state.last_term, state.last_index)
 
-    def _may_vote(self, state):
-        return state.replica in state.group.voters
-
     def _on_pre_vote(self, state, message, leader_is_fresh):
         granted = self.find_refusal(state, message, leader_is_fresh) is None
         response = PreVoteResponse(
