Let a leader that is being removed ask for votes until that is committed

A leader that appends its own removal (the operator's replacement of the leading control host) and loses power before any other one has that entry holds the longest log; it refused the others for theirs, and did not ask for votes itself, as by its log it was no voter. With one of the others lost, three of four voters ran and none could lead.

Red before: 'a leader whose removal only it holds is elected once more'. A learner still asks for no votes, which a scenario states.

--- a/features/replacements.feature
+++ b/features/replacements.feature
@@ -9,3 +9,13 @@
     Given four voters and a learner, whose promotion is committed on three voters
     When three of these lose their disks and come back with new ones
     Then no leader is elected among all five
+
+  Scenario: a leader whose removal only it holds is elected once more
+    Given four voters whose leader holds its own removal, which no other one has
+    When one of the others loses its disk and all lose power
+    Then the three hosts left elect the leader, which commits its removal
+
+  Scenario: a host that learns does not ask for votes
+    Given four voters and a learner, whose promotion is committed on three voters
+    When the learner hears no leader
+    Then it asks for no votes
--- a/features/steps/replacement_steps.py
+++ b/features/steps/replacement_steps.py
@@ -116,3 +116,46 @@
 def then_not_elected(context):
     leader = FairElections(context.running, Consensus()).elect(ROUNDS)
     assert leader is None, leader
+
+
+@given(
+    'four voters whose leader holds its own removal, which no other one has'
+)
+def given_removal(context):
+    names = ('a', 'b', 'c', 'd')
+    before = (Entry(1, group=Group(names)),)
+    context.removal = Entry(1, group=Group(names[1:]))
+    logs = dict.fromkeys(names, before) | {'a': before + (context.removal,)}
+    context.states = {
+        name: ReplicaState(
+            name, term=1, log=log, group=latest_group(Group(), log)
+        )
+        for name, log in logs.items()
+    }
+
+
+@when('one of the others loses its disk and all lose power')
+def when_one_lost(context):
+    context.running = [
+        restarted(context.states[name]) for name in ('a', 'b', 'c')
+    ]
+
+
+@when('the learner hears no leader')
+def when_learner_waits(context):
+    state = restarted(context.states['e'])
+    context.before, context.step = state, Consensus().start_election(state)
+
+
+@then('the three hosts left elect the leader, which commits its removal')
+def then_elected_again(context):
+    leader = FairElections(context.running, Consensus()).elect(ROUNDS)
+    assert leader is not None, 'no leader'
+    assert leader.replica == 'a', leader
+    assert context.removal in leader.log[: leader.commit_index], leader
+
+
+@then('it asks for no votes')
+def then_no_election(context):
+    assert context.step.state is context.before, context.step
+    assert not context.step.outbound, context.step
--- a/fuchsiacart/control/election_rules.py
+++ b/fuchsiacart/control/election_rules.py
@@ -47,9 +47,10 @@
         """Ask for pre-votes after an election timeout.
 
         :param state: state of a replica that has not heard from a leader.
-        :return: the step; unchanged if the replica is not a voter or leads.
+        :return: the step; unchanged if the replica may not be elected or
+            leads.
         """
-        if state.replica not in state.group.voters:
+        if not state.may_be_elected:
             return Step(state)
         if state.role is Role.LEADER:
             return Step(state)
--- a/fuchsiacart/control/replica_states.py
+++ b/fuchsiacart/control/replica_states.py
@@ -95,6 +95,27 @@
         """Return the term of the last entry in the log."""
         return self.log[-1].term if self.log else self.base_term
 
+    @property
+    def may_be_elected(self):
+        """Return True if this replica may ask for votes.
+
+        A voter may.  One that the last membership change removes may too,
+        until it knows that the change is committed: its log may be the
+        longest one left, and then no other replica can win.
+        """
+        if self.replica in self.group.voters:
+            return True
+        index = self.last_index
+        for entry in reversed(self.log):
+            if entry.group is not None:
+                earlier = self.log[: index - self.base_index - 1]
+                group = latest_group(self.base_group, earlier)
+                return index > self.commit_index and (
+                    self.replica in group.voters
+                )
+            index -= 1
+        return False
+
     def term_at(self, index):
         """Return the term of an entry, or None if it is not in the log."""
         if index == self.base_index:
