Plan promotions by what learners answer, not by their requests

Between the removal of a lost voter and the promotion of its successor the control group has one voter less and bears one loss less. The leader went on only while the learner's requests to join arrived; a new leader waited for the next one to come through, which takes up to a second for each address of a host that is gone, and a learner that had stopped counted as ready for 1.5 s more. Now each learner that answers the leader and holds all committed entries is a candidate, and one that does not answer is none, so that no voter is removed for it. A new leader knows both from the first responses.

New scenarios: the learner is planned within 300 ms of an election without any request, and not planned once it is silent.

--- a/features/replacements.feature
+++ b/features/replacements.feature
@@ -19,3 +19,13 @@
     Given four voters and a learner, whose promotion is committed on three voters
     When the learner hears no leader
     Then it asks for no votes
+
+  Scenario: a change of the leader does not hold up the promotion of a learner
+    Given groups of 4 voters and a learner in simulated time, seeds 1 to 40
+    When the leader is lost
+    Then each new leader promotes the learner 300 ms after its election at the latest, though the learner does not ask again
+
+  Scenario: a learner that does not answer is not promoted
+    Given groups of 4 voters and a learner in simulated time, seeds 1 to 40
+    When the learner is lost
+    Then no leader plans to promote the learner 900 ms later
--- a/features/steps/simulated_group_steps.py
+++ b/features/steps/simulated_group_steps.py
@@ -11,6 +11,8 @@
 from behave import when
 from msgspec.structs import replace
 
+from fuchsiacart.control.memberships import find_candidates
+from fuchsiacart.control.memberships import next_group
 from fuchsiacart.control.replica_states import Entry
 from fuchsiacart.control.replica_states import Group
 from fuchsiacart.control.replica_states import ReplicaState
@@ -29,11 +31,13 @@
 class SimulatedGroup:
     """Control hosts whose messages and timers run in simulated time.
 
-    :param host_count: number of hosts; all are voters.
+    :param host_count: number of hosts.
     :param seed: seed of the election timers.
+    :param learner_count: number of hosts that are learners, the last ones;
+        the others are voters.
     """
 
-    def __init__(self, host_count, seed):
+    def __init__(self, host_count, seed, learner_count=0):
         self.now_ms = 0
         self.seed = seed
         self.names = [f'c{index}:1/old' for index in range(host_count)]
@@ -41,7 +45,10 @@
         self.stopped = set()
         self._messages = []
         self._order = count()
-        group = Group(tuple(self.names))
+        voter_count = host_count - learner_count
+        group = Group(
+            tuple(self.names[:voter_count]), tuple(self.names[voter_count:])
+        )
         log = (Entry(1, group=group),)
         self.states = {
             name: ReplicaState(
@@ -107,6 +114,18 @@
             self.states[name], self.now_ms
         )
 
+    def planned(self, leader):
+        """Return the group that a leader plans next, without any requests."""
+        state = self.states[leader]
+        ready = self.steps[leader].ready_learners(state, self.now_ms)
+        planned = next_group(
+            state.group,
+            find_candidates((), ready),
+            frozenset(),
+            len(state.group.members),
+        )
+        return planned or state.group
+
     def run(self, duration_ms):
         """Let the given time pass."""
         self.run_until(lambda: False, duration_ms)
@@ -177,6 +196,29 @@
     ]
 
 
+@given(
+    'groups of {voters:d} voters and a learner in simulated time, seeds'
+    ' {first:d} to {last:d}'
+)
+def given_groups_with_learner(context, voters, first, last):
+    context.groups = [
+        SimulatedGroup(voters + 1, seed, learner_count=1)
+        for seed in range(first, last + 1)
+    ]
+
+
+@when('the leader is lost')
+def when_leader_lost(context):
+    for group in context.groups:
+        group.stopped.add(group.leader())
+
+
+@when('the learner is lost')
+def when_learner_lost(context):
+    for group in context.groups:
+        group.stopped.add(group.names[-1])
+
+
 @when(
     'a follower is cut off both ways for {timeouts:d} election timeouts, then'
     ' heals'
@@ -318,6 +360,31 @@
         assert group.leader() is not None
 
 
+@then(
+    'each new leader promotes the learner {limit_ms:d} ms after its election'
+    ' at the latest, though the learner does not ask again'
+)
+def then_promoted(context, limit_ms):
+    for group in context.groups:
+        assert group.run_until(
+            lambda group=group: group.leader() is not None, 10_000
+        )
+        leader, learner = group.leader(), group.names[-1]
+        assert group.run_until(
+            lambda group=group, leader=leader, learner=learner: learner
+            in group.planned(leader).voters,
+            limit_ms,
+        ), group.seed
+
+
+@then('no leader plans to promote the learner {after_ms:d} ms later')
+def then_not_promoted(context, after_ms):
+    for group in context.groups:
+        group.run(after_ms)
+        leader, learner = group.leader(), group.names[-1]
+        assert learner not in group.planned(leader).voters, group.seed
+
+
 @then('the paused leader lists no silent voter at the moment it goes on')
 def then_paused_lists_none(context):
     for group, (leader, _) in zip(context.groups, context.leaders):
--- a/fuchsiacart/control/consensus.py
+++ b/fuchsiacart/control/consensus.py
@@ -109,7 +109,7 @@
         if any(entry.group is not None for entry in pending):
             return False
         return all(
-            self._has_committed_entries(state, voter)
+            self.has_committed_entries(state, voter)
             for voter in changed & set(group.voters)
         )
 
@@ -161,7 +161,12 @@
             state.round,
         )
 
-    def _has_committed_entries(self, state, replica):
+    def has_committed_entries(self, state, replica):
+        """Return True if a replica is known to hold all committed entries.
+
+        :param state: the leader's state.
+        :param replica: the other replica.
+        """
         progress = state.progress_of(replica)
         if progress is None:
             return False
--- a/fuchsiacart/control/member_tasks.py
+++ b/fuchsiacart/control/member_tasks.py
@@ -5,7 +5,7 @@
 from fuchsiacart.adapters import Method
 from fuchsiacart.clocks import steady_ms
 from fuchsiacart.control.election_reports import describe_position
-from fuchsiacart.control.memberships import MemberCandidate
+from fuchsiacart.control.memberships import find_candidates
 from fuchsiacart.control.memberships import next_group
 from fuchsiacart.control_clients import ControlClient
 from fuchsiacart.exceptions import ChangeError
@@ -109,10 +109,9 @@
             for replica, requested_ms in self._join_requested_ms.items()
             if now_ms - requested_ms < CANDIDATE_TIMEOUT_MS
         }
-        candidates = [
-            MemberCandidate(replica, self._is_caught_up(replica))
-            for replica in self._join_requested_ms
-        ]
+        candidates = find_candidates(
+            tuple(self._join_requested_ms), self._replica.ready_learners()
+        )
         return next_group(
             self._replica.state.group,
             candidates,
@@ -120,13 +119,6 @@
             self._settings.control.voter_count,
         )
 
-    def _is_caught_up(self, replica):
-        state = self._replica.state
-        progress = state.progress_of(replica)
-        if progress is None:
-            return False
-        return progress.match_index >= state.commit_index
-
     def _without_self(self, addresses):
         own = self._settings.replica_host
         return [address for address in addresses if address != own]
--- a/fuchsiacart/control/memberships.py
+++ b/fuchsiacart/control/memberships.py
@@ -12,7 +12,7 @@
 
 
 class MemberCandidate(Struct, frozen=True):
-    """A replica that has recently asked to join the group.
+    """A replica that has recently asked to join the group, or learns.
 
     ``caught_up`` is True if it holds all committed entries.
     """
@@ -21,6 +21,22 @@
     caught_up: bool
 
 
+def find_candidates(asking, ready):
+    """Return a :class:`MemberCandidate` for each possible new voter.
+
+    A learner that is ready counts whether or not its requests to join still
+    arrive, as after a change of the leader.
+
+    :param asking: replicas that have recently asked to join.
+    :param ready: learners that hold all committed entries and answer.
+    """
+    others = sorted(set(ready) - set(asking))
+    return [
+        MemberCandidate(replica, replica in ready)
+        for replica in (*asking, *others)
+    ]
+
+
 def next_group(group, candidates, unresponsive, voter_count):
     """Return the members after the next single change, or None.
 
@@ -29,8 +45,7 @@
     few voters; remove a voter that a caught-up learner will replace.
 
     :param group: the current members.
-    :param candidates: a :class:`MemberCandidate` for each replica that has
-        recently asked to join.
+    :param candidates: each :class:`MemberCandidate`.
     :param unresponsive: voters that have sent no message for long.
     :param voter_count: number of voters that the group should have.
     """
--- a/fuchsiacart/control/replica_states.py
+++ b/fuchsiacart/control/replica_states.py
@@ -105,15 +105,11 @@
         """
         if self.replica in self.group.voters:
             return True
-        index = self.last_index
-        for entry in reversed(self.log):
-            if entry.group is not None:
-                earlier = self.log[: index - self.base_index - 1]
-                group = latest_group(self.base_group, earlier)
-                return index > self.commit_index and (
-                    self.replica in group.voters
-                )
-            index -= 1
+        first_uncommitted = self.commit_index - self.base_index
+        for position in reversed(range(first_uncommitted, len(self.log))):
+            if self.log[position].group is not None:
+                earlier = latest_group(self.base_group, self.log[:position])
+                return self.replica in earlier.voters
         return False
 
     def term_at(self, index):
--- a/fuchsiacart/control/replicas.py
+++ b/fuchsiacart/control/replicas.py
@@ -151,6 +151,10 @@
         """See :meth:`TimedConsensus.unresponsive_voters`."""
         return self._steps.unresponsive_voters(self._state, steady_ms())
 
+    def ready_learners(self):
+        """See :meth:`TimedConsensus.ready_learners`."""
+        return self._steps.ready_learners(self._state, steady_ms())
+
     def deliver(self, message):
         """Queue a message from another replica; does not wait."""
         self._inbox.put_nowait(InboundMessage(message))
@@ -180,7 +184,7 @@
         proposal = Proposal(
             encode_command(command), future, find_subject(command), seen_index
         )
-        return await self._submit(proposal, future, timeout_s)
+        return await self._submit(proposal, timeout_s)
 
     async def change_group(self, group, timeout_s=10.0):
         """Commit a membership change as the leader.
@@ -191,9 +195,7 @@
             time.
         """
         future = get_running_loop().create_future()
-        return await self._submit(
-            GroupProposal(group, future), future, timeout_s
-        )
+        return await self._submit(GroupProposal(group, future), timeout_s)
 
     async def bootstrap(self, group):
         """Set the initial members of a blank replica.
@@ -202,7 +204,7 @@
         :raises ChangeError: if it has other members already.
         """
         future = get_running_loop().create_future()
-        return await self._submit(Bootstrap(group, future), future, 10.0)
+        return await self._submit(Bootstrap(group, future), 10.0)
 
     async def confirm_leadership(self, timeout_s=2.0):
         """Wait until a quorum confirms that this replica leads.
@@ -211,7 +213,7 @@
         :raises ChangeError: if it does not lead or no quorum answers in time.
         """
         future = get_running_loop().create_future()
-        await self._submit(Barrier(future), future, timeout_s)
+        await self._submit(Barrier(future), timeout_s)
 
     async def run(self):
         """Handle events until cancelled."""
@@ -249,10 +251,10 @@
         self._state = founding_state
         log_event('group_founded', voters=group.voters)
 
-    async def _submit(self, event, future, timeout_s):
+    async def _submit(self, event, timeout_s):
         self._inbox.put_nowait(event)
         try:
-            return await wait_for(future, timeout_s)
+            return await wait_for(event.future, timeout_s)
         except TimeoutError as error:
             raise ChangeError(
                 'no quorum answered in time',
@@ -274,8 +276,7 @@
         return events
 
     async def _process_batch(self, events):
-        before = self._state
-        state = before
+        state = before = self._state
         outbound = []
         responses = []
         for event in merge_proposals(events):
--- a/fuchsiacart/control/timed_consensus.py
+++ b/fuchsiacart/control/timed_consensus.py
@@ -137,6 +137,23 @@
             and self._contacts.silence_ms(voter, now_ms) > limit_ms
         )
 
+    def ready_learners(self, state, now_ms):
+        """Return the learners that can become voters now.
+
+        They hold all committed entries and answer: a group waits for the
+        answers of its voters.
+
+        :param state: the leader's :class:`ReplicaState`.
+        :param now_ms: the current time.
+        """
+        limit_ms = self._settings.election_timeout_ms
+        return frozenset(
+            learner
+            for learner in state.group.learners
+            if self.rules.has_committed_entries(state, learner)
+            and self._contacts.silence_ms(learner, now_ms) < limit_ms
+        )
+
     def add_silences(self, state, message, now_ms):
         """Return a message of the leader with the members that are silent.
 
