Write log lines in a thread, so that a log nobody reads holds up nothing

The class: work that waits for somebody who is not party to it. Lines go into a buffer of 1 MiB, which a thread writes; what finds it full is dropped, counted (fuchsiacart_log_lines_dropped_total) and told in one line, log_lines_dropped, once there is a reader again. Standard error is written at starts and ends only, and by the libraries.

--- a/fuchsiacart/daemon.py
+++ b/fuchsiacart/daemon.py
@@ -50,6 +50,7 @@
 from fuchsiacart.logs import log_error
 from fuchsiacart.logs import log_event
 from fuchsiacart.logs import start_logging
+from fuchsiacart.logs import stop_logging
 from fuchsiacart.metrics import MetricsHandler
 from fuchsiacart.settings import DaemonRole
 from fuchsiacart.settings import load_settings
@@ -269,6 +270,7 @@
     All is closed by now, and on a busy machine the cleanup takes longer than
     is left of a planned stop.
     """
+    stop_logging()
     stdout.flush()
     stderr.flush()
     _exit(code)
--- a/fuchsiacart/logs.py
+++ b/fuchsiacart/logs.py
@@ -2,12 +2,17 @@
 
 from json import dumps
 from logging import Formatter
+from logging import makeLogRecord
 from sys import stdout
 
 from absl.flags import FLAGS
 from absl import logging
 
-LINE_FORMAT = 'time=%(created).3f level=%(levelname)s %(message)s'
+from fuchsiacart.log_streams import LogStream
+
+LINE_FORMATTER = Formatter(
+    'time=%(created).3f level=%(levelname)s %(message)s'
+)
 
 
 def start_logging():
@@ -16,8 +21,24 @@
     logging.set_verbosity(logging.INFO)
     logging.use_absl_handler()
     handler = logging.get_absl_handler()
-    handler.python_handler.stream = stdout
-    handler.setFormatter(Formatter(LINE_FORMAT))
+    handler.python_handler.stream = LogStream(
+        stdout.fileno(), _describe_dropped
+    )
+    handler.setFormatter(LINE_FORMATTER)
+
+
+def stop_logging():
+    """Let the last lines come out, as far as somebody reads them in time."""
+    stream = logging.get_absl_handler().python_handler.stream
+    if isinstance(stream, LogStream):
+        stream.close()
+
+
+def _describe_dropped(count):
+    """Return the line that tells how many lines were dropped."""
+    message = format_event('log_lines_dropped', lines=count)
+    fields = {'levelname': 'WARNING', 'msg': message}
+    return LINE_FORMATTER.format(makeLogRecord(fields)) + '\n'
 
 
 def _format_value(value):
--- a/fuchsiacart/metrics.py
+++ b/fuchsiacart/metrics.py
@@ -91,6 +91,10 @@
     'Orders refused since they may be outdated, by reason',
     ['reason'],
 )
+LOG_LINES_DROPPED = Counter(
+    'fuchsiacart_log_lines_dropped_total',
+    'Log lines that were dropped as nobody read the log',
+)
 QUARANTINED = Counter(
     'fuchsiacart_quarantined_total', 'Requests put into quarantine'
 )
