Bound the log and the deltas of hosts in bytes

The log was compacted by the number of its entries only (4,096), and the deltas for hosts that are behind by their number only (2,000), whatever their size; a restart read the same log again.

The class: a bound in pieces where the pieces have no bound.

What one configuration weighs is not bounded by this (64 MiB of a body).

--- a/fuchsiacart/control/replicas.py
+++ b/fuchsiacart/control/replicas.py
@@ -18,6 +18,7 @@
 from fuchsiacart.control.addresses import make_address_book
 from fuchsiacart.control.commands import COMMANDS
 from fuchsiacart.control.commands import encode_command
+from fuchsiacart.control.compactions import CompactionTrigger
 from fuchsiacart.control.election_rules import Step
 from fuchsiacart.control.journals import Journal
 from fuchsiacart.control.leadership_barriers import LeadershipBarriers
@@ -88,6 +89,7 @@
         )
         self._barriers = LeadershipBarriers(self._steps.rules)
         self._pauses = PauseWatch(boot_ms())
+        self._compaction = CompactionTrigger(settings.control)
         self._snapshot = b''
         self._applied_index = 0
         self.notifier = RevisionNotifier(
@@ -291,8 +293,8 @@
         await self._persist(before, state)
         self._state = state
         self._on_role_change(before, state)
-        for future, response in responses:
-            set_result(future, response)
+        for answered in responses:
+            set_result(*answered)
         self._send(outbound)
         self._apply_committed()
         if self._barriers.resolve(self._state):
@@ -325,6 +327,7 @@
         self._snapshot = message.body
         self.replicated_state.restore(message.body)
         self._applied_index = message.index
+        self._compaction.reset()
         log_event('snapshot_installed', index=message.index)
 
     def _process_bootstrap(self, state, event):
@@ -340,10 +343,8 @@
     async def _persist(self, before, after):
         if after.base_index != before.base_index:
             await to_thread(self._journal.save_snapshot, after, self._snapshot)
-            return
-        if after is before:
-            return
-        await to_thread(self._journal.save, before, after)
+        elif after is not before:
+            await to_thread(self._journal.save, before, after)
 
     def _send(self, outbound):
         now_ms = steady_ms()
@@ -371,11 +372,10 @@
     def _apply_committed(self):
         state = self._state
         revision = self.replicated_state.stored.revision
-        committed_entries = state.entries_from(
-            self._applied_index + 1, state.commit_index - self._applied_index
-        )
-        for entry in committed_entries:
+        count = state.commit_index - self._applied_index
+        for entry in state.entries_from(self._applied_index + 1, count):
             self._applied_index += 1
+            self._compaction.record(entry)
             outcome = None
             if entry.body:
                 outcome = self.replicated_state.apply(
@@ -388,13 +388,13 @@
             self.notifier.notify()
 
     async def _compact(self):
-        entry_count = self._applied_index - self._state.base_index
-        if entry_count < self._settings.control.compact_entries:
+        if not self._compaction.is_due:
             return
         body = self.replicated_state.snapshot()
-        rules = self._steps.rules
-        after = rules.compact(self._state, self._applied_index).state
+        step = self._steps.rules.compact(self._state, self._applied_index)
+        after = step.state
         await to_thread(self._journal.save_snapshot, after, body)
+        self._compaction.reset()
         self._snapshot = body
         self._state = after
         log_event('snapshot_saved', index=after.base_index, bytes=len(body))
--- a/fuchsiacart/control/states.py
+++ b/fuchsiacart/control/states.py
@@ -29,6 +29,7 @@
 from fuchsiacart.control.commands import Settle
 from fuchsiacart.control.commands import SetWeights
 from fuchsiacart.control.commands import StartDrain
+from fuchsiacart.control.delta_logs import DeltaLog
 from fuchsiacart.control.outcomes import Outcome
 from fuchsiacart.control.route_states import RouteDelta
 from fuchsiacart.control.route_states import RouteSnapshot
@@ -45,7 +46,6 @@
 from fuchsiacart.models import RegionWeight
 
 AUDIT_LIMIT = 50_000
-DELTA_LIMIT = 2_000
 FULL_PERCENT = 100
 
 
@@ -152,6 +152,7 @@
 
     def __init__(self):
         self.stored = StoredState()
+        self._delta_log = DeltaLog(self.stored.deltas)
         self._change_outcomes = {}
         self._handlers = {
             PutContract: self._put_contract,
@@ -200,6 +201,7 @@
         :param body: an encoded :class:`StoredState`.
         """
         self.stored = STORED_STATES.decode(body)
+        self._delta_log = DeltaLog(self.stored.deltas)
         self._change_outcomes = {
             entry.change_id: entry.outcome for entry in self.stored.audit
         }
@@ -220,17 +222,11 @@
 
         :return: the deltas, or None if some of them are no longer kept.
         """
-        missing = self.stored.revision - revision
-        if missing <= 0:
-            return ()
-        if missing > len(self.stored.deltas):
-            return None
-        return tuple(self.stored.deltas[-missing:])
+        return self._delta_log.latest(self.stored.revision - revision)
 
     def _append_delta(self, body):
         self.stored.revision += 1
-        self.stored.deltas.append(Delta(self.stored.revision, body))
-        del self.stored.deltas[:-DELTA_LIMIT]
+        self._delta_log.append(Delta(self.stored.revision, body))
         return self.stored.revision
 
     def _record_change(self, change, what, subject, versions, outcome):
--- a/fuchsiacart/settings.py
+++ b/fuchsiacart/settings.py
@@ -134,6 +134,9 @@
     compact_entries: Annotated[int, Field(gt=0)] = Field(
         4096, description='entries in the log before a snapshot'
     )
+    compact_bytes: Annotated[int, Field(gt=0)] = Field(
+        4 * 1024 * 1024, description='bytes in the log before a snapshot'
+    )
     steer_interval_ms: Milliseconds = Field(
         1000, description='time between two moves of the weights'
     )
--- a/fuchsiacart/views.py
+++ b/fuchsiacart/views.py
@@ -2,9 +2,9 @@
 
 from msgspec.structs import replace
 
+from fuchsiacart.control.delta_logs import DeltaLog
 from fuchsiacart.control.route_states import RouteView
 from fuchsiacart.control.states import ContractSet
-from fuchsiacart.control.states import DELTA_LIMIT
 from fuchsiacart.control.states import DrainsSet
 from fuchsiacart.control.states import HostGone
 from fuchsiacart.control.states import HostSet
@@ -27,7 +27,7 @@
         self._hosts = {}
         self._drains = ()
         self._weights = ()
-        self._deltas = []
+        self._delta_log = DeltaLog([])
         self._customers_by_digest = {}
         self.routes = RouteView()
 
@@ -89,7 +89,7 @@
         self._drains = snapshot.drains
         self._weights = snapshot.weights
         self.routes.restore(snapshot.routes)
-        self._deltas = []
+        self._delta_log = DeltaLog([])
         self._index_tokens()
         return True
 
@@ -105,8 +105,7 @@
                 continue
             self._apply(delta.body)
             self._revision = delta.revision
-            self._deltas.append(delta)
-        del self._deltas[:-DELTA_LIMIT]
+            self._delta_log.append(delta)
         return self._revision != before
 
     def deltas_after(self, revision):
@@ -114,12 +113,7 @@
 
         :return: the deltas, or None if some are no longer kept.
         """
-        missing = self._revision - revision
-        if missing <= 0:
-            return ()
-        if missing > len(self._deltas):
-            return None
-        return tuple(self._deltas[-missing:])
+        return self._delta_log.latest(self._revision - revision)
 
     def view(self):
         """Return the whole view as a :class:`ViewSnapshot`."""
