--- a/features/replacements.feature
+++ b/features/replacements.feature
@@ -29,3 +29,9 @@
     Given groups of 4 voters and a learner in simulated time, seeds 1 to 40
     When the learner is lost
     Then no leader plans to promote the learner 900 ms later
+
+  Scenario: a blank host that has voted keeps its vote when it gets the first members
+    Given three blank hosts, the first of which gets the first members
+    When it is elected by the second one, which then gets the members too
+    And the third one gets the members and asks the second one for its vote
+    Then the second one refuses, as it has voted in that term
--- a/features/steps/replacement_steps.py
+++ b/features/steps/replacement_steps.py
@@ -159,3 +159,50 @@
 def then_no_election(context):
     assert context.step.state is context.before, context.step
     assert not context.step.outbound, context.step
+
+
+@given('three blank hosts, the first of which gets the first members')
+def given_blank(context):
+    context.group = Group(('a', 'b', 'c'))
+    context.states = {name: ReplicaState(name) for name in 'abc'}
+    context.states['a'] = context.states['a'].with_initial_group(context.group)
+
+
+def ask_for_vote(context, candidate, voter):
+    """Let one host ask another one for its pre-vote and its vote.
+
+    :return: the last response.
+    """
+    rules = Consensus()
+    step = rules.start_election(context.states[candidate])
+    for _ in range(2):
+        request = next(
+            each.message for each in step.outbound if each.to == voter
+        )
+        answer = rules.receive(context.states[voter], request)
+        context.states[voter] = answer.state
+        response = answer.outbound[0].message
+        if not response.granted:
+            break
+        step = rules.receive(step.state, response)
+    context.states[candidate] = step.state
+    return response
+
+
+@when('it is elected by the second one, which then gets the members too')
+def when_elected(context):
+    assert ask_for_vote(context, 'a', 'b').granted
+    assert context.states['a'].role is Role.LEADER
+    context.states['b'] = context.states['b'].with_initial_group(context.group)
+
+
+@when('the third one gets the members and asks the second one for its vote')
+def when_third_asks(context):
+    context.states['c'] = context.states['c'].with_initial_group(context.group)
+    context.response = ask_for_vote(context, 'c', 'b')
+
+
+@then('the second one refuses, as it has voted in that term')
+def then_refused(context):
+    assert not context.response.granted
+    assert context.states['c'].role is not Role.LEADER
--- a/fuchsiacart/control/replica_states.py
+++ b/fuchsiacart/control/replica_states.py
@@ -123,11 +123,17 @@
     def with_initial_group(self, group):
         """Return this blank state with the initial members as its only entry.
 
+        A vote that it has given already, and its term, hold on.
+
         :param group: the members.
         """
         first_entry = Entry(1, group=group)
         return replace(
-            self, term=1, log=(first_entry,), group=group, commit_index=1
+            self,
+            term=max(self.term, 1),
+            log=(first_entry,),
+            group=group,
+            commit_index=1,
         )
 
     def entries_from(self, index, limit=None):
