--- a/tools/seeded_faults/common.py
+++ b/tools/seeded_faults/common.py
@@ -130,4 +130,33 @@
         'or False',
         'odd_entries',
     ),
+    Fault(
+        'a line waits for the reader of the log',
+        'log_streams.py',
+        '            self._waiting += data\n'
+        '            self._changed.notify()',
+        '            self._write_all(data)',
+        'logs',
+    ),
+    Fault(
+        'lines that nobody reads are kept without a bound',
+        'log_streams.py',
+        'if len(self._waiting) + len(data) > self._buffer_bytes:',
+        'if False:',
+        'logs',
+    ),
+    Fault(
+        'an end waits for the reader of the log',
+        'log_streams.py',
+        'self._thread.join(max(0.0, deadline_s - monotonic()))',
+        'self._thread.join(10.0)',
+        'logs',
+    ),
+    Fault(
+        'deltas are bounded by their number only',
+        'control/delta_logs.py',
+        'while dropped < surplus or self._bytes > DELTA_LIMIT_BYTES:',
+        'while dropped < surplus:',
+        'memory',
+    ),
 )
--- a/tools/seeded_faults/control.py
+++ b/tools/seeded_faults/control.py
@@ -334,4 +334,11 @@
         "return ''",
         'late_orders',
     ),
+    Fault(
+        'a log is compacted by its entries only',
+        'control/compactions.py',
+        'or self._bytes >= self._settings.compact_bytes',
+        'or False',
+        'memory',
+    ),
 )
