Win elections on slow disks: own writes are no silence of others

Two faults of one class, timers that go on while the replica that they belong to is busy:

- A leader elected in the same batch as a tick stepped down at once, as its quorum was judged by a time from before its election (on_elected came after the batch).
The timers now follow the role in TimedConsensus itself.
- The wait of a candidate began with its pre-vote and covered its own write, that of the voters and both rounds; later ticks dropped votes already given.
Now what has arrived counts before the ticks of a batch, the wait begins anew with the votes, and the own write is added to the waits and taken for that of the others, up to the timeout.

Writes near the election timeout (800 ms) are not claimed. election_lost is now logged whenever a candidate gives up, with its reason.

--- a/features/elections.feature
+++ b/features/elections.feature
@@ -53,3 +53,22 @@
     When a voter that is behind asks for pre-votes and two others do not run
     Then its report names the one with the longer log as refusing and two as silent
     And the one with the longer log gives "log_behind" as the reason
+
+  Scenario: a host that is elected in one batch with a tick goes on to lead
+    Given a voter that is elected long after its start
+    When the deciding vote and a tick come in one batch
+    Then it goes on to lead
+
+  Scenario Outline: hosts with slow disks get a leader
+    Given <running> of <voters> voters that run, whose writes take <write> ms
+    When they start after a loss of power
+    Then each group has a leader in the end
+
+    Examples:
+      | running | voters | write |
+      | 5       | 5      | 200   |
+      | 3       | 5      | 200   |
+      | 2       | 3      | 200   |
+      | 5       | 5      | 400   |
+      | 3       | 5      | 400   |
+      | 2       | 3      | 400   |
--- a/features/steps/simulated_group_steps.py
+++ b/features/steps/simulated_group_steps.py
@@ -13,6 +13,11 @@
 
 from fuchsiacart.control.memberships import find_candidates
 from fuchsiacart.control.memberships import next_group
+from fuchsiacart.control.replica_events import InboundMessage
+from fuchsiacart.control.replica_events import put_ticks_last
+from fuchsiacart.control.replica_events import Tick
+from fuchsiacart.control.replica_messages import PreVoteResponse
+from fuchsiacart.control.replica_messages import VoteResponse
 from fuchsiacart.control.replica_states import Entry
 from fuchsiacart.control.replica_states import Group
 from fuchsiacart.control.replica_states import ReplicaState
@@ -26,6 +31,8 @@
 )
 TICK_MS = 20
 DELAY_MS = 30
+# Callers are served again 15 s after a loss of power.
+SLOW_LIMIT_MS = 15_000
 
 
 class SimulatedGroup:
@@ -168,9 +175,6 @@
         steps, before = self.steps[name], self.states[name]
         step = event(steps, before)
         self.states[name] = step.state
-        is_leader = step.state.role is Role.LEADER
-        if is_leader and before.role is not Role.LEADER:
-            steps.on_elected(self.now_ms)
         for each in step.outbound:
             message = steps.add_silences(step.state, each.message, self.now_ms)
             entry = (
@@ -389,3 +393,148 @@
 def then_paused_lists_none(context):
     for group, (leader, _) in zip(context.groups, context.leaders):
         assert group.silent(leader) == frozenset()
+
+
+class SlowDiskGroup:
+    """Voters whose durable writes take long, from a loss of power on.
+
+    Like :class:`ReplicaTask`, each handles in one batch what has arrived
+    while it was writing.
+
+    :param voter_count: number of voters.
+    :param running_count: number of those that run.
+    :param write_ms: time that a durable write takes.
+    :param seed: seed of the election timers.
+    """
+
+    def __init__(self, voter_count, running_count, write_ms, seed):
+        names = [f'c{index}:1/old' for index in range(voter_count)]
+        group = Group(tuple(names))
+        log = (Entry(1, group=group),)
+        running = names[:running_count]
+        self._write_ms = write_ms
+        self.states = {
+            name: ReplicaState(name, term=1, log=log, group=group)
+            for name in running
+        }
+        self._steps = {
+            name: TimedConsensus(SETTINGS, make_random(seed, name), 0)
+            for name in running
+        }
+        self._inboxes = {name: [] for name in running}
+        self._busy_until_ms = dict.fromkeys(running, 0)
+        self._messages = []
+        self._order = count()
+
+    def elect(self, limit_ms):
+        """Let time pass until a leader has committed an entry of its term.
+
+        :return: the time that it took, None if it takes longer.
+        """
+        for now_ms in range(limit_ms):
+            while self._messages and self._messages[0][0] <= now_ms:
+                _, _, to, message = heappop(self._messages)
+                if to in self._inboxes:
+                    self._inboxes[to].append(InboundMessage(message))
+            for name, inbox in self._inboxes.items():
+                if now_ms % TICK_MS == 0:
+                    inbox.append(Tick())
+                if inbox and self._busy_until_ms[name] <= now_ms:
+                    self._run_batch(name, now_ms)
+                    if self._has_committed(name):
+                        return now_ms
+        return None
+
+    def _run_batch(self, name, now_ms):
+        steps, before = self._steps[name], self.states[name]
+        state, outbound = before, []
+        for event in put_ticks_last(self._inboxes[name]):
+            if isinstance(event, Tick):
+                step = steps.tick(state, now_ms)
+            else:
+                step = steps.receive(state, event.message, now_ms)
+            state = step.state
+            outbound += step.outbound
+        self._inboxes[name].clear()
+        self.states[name] = state
+        end_ms = now_ms
+        if is_written(before, state):
+            end_ms += self._write_ms
+            steps.on_written(self._write_ms)
+        self._busy_until_ms[name] = end_ms
+        for each in outbound:
+            heappush(
+                self._messages,
+                (end_ms + DELAY_MS, next(self._order), each.to, each.message),
+            )
+
+    def _has_committed(self, name):
+        state = self.states[name]
+        if state.role is not Role.LEADER:
+            return False
+        return state.term_at(state.commit_index) == state.term
+
+
+def is_written(before, after):
+    """Return True if the step between two states needs a durable write."""
+    return (before.term, before.voted_for, before.last_index) != (
+        after.term,
+        after.voted_for,
+        after.last_index,
+    )
+
+
+@given(
+    '{running:d} of {voters:d} voters that run, whose writes take'
+    ' {write_ms:d} ms'
+)
+def given_slow_disks(context, running, voters, write_ms):
+    context.slow_groups = [
+        SlowDiskGroup(voters, running, write_ms, seed) for seed in range(1, 21)
+    ]
+
+
+@when('they start after a loss of power')
+def when_slow_start(context):
+    context.waits_ms = [
+        group.elect(SLOW_LIMIT_MS) for group in context.slow_groups
+    ]
+
+
+@then('each group has a leader in the end')
+def then_all_elected(context):
+    assert None not in context.waits_ms, context.waits_ms
+
+
+@given('a voter that is elected long after its start')
+def given_late_winner(context):
+    """Let a voter of three become a candidate."""
+    names = ('a', 'b', 'c')
+    group = Group(names)
+    log = (Entry(1, group=group),)
+    context.now_ms = 10 * SETTINGS.election_timeout_ms
+    context.steps = TimedConsensus(SETTINGS, make_random(1, 'a'), 0)
+    state = ReplicaState('a', term=1, log=log, group=group)
+    state = context.steps.tick(state, context.now_ms).state
+    response = PreVoteResponse('b', 2, 1, True)
+    context.state = context.steps.receive(
+        state, response, context.now_ms
+    ).state
+
+
+@when('the deciding vote and a tick come in one batch')
+def when_same_batch(context):
+    events = [Tick(), InboundMessage(VoteResponse('b', 2, True)), Tick()]
+    for event in put_ticks_last(events):
+        if isinstance(event, Tick):
+            step = context.steps.tick(context.state, context.now_ms)
+        else:
+            step = context.steps.receive(
+                context.state, event.message, context.now_ms
+            )
+        context.state = step.state
+
+
+@then('it goes on to lead')
+def then_leads(context):
+    assert context.state.role is Role.LEADER, context.state.role
--- a/fuchsiacart/control/election_reports.py
+++ b/fuchsiacart/control/election_reports.py
@@ -65,7 +65,7 @@
         :param after: the state that followed.
         :param message: the message; others than responses are passed over.
         """
-        if after.role is not before.role:
+        if (before.role, after.role) == (Role.PRE_CANDIDATE, Role.CANDIDATE):
             # Pre-votes say nothing about the votes that are asked for next.
             self._refused.clear()
         if not isinstance(message, PreVoteResponse | VoteResponse):
--- a/fuchsiacart/control/elections.py
+++ b/fuchsiacart/control/elections.py
@@ -21,6 +21,7 @@
         self._election_due_ms = now_ms + random.uniform(0, timeout_ms / 2)
         self._confirmed_round = 0
         self._confirmed_ms = now_ms
+        self._write_ms = 0.0
 
     def restart(self, now_ms):
         """Restart the timeout before the next election."""
@@ -31,16 +32,30 @@
         """Restart the timeout before this replica's next try.
 
         There is no leader to wait for; the random time covers a round trip
-        and keeps candidates that split the votes apart.
+        and keeps candidates that split the votes apart.  The voters write
+        too, and are taken to need as long for it as this replica does.
         """
         wait_ms = self._random.uniform(self._timeout_ms / 4, self._timeout_ms)
-        self._election_due_ms = now_ms + wait_ms
+        self._election_due_ms = now_ms + wait_ms + self._write_ms
 
     def on_leader_message(self, now_ms):
         """Record a message from the leader of the current term."""
         self._last_leader_message_ms = now_ms
         self.restart(now_ms)
 
+    def on_written(self, taken_ms):
+        """Record how long the latest durable write took.
+
+        That time does not count as silence of others: what was to be sent to
+        them waited for it, and what came from them waited too.  A disk that
+        stands still for longer than the timeout is a fault of this replica.
+        """
+        counted_ms = min(taken_ms, self._timeout_ms)
+        self._election_due_ms += counted_ms
+        self._confirmed_ms += counted_ms
+        if taken_ms:
+            self._write_ms = counted_ms
+
     def on_elected(self, now_ms):
         """Record that this replica has become the leader."""
         self._confirmed_round = 0
--- a/fuchsiacart/control/replica_events.py
+++ b/fuchsiacart/control/replica_events.py
@@ -102,6 +102,19 @@
         self._entries.clear()
 
 
+def put_ticks_last(events):
+    """Return the events with one tick for all of them, at the end.
+
+    What has arrived while the replica was busy, such as votes, counts before
+    its timers do.
+
+    :param events: the events of a batch, in the order of their arrival.
+    """
+    others = [each for each in events if not isinstance(each, Tick)]
+    ticks = [each for each in events if isinstance(each, Tick)]
+    return others + ticks[:1]
+
+
 def merge_proposals(events):
     """Yield the events, with consecutive proposals merged into a list."""
     proposals = []
--- a/fuchsiacart/control/replicas.py
+++ b/fuchsiacart/control/replicas.py
@@ -33,6 +33,7 @@
 from fuchsiacart.control.replica_events import merge_proposals
 from fuchsiacart.control.replica_events import PendingEntries
 from fuchsiacart.control.replica_events import Proposal
+from fuchsiacart.control.replica_events import put_ticks_last
 from fuchsiacart.control.replica_events import set_error
 from fuchsiacart.control.replica_events import set_result
 from fuchsiacart.control.replica_events import split_response
@@ -72,8 +73,7 @@
         self._addresses = make_address_book(settings)
         self._sender = ReplicaSender(adapter, self._addresses, self.deliver)
         self._inbox = Queue()
-        founders = founding_voters(settings)
-        self._is_founder = bool(founders)
+        self._is_founder = bool(founding_voters(settings))
         self._journal = Journal(
             settings.control.data_folder,
             FOUNDER if self._is_founder else None,
@@ -281,7 +281,7 @@
         state = before = self._state
         outbound = []
         responses = []
-        for event in merge_proposals(events):
+        for event in merge_proposals(put_ticks_last(events)):
             step = self._process_event(state, event)
             state = step.state
             answered, others = split_response(event, step.outbound)
@@ -341,10 +341,12 @@
         return Step(state.with_initial_group(event.group))
 
     async def _persist(self, before, after):
+        started_ms = steady_ms()
         if after.base_index != before.base_index:
             await to_thread(self._journal.save_snapshot, after, self._snapshot)
         elif after is not before:
             await to_thread(self._journal.save, before, after)
+        self._steps.on_written(steady_ms() - started_ms)
 
     def _send(self, outbound):
         now_ms = steady_ms()
@@ -360,11 +362,9 @@
         if after.role is before.role and after.term == before.term:
             return
         if after.role is Role.LEADER:
-            self._steps.on_elected(steady_ms())
             self.led_since_s = monotonic()
             log_event('leader_elected', term=after.term, leader=self.replica)
-            return
-        if before.role is Role.LEADER:
+        elif before.role is Role.LEADER:
             log_event('leader_stepped_down', term=after.term)
             self._pending_entries.fail()
             self._barriers.fail()
--- a/fuchsiacart/control/timed_consensus.py
+++ b/fuchsiacart/control/timed_consensus.py
@@ -57,14 +57,11 @@
             self._log_refusal(state, message, has_contact)
         step = self.rules.receive(state, message, has_contact)
         self._report.record(state, step.state, message)
+        self._follow_role(state, step.state, now_ms)
         is_from_leader = isinstance(message, AppendRequest | SnapshotRequest)
         if is_from_leader and message.term == step.state.term:
             self._timer.on_leader_message(now_ms)
             self._adopt_silences(step.state, message, now_ms)
-        if state.role is Role.PRE_CANDIDATE and (
-            step.state.role is Role.FOLLOWER
-        ):
-            self._timer.restart_as_candidate(now_ms)
         has_voted = step.state.voted_for not in (state.voted_for, None)
         if has_voted and step.state.voted_for != state.replica:
             self._timer.restart(now_ms)
@@ -86,20 +83,22 @@
             return Step(state)
         self._timer.restart_as_candidate(now_ms)
         if is_candidate(state):
-            self._log_lost_election(state)
+            self._log_lost_election(state, 'timeout')
         step = self.rules.start_election(state)
         event = 'election_started'
         if step.state is state:
             event = 'election_not_started'
         log_event(event, **describe_position(state))
         self._report.start()
+        self._follow_role(state, step.state, now_ms)
         return step
 
-    def on_elected(self, now_ms):
-        """Record that this replica has become the leader."""
-        ELECTIONS.labels('won').inc()
-        self._timer.on_elected(now_ms)
-        self._elected_ms = now_ms
+    def on_written(self, taken_ms):
+        """Record how long the latest durable write took.
+
+        :param taken_ms: the time; 0 if there was nothing to write.
+        """
+        self._timer.on_written(taken_ms)
 
     def has_contact(self, state, now_ms):
         """Return True if the replica is in contact with its group.
@@ -196,10 +195,26 @@
             **describe_position(state),
         )
 
-    def _log_lost_election(self, state):
+    def _follow_role(self, before, after, now_ms):
+        """Restart the timers when the role has changed."""
+        if after.role is before.role:
+            return
+        if after.role is Role.LEADER:
+            ELECTIONS.labels('won').inc()
+            self._timer.on_elected(now_ms)
+            self._elected_ms = now_ms
+        elif after.role is Role.CANDIDATE:
+            # The votes take another round and the writes of all voters.
+            self._timer.restart_as_candidate(now_ms)
+        elif is_candidate(before):
+            self._log_lost_election(before, _find_end(before, after))
+            self._timer.restart_as_candidate(now_ms)
+
+    def _log_lost_election(self, state, reason):
         ELECTIONS.labels('lost').inc()
         log_event(
             'election_lost',
+            reason=reason,
             **self._report.describe(state),
             **describe_position(state),
         )
@@ -207,3 +222,10 @@
     def _adopt_silences(self, state, message, now_ms):
         if isinstance(message, AppendRequest):
             self._contacts.adopt(state.group.members, message.silences, now_ms)
+
+
+def _find_end(before, after):
+    """Return why a candidate has become a follower."""
+    if after.leader is not None:
+        return 'leader_heard'
+    return 'term_passed' if after.term > before.term else 'yielded'
