Check in the models that a majority that can talk elects a leader

The models checked safety only, so that rules by which a group stays without a leader for ever passed them. In each state of the log all replicas may now lose power, with as many further disks lost as are tolerated then: none while a lost one is not replaced, else any one. Elections in turn, all messages delivered, must give a leader that commits an entry of its term and holds all committed ones. Elections are cached by what is durable.

Cases of earlier faults name the invariant that they must break, so that the new one does not stand in for it.

--- a/models/check.py
+++ b/models/check.py
@@ -20,6 +20,9 @@
 from models.orders import OrdersModel
 from models import replication
 from models.replication import Bounds
+from models.replication import COMPLETE_LEADERS
+from models.replication import MAJORITY_ELECTS
+from models.replication import ONE_LEADER
 from models.replication import replacement_of
 from models.replication import ReplicationModel
 
@@ -79,17 +82,27 @@
     planned=True,
 )
 
+LEADER_EXCHANGE = Bounds(
+    'an operator replaces the leader, which is cut off from one voter',
+    ('r1', 'r2'),
+    exchanged=('r1',),
+    cut=CUT_OFF_PAIRS,
+    duplicates=0,
+)
+
 
 class Case(Struct, frozen=True):
     """One exploration.
 
     ``model`` is the class of the model and its arguments; ``must_hold`` is
-    True if all invariants must hold.
+    True if all invariants must hold.  ``broken`` names the invariant that a
+    fault must break; any one if empty.
     """
 
     title: str
     model: object
     must_hold: bool
+    broken: str = ''
 
 
 class CaseResult(Struct, frozen=True):
@@ -103,13 +116,18 @@
     passed: bool
 
 
-def replication_case(bounds, **faults):
-    """Return a case of the replicated log."""
+def replication_case(bounds, broken='', **faults):
+    """Return a case of the replicated log.
+
+    :param bounds: the :class:`Bounds`.
+    :param broken: name of the invariant that the faults must break.
+    :param faults: the :class:`replication.Faults` to seed.
+    """
     title = f'log: {bounds.name}'
     if faults:
         title += f', fault {" ".join(faults)}'
     model = (ReplicationModel, bounds, replication.Faults(**faults))
-    return Case(title, model, not faults)
+    return Case(title, model, not faults, broken)
 
 
 def changes_case(length, pulls, **faults):
@@ -151,14 +169,22 @@
     replication_case(REPLACEMENT),
     replication_case(PLANNED),
     replication_case(PLANNED_SECOND_LOSS),
+    replication_case(LEADER_EXCHANGE),
     changes_case(5, 2),
     claims_case(6),
     orders_case(3, 3),
-    replication_case(CRASHES, vote_not_synced=True),
-    replication_case(CRASHES, log_not_synced=True),
-    replication_case(EARLIER_TERMS, commits_earlier_term=True),
-    replication_case(BLANK, blank_votes=True),
-    replication_case(BLANK, founds_again=True),
+    replication_case(CRASHES, ONE_LEADER, vote_not_synced=True),
+    replication_case(CRASHES, COMPLETE_LEADERS, log_not_synced=True),
+    replication_case(
+        EARLIER_TERMS, COMPLETE_LEADERS, commits_earlier_term=True
+    ),
+    replication_case(BLANK, ONE_LEADER, blank_votes=True),
+    replication_case(BLANK, ONE_LEADER, founds_again=True),
+    replication_case(REPLACEMENT, MAJORITY_ELECTS, votes_by_own_group=True),
+    replication_case(PLANNED, MAJORITY_ELECTS, votes_by_own_group=True),
+    replication_case(
+        LEADER_EXCHANGE, MAJORITY_ELECTS, removed_leader_gives_up=True
+    ),
     changes_case(5, 2, resend_applied_twice=True),
     changes_case(5, 2, forgets_on_snapshot=True),
     changes_case(5, 2, stale_relay_accepted=True),
@@ -183,6 +209,9 @@
         for name, verdict in verdicts.items()
         if verdict['holds'] is False
     )
+    is_found = bool(violations)
+    if case.broken:
+        is_found = verdicts[case.broken]['holds'] is False
     holds = report['exhaustive'] and not violations
     return CaseResult(
         case.title,
@@ -190,7 +219,7 @@
         report['exhaustive'],
         violations,
         monotonic() - started_s,
-        holds if case.must_hold else bool(violations),
+        holds if case.must_hold else is_found,
     )
 
 
--- a/models/replication.py
+++ b/models/replication.py
@@ -5,13 +5,20 @@
 heals.  A crash keeps the term, the vote and the log.  A lost disk leaves a
 blank replica with a new identity, which the leader adds to the group: in an
 operator's steps, or as the product plans the members itself.
+
+In each state all replicas may lose power, with as many further disks lost as
+are tolerated then; those left must elect a leader that holds all committed
+entries.
 """
 
+from itertools import combinations
+
 from minicheck import Protocol
 from msgspec import Struct
 from msgspec.structs import replace
 
 from fuchsiacart.control.consensus import Consensus
+from fuchsiacart.control.election_rules import Step
 from fuchsiacart.control.memberships import MemberCandidate
 from fuchsiacart.control.memberships import next_group
 from fuchsiacart.control.replica_messages import AppendResponse
@@ -22,9 +29,17 @@
 from fuchsiacart.control.replica_states import Group
 from fuchsiacart.control.replica_states import ReplicaState
 from fuchsiacart.control.replica_states import Role
+from models.fair_elections import FairElections
 
 INITIAL_TERM = 1
 VOTER_COUNT = 3
+TOLERATED_LOSSES = 1
+FAIR_ROUNDS = 4
+ONE_LEADER = 'one leader a term'
+COMMITTED_STAY = 'committed entries stay'
+COMPLETE_LEADERS = 'leaders hold committed entries'
+MAJORITY_ELECTS = 'a majority elects a leader with all committed entries'
+NOT_A_VOTER = 'not_a_voter'
 
 
 class Bounds(Struct, frozen=True):
@@ -33,7 +48,8 @@
     ``elections`` names, in order, the replicas that start an election; each
     raises a term by at least one.  ``commands``, ``crashes``, ``resends`` and
     ``duplicates`` are maximum numbers; ``lost_disks`` names, in order, the
-    replicas that lose their disk.  ``cut`` holds pairs that can't communicate.
+    replicas that lose their disk, ``exchanged`` those that an operator
+    replaces while they run.  ``cut`` holds pairs that can't communicate.
     With ``pre_vote`` elections begin with a pre-vote; with ``planned`` the
     members are changed as the product plans them.
     """
@@ -43,6 +59,7 @@
     commands: int = 0
     crashes: int = 0
     lost_disks: tuple[str, ...] = ()
+    exchanged: tuple[str, ...] = ()
     cut: tuple[frozenset, ...] = ()
     pre_vote: bool = False
     planned: bool = False
@@ -59,6 +76,8 @@
     commits_earlier_term: bool = False
     log_not_synced: bool = False
     founds_again: bool = False
+    votes_by_own_group: bool = False
+    removed_leader_gives_up: bool = False
 
 
 class FaultyConsensus(Consensus):
@@ -77,6 +96,21 @@
             return True
         return super()._may_commit(state, index)
 
+    def find_refusal(self, state, request, leader_is_fresh=False):
+        """Return why a replica refuses to vote for a candidate."""
+        refusal = super().find_refusal(state, request, leader_is_fresh)
+        is_voter = state.replica in state.group.voters
+        if refusal is None and self._faults.votes_by_own_group:
+            return None if is_voter else NOT_A_VOTER
+        return refusal
+
+    def start_election(self, state):
+        """Ask for pre-votes after an election timeout."""
+        is_voter = state.replica in state.group.voters
+        if self._faults.removed_leader_gives_up and not is_voter:
+            return Step(state)
+        return super().start_election(state)
+
 
 def replacement_of(name):
     """Return the name of the replica that replaces one with a lost disk."""
@@ -126,6 +160,7 @@
         self._bounds = bounds
         self._faults = faults
         self._has_counterexample = False
+        self._elections_cache = {}
         self._consensus = Consensus(bounds.batch_entries)
         if faults != Faults():
             self._consensus = FaultyConsensus(faults, bounds.batch_entries)
@@ -139,15 +174,14 @@
             initial=(self._initial(),),
             transitions=self._transitions,
             invariants={
-                'one leader a term': (
-                    lambda s: s['world'].violation != 'leader'
-                ),
-                'committed entries stay': (
+                ONE_LEADER: (lambda s: s['world'].violation != 'leader'),
+                COMMITTED_STAY: (
                     lambda s: s['world'].violation != 'committed'
                 ),
-                'leaders hold committed entries': (
+                COMPLETE_LEADERS: (
                     lambda s: s['world'].violation != 'complete'
                 ),
+                MAJORITY_ELECTS: lambda s: self._survives(s['world']),
             },
         )
 
@@ -165,6 +199,10 @@
             )
             for name in names
         )
+        replicas += tuple(
+            ReplicaState(replacement_of(name))
+            for name in self._bounds.exchanged
+        )
         return World(replicas, frozenset(), committed=(Committed(log[0], 1),))
 
     def _transitions(self, fields):
@@ -277,7 +315,7 @@
     def _disk_loss_steps(self, world):
         if world.disk_losses >= len(self._bounds.lost_disks):
             return
-        if world.disk_losses and not self._is_replaced(world):
+        if not self._is_replaced(world):
             return
         name = self._bounds.lost_disks[world.disk_losses]
         for position, state in enumerate(world.replicas):
@@ -295,6 +333,8 @@
 
     def _is_replaced(self, world):
         """Return True if the replica that lost its disk last was replaced."""
+        if not world.disk_losses:
+            return True
         old = self._bounds.lost_disks[world.disk_losses - 1]
         groups = [
             seen.entry.group for seen in world.committed if seen.entry.group
@@ -304,6 +344,32 @@
             and old not in groups[-1].voters
         )
 
+    def _survives(self, world):
+        """Return True if losses that are tolerated now leave a leader.
+
+        While a lost disk is not replaced no further one may be lost.  All
+        replicas that keep their disks lose power.
+        """
+        if world.violation:
+            return True
+        durable = tuple(map(self._durable_state, world.replicas))
+        losses = TOLERATED_LOSSES if self._is_replaced(world) else 0
+        committed = tuple(seen.entry for seen in world.committed)
+        return all(
+            self._elects(running, committed)
+            for running in combinations(durable, len(durable) - losses)
+        )
+
+    def _elects(self, running, committed):
+        key = (running, committed)
+        if key not in self._elections_cache:
+            elections = FairElections(running, self._consensus)
+            leader = elections.elect(FAIR_ROUNDS)
+            self._elections_cache[key] = leader is not None and (
+                leader.entries_from(1, len(committed)) == committed
+            )
+        return self._elections_cache[key]
+
     def _group_change_steps(self, world):
         for position, state in enumerate(world.replicas):
             if state.role is not Role.LEADER:
@@ -321,8 +387,8 @@
             if planned is not None:
                 yield planned
             return
-        for index in range(world.disk_losses):
-            old = self._bounds.lost_disks[index]
+        lost = self._bounds.lost_disks[: world.disk_losses]
+        for old in lost + self._bounds.exchanged:
             new = replacement_of(old)
             if new not in group.members:
                 yield Group(group.voters, group.learners + (new,))
@@ -335,6 +401,7 @@
     def _planned_group(self, world, state):
         """Return the next group as the product plans it, or None."""
         lost = self._bounds.lost_disks[: world.disk_losses]
+        lost += self._bounds.exchanged
         candidates = []
         for replica in map(replacement_of, lost):
             progress = state.progress_of(replica)
