Show a majority without a leader beside a learner that has the longest log

Found by the new property, in a state of the model that goes from three voters to four: r1 leads in term 2 and appends the promotion of a learner; r3, elected in term 3, has given its first entry to the learner alone, and loses its disk. r1 counts votes in the group of four, so needs r2 and the learner; the learner refuses it for its longer log and asks for no votes itself. r2 is behind both. 50 rounds of fair elections give no leader.

A group that grows from three voters passes through four.

--- a/features/replacements.feature
+++ b/features/replacements.feature
@@ -29,3 +29,8 @@
     Given groups of 4 voters and a learner in simulated time, seeds 1 to 40
     When the learner is lost
     Then no leader plans to promote the learner 900 ms later
+
+  Scenario: a learner whose log is the longest does not keep a majority without a leader
+    Given three voters and a learner that has an entry of a lost leader, and an earlier leader that holds its promotion
+    When the voter that led last loses its disk and all others lose power
+    Then the three hosts left elect a leader that holds the committed entries
--- a/features/steps/replacement_steps.py
+++ b/features/steps/replacement_steps.py
@@ -100,3 +100,44 @@
 def then_no_election(context):
     assert context.step.state is context.before, context.step
     assert not context.step.outbound, context.step
+
+
+@given(
+    'three voters and a learner that has an entry of a lost leader, and an'
+    ' earlier leader that holds its promotion'
+)
+def given_longest_learner(context):
+    voters, learner = ('a', 'b', 'c'), 'e'
+    context.committed = (
+        Entry(1, group=Group(voters)),
+        Entry(2, group=Group(voters, (learner,))),
+    )
+    promotion = Entry(2, group=Group(voters + (learner,)))
+    logs = {
+        'a': context.committed + (promotion,),
+        'b': context.committed[:1],
+        'c': context.committed + (Entry(3),),
+        'e': context.committed + (Entry(3),),
+    }
+    terms = {'a': 2, 'b': 3, 'c': 3, 'e': 3}
+    context.states = {
+        name: ReplicaState(
+            name, term=terms[name], log=log, group=latest_group(Group(), log)
+        )
+        for name, log in logs.items()
+    }
+
+
+@when('the voter that led last loses its disk and all others lose power')
+def when_last_leader_lost(context):
+    context.running = [
+        restarted(context.states[name]) for name in ('a', 'b', 'e')
+    ]
+
+
+@then('the three hosts left elect a leader that holds the committed entries')
+def then_elected_with_committed(context):
+    leader = FairElections(context.running, Consensus()).elect(ROUNDS)
+    assert leader is not None, 'no leader'
+    held = leader.entries_from(1, len(context.committed))
+    assert held == context.committed, leader
