--- a/features/steps/simulated_group_steps.py
+++ b/features/steps/simulated_group_steps.py
@@ -139,13 +139,21 @@
         while self.now_ms < end_ms:
             if condition():
                 return True
-            self.now_ms += 1
-            self._deliver()
-            if self.now_ms % TICK_MS == 0:
-                for name in self.names:
-                    self._apply(name, self._tick)
+            self._advance()
         return condition()
 
+    def _advance(self):
+        """Let a millisecond pass."""
+        self.now_ms += 1
+        self._deliver()
+        if self.now_ms % TICK_MS == 0:
+            for name in self.names:
+                self._apply(name, self._tick)
+
+    def _delay_ms(self, message):
+        """Return how long a message takes, or None if it is lost."""
+        return DELAY_MS
+
     def _tick(self, steps, state):
         return steps.tick(state, self.now_ms)
 
@@ -173,8 +181,11 @@
             steps.on_elected(self.now_ms)
         for each in step.outbound:
             message = steps.add_silences(step.state, each.message, self.now_ms)
+            delay_ms = self._delay_ms(message)
+            if delay_ms is None:
+                continue
             entry = (
-                self.now_ms + DELAY_MS,
+                self.now_ms + delay_ms,
                 next(self._order),
                 each.to,
                 message,
