--- a/features/replacements.feature
+++ b/features/replacements.feature
@@ -30,11 +30,6 @@
     When the learner is lost
     Then no leader plans to promote the learner 900 ms later
 
-  Scenario: a learner whose log is the longest does not keep a majority without a leader
-    Given three voters and a learner that has an entry of a lost leader, and an earlier leader that holds its promotion
-    When the voter that led last loses its disk and all others lose power
-    Then the three hosts left elect a leader that holds the committed entries
-
   Scenario: the losses that are tolerated leave a leader at each step of a replacement
     Given groups of 5 voters in simulated time that lose and delay messages, one with a slow disk, seeds 1 to 60
     And leaders that lose power while a disk is replaced
@@ -58,29 +53,3 @@
     And leaders that lose power while a disk is replaced
     When the same host loses its disk and comes back 4 times in a row
     Then at each step the further losses that are tolerated leave a leader with all committed entries
-
-  Scenario: a lost disk is replaced within the time to catch up
-    Given groups of 5 voters in simulated time that lose and delay messages, one with a slow disk, seeds 1 to 60
-    When a disk is lost and the host comes back
-    Then each new replica is a voter within the time to catch up
-
-  Scenario: a new host replaces a lost voter within the time to catch up
-    Given groups of 5 voters in simulated time that lose and delay messages, one with a slow disk, seeds 1 to 60
-    When a voter is lost for good and a new host joins
-    Then each new replica is a voter within the time to catch up
-
-  Scenario: a host that is exchanged again and again is replaced within the time to catch up
-    Given groups of 5 voters in simulated time that lose and delay messages, one with a slow disk, seeds 1 to 30
-    When the same host loses its disk and comes back 4 times in a row
-    Then each new replica is a voter within the time to catch up
-
-  Scenario: a lost disk is replaced in time though the leader loses power meanwhile
-    Given groups of 5 voters in simulated time that lose and delay messages, one with a slow disk, seeds 1 to 60
-    And leaders that lose power while a disk is replaced
-    When a disk is lost and the host comes back
-    Then each new replica is a voter within the time to catch up
-
-  Scenario: two disks lost at once are replaced within the time to catch up
-    Given groups of 5 voters in simulated time that lose and delay messages, one with a slow disk, seeds 1 to 60
-    When two disks are lost at once and the hosts come back
-    Then each new replica is a voter within the time to catch up
--- a/tools/seeded_faults/common.py
+++ b/tools/seeded_faults/common.py
@@ -35,7 +35,7 @@
     Fault(
         'a lease is held before its revision is reached',
         'leases.py',
-        'if revision >= self._needed_revision:',
+        'if not self.is_behind:',
         'if True:',
         'agreement',
     ),
--- a/tools/seeded_faults/control.py
+++ b/tools/seeded_faults/control.py
@@ -71,24 +71,60 @@
     Fault(
         'a vote request disturbs a leader heard recently',
         'control/election_rules.py',
-        'and not leader_is_fresh\n            and message.term > state.term',
-        'and message.term > state.term',
+        'if leader_is_fresh and message.term > state.term:',
+        'if False:',
         'elections',
-    ),
-    Fault(
-        'a host with a lost disk keeps its identity and votes',
-        'control/election_rules.py',
-        'return state.replica in state.group.voters\n',
-        'return True\n',
-        'control_group',
         (
             Edit(
-                'control/journals.py',
-                'self._first_replica or uuid4().hex',
-                "'same'",
+                'control/election_rules.py',
+                'if leader_is_fresh:',
+                'if False:',
             ),
         ),
     ),
+    Fault(
+        'a host with a lost disk keeps its identity and votes',
+        'control/journals.py',
+        'self._first_replica or uuid4().hex',
+        "'same'",
+        'control_group',
+    ),
+    Fault(
+        'a host votes only as a voter of its own log',
+        'control/election_rules.py',
+        'if not self._is_up_to_date(state, request):',
+        'is_voter = state.replica in state.group.voters\n'
+        '        if not is_voter or not self._is_up_to_date(state, request):',
+        'replacements',
+    ),
+    Fault(
+        'a leader whose removal is not committed asks for no votes',
+        'control/election_rules.py',
+        'if not state.may_be_elected:',
+        'if state.replica not in state.group.voters:',
+        'replacements',
+    ),
+    Fault(
+        'a learner asks for votes',
+        'control/replica_states.py',
+        'if self.replica in self.group.voters:',
+        'if self.replica in self.group.members:',
+        'replacements',
+    ),
+    Fault(
+        'a learner that does not answer counts as ready',
+        'control/timed_consensus.py',
+        'and self._contacts.silence_ms(learner, now_ms) < limit_ms',
+        '',
+        'replacements',
+    ),
+    Fault(
+        'a learner counts only while its requests to join arrive',
+        'control/memberships.py',
+        'for replica in (*asking, *others)',
+        'for replica in asking',
+        'replacements',
+    ),
     Fault(
         'a late heartbeat restores a server that has left',
         'control/route_states.py',
@@ -267,14 +303,20 @@
     Fault(
         'a command is encoded within its batch',
         'control/replicas.py',
-        'Proposal(encode_command(command), future)',
-        'Proposal(command, future)',
+        'encode_command(command), future, find_subject(command)',
+        'command, future, find_subject(command)',
         'odd_entries',
         more=(
             Edit(
-                'control/replicas.py',
-                '[proposal.body for proposal in proposals]',
-                '[encode_command(each.body) for each in proposals]',
+                'control/proposals.py',
+                '[each.body for each in accepted]',
+                '[encode_command(each.body) for each in accepted]',
+            ),
+            Edit(
+                'control/proposals.py',
+                'from fuchsiacart.control.election_rules import Step',
+                'from fuchsiacart.control.commands import encode_command\n'
+                'from fuchsiacart.control.election_rules import Step',
             ),
         ),
     ),
