Let only the latest replica of a host ask to join

The leader keeps a request to join for 1.5 s, also that of a replica whose disk is lost meanwhile. Once that one is removed as a voter, its request made it a learner again in place of its successor on the same host; the successor asked again and took the place back, every 100 ms, until the request was too old. The group stayed at four voters meanwhile.

--- a/features/replacements.feature
+++ b/features/replacements.feature
@@ -53,3 +53,9 @@
     And leaders that lose power while a disk is replaced
     When the same host loses its disk and comes back 4 times in a row
     Then at each step the further losses that are tolerated leave a leader with all committed entries
+
+  Scenario: the requests of a lost replica to join do not displace its successor
+    Given groups of 5 voters in simulated time that lose and delay messages, one with a slow disk, seeds 1 to 10
+    And leaders that lose power while a disk is replaced
+    When the same host loses its disk and comes back 4 times in a row
+    Then no replica is a member again once it was removed
--- a/features/steps/replaced_host_steps.py
+++ b/features/steps/replaced_host_steps.py
@@ -1,6 +1,8 @@
 """Steps for control hosts that are replaced in simulated time."""
 
+from collections import defaultdict
 from itertools import combinations
+from itertools import pairwise
 
 from behave import given
 from behave import then
@@ -16,6 +18,7 @@
 from fuchsiacart.control.member_tasks import JOIN_INTERVAL_S
 from fuchsiacart.control.member_tasks import MAINTAIN_INTERVAL_S
 from fuchsiacart.control.memberships import find_candidates
+from fuchsiacart.control.memberships import latest_requests
 from fuchsiacart.control.memberships import next_group
 from fuchsiacart.control.replica_states import Group
 from fuchsiacart.control.replica_states import latest_group
@@ -76,8 +79,9 @@
         self.failures = []
         self.replacements = []
         self.committed = ()
+        self.history = []
         self._starts = {}
-        self._asking = {}
+        self._asking = defaultdict(dict)
         self._survivals = {}
         super().__init__(VOTER_COUNT, seed)
 
@@ -156,7 +160,7 @@
             if name in self.stopped or (name, leader) in self.cuts:
                 continue
             if name != leader and not self._is_lost():
-                self._asking.setdefault(leader, {})[name] = self.now_ms
+                self._asking[leader][name] = self.now_ms
 
     def _maintain(self, steps, state):
         is_pending = any(
@@ -164,17 +168,16 @@
             for entry in state.entries_from(state.commit_index + 1)
         )
         if state.role is Role.LEADER and not is_pending:
-            asking = tuple(
-                name
-                for name, asked_ms in self._asking.get(
-                    state.replica, {}
-                ).items()
+            requested_ms = {
+                name: asked_ms
+                for name, asked_ms in self._asking[state.replica].items()
                 if self.now_ms - asked_ms < CANDIDATE_TIMEOUT_MS
-            )
+            }
             planned = next_group(
                 state.group,
                 find_candidates(
-                    asking, steps.ready_learners(state, self.now_ms)
+                    latest_requests(requested_ms),
+                    steps.ready_learners(state, self.now_ms),
                 ),
                 steps.unresponsive_voters(state, self.now_ms),
                 VOTER_COUNT,
@@ -217,7 +220,10 @@
             self._check_losses()
 
     def _note_replacements(self):
-        voters = self._committed_group().voters
+        group = self._committed_group()
+        if not self.history or group != self.history[-1]:
+            self.history.append(group)
+        voters = group.voters
         for each in self.replacements:
             if each.lost in voters or each.successor not in voters:
                 continue
@@ -347,6 +353,16 @@
         assert not group.failures, group.failures[0]
 
 
+@then('no replica is a member again once it was removed')
+def then_none_returned(context):
+    for group in context.groups:
+        removed = set()
+        for before, after in pairwise(group.history):
+            removed |= set(before.members) - set(after.members)
+            returned = removed & set(after.members)
+            assert not returned, (group.seed, returned)
+
+
 @then('each new replica is a voter within the time to catch up')
 def then_replaced_in_time(context):
     limit_ms = SETTINGS.catch_up_s * 1000
--- a/fuchsiacart/control/member_tasks.py
+++ b/fuchsiacart/control/member_tasks.py
@@ -6,6 +6,7 @@
 from fuchsiacart.clocks import steady_ms
 from fuchsiacart.control.election_reports import describe_position
 from fuchsiacart.control.memberships import find_candidates
+from fuchsiacart.control.memberships import latest_requests
 from fuchsiacart.control.memberships import next_group
 from fuchsiacart.control_clients import ControlClient
 from fuchsiacart.exceptions import ChangeError
@@ -110,7 +111,8 @@
             if now_ms - requested_ms < CANDIDATE_TIMEOUT_MS
         }
         candidates = find_candidates(
-            tuple(self._join_requested_ms), self._replica.ready_learners()
+            latest_requests(self._join_requested_ms),
+            self._replica.ready_learners(),
         )
         return next_group(
             self._replica.state.group,
--- a/fuchsiacart/control/memberships.py
+++ b/fuchsiacart/control/memberships.py
@@ -21,6 +21,20 @@
     caught_up: bool
 
 
+def latest_requests(requested_ms):
+    """Return the replicas that ask to join, the latest of each host.
+
+    An earlier one of the same host has lost its disk; it would displace the
+    later one as a learner.
+
+    :param requested_ms: time of the last request of each replica.
+    """
+    latest = {}
+    for replica in sorted(requested_ms, key=requested_ms.get):
+        latest[host_of(replica)] = replica
+    return tuple(latest.values())
+
+
 def find_candidates(asking, ready):
     """Return a :class:`MemberCandidate` for each possible new voter.
 
--- a/tools/seeded_faults/control.py
+++ b/tools/seeded_faults/control.py
@@ -125,6 +125,13 @@
         'for replica in asking',
         'replacements',
     ),
+    Fault(
+        'the request of a lost replica to join counts beside its successor',
+        'control/memberships.py',
+        'latest[host_of(replica)] = replica',
+        'latest[replica] = replica',
+        'replacements',
+    ),
     Fault(
         'a late heartbeat restores a server that has left',
         'control/route_states.py',
