Show a group without a leader while it grows from three voters to five

The state that the model found is reached by the members that the product plans: a leader is cut off, appends the promotion of a learner (three voters to four) and so needs three votes; the next leader gives an entry to learners alone and loses its disk.

--- a/features/steps/replaced_host_steps.py
+++ b/features/steps/replaced_host_steps.py
@@ -30,7 +30,6 @@
 from models.fair_elections import restarted
 
 VOTER_COUNT = 5
-TOLERATED_LOSSES = 2
 ROUNDS = 20
 JOIN_INTERVAL_MS = int(JOIN_INTERVAL_S * 1000)
 MAINTAIN_INTERVAL_MS = int(MAINTAIN_INTERVAL_S * 1000)
@@ -43,6 +42,9 @@
 OUTAGE_MS = (300, 900)
 LEADER_LOSS_MS = 2000
 NEW_HOST = 'c5:1'
+SECOND_NEW_HOST = 'c6:1'
+CONNECTED_MS = (200, 1200)
+CUT_OFF_MS = (300, 1500)
 REPLACEMENT_LIMIT_MS = 30_000
 
 
@@ -67,10 +69,13 @@
     entries; ``failures`` describes the steps after which they do not.
 
     :param seed: seed of the timers and of the network.
+    :param founders: number of voters at the start; the losses that these
+        tolerate are checked, also while the group grows.
     """
 
-    def __init__(self, seed):
+    def __init__(self, seed, founders=VOTER_COUNT):
         self.random = make_random(seed, 'network')
+        self.tolerated_losses = founders // 2
         self.slow_host = None
         self.has_bad_network = False
         self.leader_loses_power = False
@@ -83,7 +88,7 @@
         self._starts = {}
         self._asking = defaultdict(dict)
         self._survivals = {}
-        super().__init__(VOTER_COUNT, seed)
+        super().__init__(founders, seed)
 
     def lose_disk(self, name, successor_host=None):
         """Lose a voter with its disk; a blank replica starts soon after.
@@ -115,6 +120,10 @@
         group = self._committed_group()
         return next(each for each in group.voters if host_of(each) == host)
 
+    def has_all_voters(self):
+        """Return True if the group has as many voters as it should have."""
+        return len(self._committed_group().voters) == VOTER_COUNT
+
     def is_replaced(self):
         """Return True if all lost voters are replaced."""
         return all(each.replaced_ms is not None for each in self.replacements)
@@ -233,7 +242,7 @@
     def _check_losses(self):
         """Check that the losses that are tolerated now leave a leader."""
         missing = sum(each.replaced_ms is None for each in self.replacements)
-        losses = TOLERATED_LOSSES - missing
+        losses = self.tolerated_losses - missing
         holding = [
             restarted(state) for state in self.states.values() if state.log
         ]
@@ -295,11 +304,13 @@
 
 
 @given(
-    'groups of 5 voters in simulated time that lose and delay messages, one'
-    ' with a slow disk, seeds {first:d} to {last:d}'
+    'groups of {founders:d} voters in simulated time that lose and delay'
+    ' messages, one with a slow disk, seeds {first:d} to {last:d}'
 )
-def given_replacing_groups(context, first, last):
-    context.groups = [ReplacingGroup(seed) for seed in range(first, last + 1)]
+def given_replacing_groups(context, founders, first, last):
+    context.groups = [
+        ReplacingGroup(seed, founders) for seed in range(first, last + 1)
+    ]
     for group in context.groups:
         group.has_bad_network = True
         group.slow_host = host_of(group.random.choice(group.names))
@@ -343,6 +354,21 @@
             finish_replacements(group)
 
 
+@when('two hosts join while the leader is cut off {count:d} times')
+def when_group_grows(context, count):
+    for group in context.groups:
+        for host in (NEW_HOST, SECOND_NEW_HOST):
+            group.add_host(host)
+        for _ in range(count):
+            group.run(group.random.randrange(*CONNECTED_MS))
+            leader = group.leader()
+            if leader is not None:
+                group.isolate(leader)
+            group.run(group.random.randrange(*CUT_OFF_MS))
+            group.cuts.clear()
+        assert group.run_until(group.has_all_voters, REPLACEMENT_LIMIT_MS)
+
+
 @then(
     'at each step the further losses that are tolerated leave a leader with'
     ' all committed entries'
