Log and count messages that a peer cannot decode, at both ends

Cause: a receiver refused what it could not decode without a line or a metric; too deep a nesting, or a kind that only another method takes, raised past the refusal, so that the sender heard "unknown". Senders drop refusals (renewals, replica messages, gossip). An answer that the caller could not decode raised a MsgspecError, which no caller expects: the pull and the renewal ended with it, and with them, after ten restarts, the process.

Now each method reads its own kinds of message. The call is refused as malformed, with the kind and the reason; a call whose answer cannot be decoded fails as one without an answer does. The receiver logs peer_request_not_decoded, the sender peer_request_refused or peer_answer_not_decoded, once in 10 s for each host and method, with the number of those left out; each message is counted.

--- /dev/null
+++ b/features/undecoded_messages.feature
@@ -0,0 +1,57 @@
+Feature: messages that a peer cannot decode
+
+  Scenario Outline: a request that cannot be decoded is no silence at either end
+    Given a process that answers behind a proxy
+    And the log of this process is kept
+    When it is called with a request <oddity>
+    Then the call is refused as malformed and not run
+    And the receiver has counted 1 requests that it could not decode
+    And the sender has counted 1 requests that were refused
+    And 1 lines of peer_request_not_decoded and 1 of peer_request_refused are logged
+    And it answers the next call
+
+    Examples:
+      | oddity                       |
+      | of an unknown kind           |
+      | of another method            |
+      | without a field              |
+      | with a field of another type |
+      | cut off                      |
+      | nested too deeply            |
+      | of no bytes                  |
+      | of no object                 |
+
+  Scenario Outline: an answer that cannot be decoded fails the call
+    Given a peer whose answers are messages <oddity>
+    And the log of this process is kept
+    When it is called
+    Then the call failed and may have run
+    And the caller has counted 1 answers that it could not decode
+    And 1 lines of peer_answer_not_decoded and 0 of peer_request_refused are logged
+
+    Examples:
+      | oddity                       |
+      | of an unknown kind           |
+      | of another method            |
+      | without a field              |
+      | with a field of another type |
+      | cut off                      |
+      | nested too deeply            |
+      | of no bytes                  |
+      | of no object                 |
+
+  Scenario: a request of a method that a peer does not offer is logged and counted
+    Given a process that answers behind a proxy
+    And the log of this process is kept
+    When it is called by a method that it does not offer
+    Then the call failed and may have run
+    And the sender has counted 1 requests that were refused
+    And 0 lines of peer_request_not_decoded and 1 of peer_request_refused are logged
+
+  Scenario: many calls that cannot be decoded are all counted but fill no log
+    Given a process that answers behind a proxy
+    And the log of this process is kept
+    When it is called 200 times with a request of an unknown kind
+    Then the receiver has counted 200 requests that it could not decode
+    And the sender has counted 200 requests that were refused
+    And 1 lines of peer_request_not_decoded and 1 of peer_request_refused are logged
--- a/fuchsiacart/adapters.py
+++ b/fuchsiacart/adapters.py
@@ -5,8 +5,6 @@
 from asyncio import CancelledError
 from asyncio import current_task
 from asyncio import TimeoutError as AsyncTimeoutError
-from enum import Enum
-from enum import unique
 from hmac import compare_digest
 from time import monotonic
 
@@ -17,18 +15,21 @@
 from grpc import ssl_channel_credentials
 from grpc import ssl_server_credentials
 from grpc import StatusCode
-from msgspec.msgpack import Decoder
 from msgspec.msgpack import encode
-from msgspec import MsgspecError
 
+from fuchsiacart.decoding import decode_body
 from fuchsiacart.exceptions import ErrorKind
 from fuchsiacart.exceptions import FuchsiacartError
 from fuchsiacart.exceptions import Run
 from fuchsiacart.exceptions import TransportError
+from fuchsiacart.exceptions import UndecodedError
 from fuchsiacart.logs import log_error
 from fuchsiacart.logs import log_warning
-from fuchsiacart.messages import PeerMessage
 from fuchsiacart.messages import Refusal
+from fuchsiacart.methods import ANSWER_DECODERS
+from fuchsiacart.methods import Method
+from fuchsiacart.methods import REQUEST_DECODERS
+from fuchsiacart.peer_reports import PeerReports
 from fuchsiacart.peering_pb2 import Packet
 from fuchsiacart.peering_pb2_grpc import add_PeeringServicer_to_server
 from fuchsiacart.peering_pb2_grpc import PeeringServicer
@@ -37,7 +38,6 @@
 MESSAGE_LIMIT_BYTES = 256 * 1024 * 1024
 SILENCE_LIMIT_S = 2.0
 TOKEN_METADATA_KEY = 'peer-token'
-MESSAGE_DECODER = Decoder(PeerMessage)
 GRPC_OPTIONS = (
     ('grpc.max_receive_message_length', MESSAGE_LIMIT_BYTES),
     ('grpc.max_send_message_length', MESSAGE_LIMIT_BYTES),
@@ -50,19 +50,6 @@
 )
 
 
-@unique
-class Method(Enum):
-    """Methods of the gRPC service that the processes offer each other."""
-
-    DELIVER = 'Deliver'
-    KEEP_ALIVE = 'KeepAlive'
-    PROPOSE = 'Propose'
-    PULL = 'Pull'
-    GOSSIP = 'Gossip'
-    ANNOUNCE = 'Announce'
-    FORWARD = 'Forward'
-
-
 class PeerAdapter(ABC):
     """Interface for calls to other processes of the system."""
 
@@ -116,6 +103,7 @@
             with open(certificate_file, 'rb') as file:
                 self._credentials = ssl_channel_credentials(file.read())
         self._channels = {}
+        self._reports = PeerReports()
 
     async def call(self, address, method, message, timeout_s):
         """See :meth:`PeerAdapter.call`."""
@@ -136,6 +124,10 @@
             ) from error
         except AioRpcError as error:
             await self._drop_if_silent(address, channel, error)
+            if error.code() is StatusCode.UNIMPLEMENTED:
+                self._reports.request_refused(
+                    method, address, 'the method is not known there'
+                )
             run = Run.UNKNOWN
             if _is_refused_connection(error):
                 run = Run.NO
@@ -143,7 +135,7 @@
                 f'{address}: {error.code().name.lower()}', run=run
             ) from error
         channel.last_answer_s = monotonic()
-        return _decode_answer(packet.body)
+        return self._read_answer(address, method, packet.body)
 
     async def close(self):
         """See :meth:`PeerAdapter.close`."""
@@ -157,6 +149,22 @@
             self._channels[address] = _Channel(address, self._credentials)
         return self._channels[address]
 
+    def _read_answer(self, address, method, body):
+        try:
+            answer = decode_body(ANSWER_DECODERS[method], body)
+        except UndecodedError as error:
+            self._reports.answer_not_decoded(method, address, error.detail)
+            raise TransportError(
+                f'{address}: {error.detail}', run=Run.UNKNOWN
+            ) from error
+        if not isinstance(answer, Refusal):
+            return answer
+        if answer.kind is ErrorKind.BAD_REQUEST:
+            self._reports.request_refused(method, address, answer.detail)
+        raise FuchsiacartError(
+            answer.detail, answer.kind, answer.run, answer.retry_after_ms
+        )
+
     async def _drop_if_silent(self, address, channel, error):
         if error.code() is not StatusCode.DEADLINE_EXCEEDED:
             return
@@ -186,20 +194,12 @@
     return 'failed to connect' in details or 'refused' in details
 
 
-def _decode_answer(body):
-    answer = MESSAGE_DECODER.decode(body)
-    if isinstance(answer, Refusal):
-        raise FuchsiacartError(
-            answer.detail, answer.kind, answer.run, answer.retry_after_ms
-        )
-    return answer
-
-
 class _Servicer(PeeringServicer):
     """Checks the token of each call and passes it to its handler."""
 
     def __init__(self, token, handlers):
         self._token = token
+        self._reports = PeerReports()
         for method in Method:
             handler = handlers.get(method)
             if handler is not None:
@@ -211,34 +211,30 @@
             token = str(metadata.get(TOKEN_METADATA_KEY, ''))
             if not compare_digest(token.encode(), self._token.encode()):
                 await context.abort(StatusCode.UNAUTHENTICATED, 'token')
-            return Packet(
-                body=encode(await run_handler(method, handler, packet))
-            )
+            reply = await self._run_handler(method, handler, packet, context)
+            return Packet(body=encode(reply))
 
         return answer
 
-
-async def run_handler(method, handler, packet):
-    """Run the handler of a call and return its answer.
-
-    Errors of the handler are returned as a :class:`Refusal`.
-
-    :param method: the :class:`Method` called.
-    :param handler: coroutine function that takes the message and returns
-        the answer.
-    :param packet: the :class:`Packet` received.
-    """
-    try:
-        return await handler(MESSAGE_DECODER.decode(packet.body))
-    except FuchsiacartError as error:
-        return Refusal(
-            error.kind, error.detail, error.run, error.retry_after_ms
-        )
-    except MsgspecError as error:
-        return Refusal(ErrorKind.BAD_REQUEST, str(error))
-    except (AsyncTimeoutError, OSError, ValueError, KeyError) as error:
-        log_error('peer_call_failed', method=method.value, error=repr(error))
-        return Refusal(ErrorKind.INTERNAL, repr(error), Run.UNKNOWN)
+    async def _run_handler(self, method, handler, packet, context):
+        """Run a handler; return its answer, or its error as a Refusal."""
+        try:
+            request = decode_body(REQUEST_DECODERS[method], packet.body)
+            return await handler(request)
+        except UndecodedError as error:
+            # The port is that of one connection.
+            peer = context.peer().rpartition(':')[0]
+            self._reports.request_not_decoded(method, peer, error.detail)
+            return Refusal(error.kind, error.detail, error.run)
+        except FuchsiacartError as error:
+            return Refusal(
+                error.kind, error.detail, error.run, error.retry_after_ms
+            )
+        except (AsyncTimeoutError, OSError, ValueError, KeyError) as error:
+            log_error(
+                'peer_call_failed', method=method.value, error=repr(error)
+            )
+            return Refusal(ErrorKind.INTERNAL, repr(error), Run.UNKNOWN)
 
 
 class PeerServer:
--- a/fuchsiacart/exceptions.py
+++ b/fuchsiacart/exceptions.py
@@ -160,3 +160,9 @@
     """A host could not be reached or did not answer in time."""
 
     kind = ErrorKind.UNREACHABLE
+
+
+class UndecodedError(FuchsiacartError):
+    """Bytes of another process cannot be decoded by this build."""
+
+    kind = ErrorKind.BAD_REQUEST
--- a/fuchsiacart/metrics.py
+++ b/fuchsiacart/metrics.py
@@ -91,6 +91,16 @@
     'Orders refused since they may be outdated, by reason',
     ['reason'],
 )
+PEER_MESSAGES_NOT_DECODED = Counter(
+    'fuchsiacart_peer_messages_not_decoded_total',
+    'Messages of other processes that this one could not decode',
+    ['method', 'part'],
+)
+PEER_MESSAGES_REFUSED = Counter(
+    'fuchsiacart_peer_messages_refused_total',
+    'Requests that other processes refused as malformed or unknown',
+    ['method'],
+)
 QUARANTINED = Counter(
     'fuchsiacart_quarantined_total', 'Requests put into quarantine'
 )
