Count a pull whose changes cannot be unpacked as a failed one

What operators would see: a host that pulls from a parent of another build ends its pull with a traceback; after ten restarts the process ends.

Cause: read_deltas and unpack_view raised MsgspecError, LZMAError or RecursionError, which the loop of the pulls does not expect. A reply counted as a good one before it was read.

Now such a reply is a failed pull: counted, logged as peer_answer_not_decoded, and the next parent is asked.

Evidence: 7 more scenarios in features/undecoded_messages.feature (view or changes cut off, not packed, of another kind, nested): red before, green after.

--- a/features/steps/undecoded_message_steps.py
+++ b/features/steps/undecoded_message_steps.py
@@ -1,6 +1,12 @@
 """Steps for messages that cannot be decoded, over real channels."""
 
+from asyncio import create_task
+from asyncio import gather
+from asyncio import run
+from asyncio import sleep
 from logging import Handler
+from lzma import compress
+from time import monotonic
 
 from absl import logging
 from behave import given
@@ -13,8 +19,12 @@
 from features.steps.connection_steps import ConnectionFixture
 from features.steps.connection_steps import TIMEOUT_S
 from fuchsiacart.adapters import Method
+from fuchsiacart.adapters import PeerAdapter
+from fuchsiacart.control.pulls import pack_view
+from fuchsiacart.control.states import ViewSnapshot
 from fuchsiacart.exceptions import FuchsiacartError
 from fuchsiacart.exceptions import Run
+from fuchsiacart.host_tasks import ViewReplicator
 from fuchsiacart.messages import GossipReply
 from fuchsiacart.messages import GossipRequest
 from fuchsiacart.messages import PullReply
@@ -22,6 +32,8 @@
 
 NOT_DECODED = 'fuchsiacart_peer_messages_not_decoded_total'
 REFUSED = 'fuchsiacart_peer_messages_refused_total'
+PULL_LIMIT_S = 5.0
+PARENT_VIEW = ViewSnapshot(7, (), (), (), ())
 TOO_DEEP = b'\x91' * 100_000 + b'\xc0'
 
 
@@ -119,6 +131,70 @@
     context.resources.callback(context.connection.close)
 
 
+class Parents(PeerAdapter):
+    """Two parents; the first one answers with bytes of its own."""
+
+    def __init__(self, odd_reply):
+        self._odd_reply = odd_reply
+        self.calls = []
+
+    async def call(self, address, method, message, timeout_s):
+        """See :meth:`PeerAdapter.call`."""
+        await sleep(0.01)
+        self.calls.append(address)
+        if address == 'first:1':
+            return self._odd_reply
+        return PullReply(packed_view=pack_view(PARENT_VIEW))
+
+    async def close(self):
+        """See :meth:`PeerAdapter.close`."""
+
+
+@given('two parents of which the first answers with {packed}')
+def given_parents(context, packed):
+    deep = compress(TOO_DEEP)
+    delta = {'revision': 1, 'body': {'type': 'Unheard'}}
+    replies = {
+        'a view cut off': PullReply((), pack_view(PARENT_VIEW)[:-1]),
+        'a view that is not packed': PullReply((), encode(PARENT_VIEW)),
+        'a view without a field': PullReply((), compress(encode({}))),
+        'a view of nested lists': PullReply((), deep),
+        'changes cut off': PullReply((), b'', compress(encode(()))[:-1]),
+        'changes that are not packed': PullReply((), b'', b'changes'),
+        'a change of an unknown kind': PullReply(
+            (), b'', compress(encode([delta]))
+        ),
+    }
+    context.parents = Parents(replies[packed])
+
+
+@when('a host pulls from them')
+def when_pulled(context):
+    """Pull until a view is there, and a few times more."""
+
+    async def pull():
+        views = ViewReplicator(context.parents, ('first:1', 'second:1'))
+        context.views = views
+        task = create_task(views.run(lambda: 0))
+        until_s = monotonic() + PULL_LIMIT_S
+        while monotonic() < until_s and len(context.parents.calls) < 4:
+            await sleep(0.01)
+            if task.done():
+                break
+        context.pull_ended = task.done()
+        task.cancel()
+        await gather(task, return_exceptions=True)
+
+    run(pull())
+
+
+@then('it gets the view of the second parent and goes on')
+def then_view(context):
+    assert not context.pull_ended
+    assert context.views.replicated_state.revision == PARENT_VIEW.revision
+    assert len(context.parents.calls) >= 4, context.parents.calls
+
+
 @given('the log of this process is kept')
 def given_log(context):
     context.log = KeptLog()
--- a/features/undecoded_messages.feature
+++ b/features/undecoded_messages.feature
@@ -55,3 +55,21 @@
     Then the receiver has counted 200 requests that it could not decode
     And the sender has counted 200 requests that were refused
     And 1 lines of peer_request_not_decoded and 1 of peer_request_refused are logged
+
+  Scenario Outline: changes that cannot be unpacked are pulled from another parent
+    Given two parents of which the first answers with <packed>
+    And the log of this process is kept
+    When a host pulls from them
+    Then it gets the view of the second parent and goes on
+    And the caller has counted 1 answers that it could not decode
+    And 1 lines of peer_answer_not_decoded and 0 of peer_request_refused are logged
+
+    Examples:
+      | packed                     |
+      | a view cut off             |
+      | a view that is not packed  |
+      | a view without a field     |
+      | a view of nested lists     |
+      | changes cut off            |
+      | changes that are not packed |
+      | a change of an unknown kind |
--- a/fuchsiacart/control/pulls.py
+++ b/fuchsiacart/control/pulls.py
@@ -2,12 +2,15 @@
 
 from lzma import compress
 from lzma import decompress
+from lzma import LZMAError
 
 from msgspec.msgpack import Decoder
 from msgspec.msgpack import encode
 
 from fuchsiacart.control.states import Delta
 from fuchsiacart.control.states import ViewSnapshot
+from fuchsiacart.decoding import decode_body
+from fuchsiacart.exceptions import UndecodedError
 from fuchsiacart.messages import PullReply
 
 MAX_PULL_S = 10.0
@@ -27,15 +30,28 @@
 
 
 def unpack_view(packed):
-    """Return the :class:`ViewSnapshot` from compressed bytes."""
-    return VIEWS.decode(decompress(packed))
+    """Return the :class:`ViewSnapshot` from compressed bytes.
+
+    :raises UndecodedError: if this build cannot read them.
+    """
+    return decode_body(VIEWS, _unpack(packed))
 
 
 def read_deltas(reply):
-    """Return the deltas of a :class:`PullReply`."""
+    """Return the deltas of a :class:`PullReply`.
+
+    :raises UndecodedError: if this build cannot read them.
+    """
     if not reply.packed_deltas:
         return reply.deltas
-    return DELTAS.decode(decompress(reply.packed_deltas))
+    return decode_body(DELTAS, _unpack(reply.packed_deltas))
+
+
+def _unpack(packed):
+    try:
+        return decompress(packed)
+    except LZMAError as error:
+        raise UndecodedError(f'cannot be unpacked: {error}') from error
 
 
 class ViewPacker:
--- a/fuchsiacart/decoding.py
+++ b/fuchsiacart/decoding.py
@@ -8,7 +8,7 @@
 
 # Nesting beyond the interpreter's limit is no MsgspecError.
 DECODE_ERRORS = (MsgspecError, RecursionError)
-UNKNOWN_KIND = 'unknown'
+UNKNOWN_KIND = 'a body of unknown kind'
 KIND_LIMIT = 80
 
 
--- a/fuchsiacart/host_tasks.py
+++ b/fuchsiacart/host_tasks.py
@@ -12,6 +12,7 @@
 from fuchsiacart.control.pulls import unpack_view
 from fuchsiacart.control.pulls import ViewPacker
 from fuchsiacart.exceptions import FuchsiacartError
+from fuchsiacart.exceptions import UndecodedError
 from fuchsiacart.leases import Lease
 from fuchsiacart.logs import log_event
 from fuchsiacart.logs import log_warning
@@ -21,6 +22,7 @@
 from fuchsiacart.metrics import LEASE_LEFT
 from fuchsiacart.metrics import REVISION
 from fuchsiacart.models import HostState
+from fuchsiacart.peer_reports import PeerReports
 from fuchsiacart.revision_notifiers import RevisionNotifier
 from fuchsiacart.views import View
 from fuchsiacart.views import with_state
@@ -50,6 +52,7 @@
         self._parents = self._control_addresses
         self._parent_index = 0
         self._failed_pulls = 0
+        self._reports = PeerReports()
         self.notifier = RevisionNotifier(
             lambda: self.replicated_state.revision
         )
@@ -138,18 +141,30 @@
         reply = await self._adapter.call(
             address, Method.PULL, request, self.pull_timeout_s
         )
+        snapshot, deltas = self._unpack(address, reply)
         self._record_pull()
         has_changed = False
-        if reply.packed_view:
-            has_changed = self.replicated_state.restore(
-                unpack_view(reply.packed_view)
-            )
-        has_changed |= self.replicated_state.advance(read_deltas(reply))
+        if snapshot is not None:
+            has_changed = self.replicated_state.restore(snapshot)
+        has_changed |= self.replicated_state.advance(deltas)
         if has_changed:
             self._notify()
         if self._answer_listener is not None:
             self._answer_listener()
 
+    def _unpack(self, address, reply):
+        """Return the snapshot of a reply, None without one, and its deltas."""
+        try:
+            snapshot = None
+            if reply.packed_view:
+                snapshot = unpack_view(reply.packed_view)
+            return snapshot, read_deltas(reply)
+        except UndecodedError as error:
+            self._reports.answer_not_decoded(
+                Method.PULL, address, error.detail
+            )
+            raise
+
     def _notify(self):
         REVISION.set(self.replicated_state.revision)
         self.notifier.notify()
