--- a/features/steps/undecoded_message_steps.py
+++ b/features/steps/undecoded_message_steps.py
@@ -4,6 +4,8 @@
 from asyncio import gather
 from asyncio import run
 from asyncio import sleep
+from asyncio import TimeoutError as AsyncTimeoutError
+from asyncio import wait_for
 from logging import Handler
 from lzma import compress
 from time import monotonic
@@ -18,13 +20,20 @@
 
 from features.steps.connection_steps import ConnectionFixture
 from features.steps.connection_steps import TIMEOUT_S
+from features.steps.control_group_steps import make_change
 from fuchsiacart.adapters import Method
 from fuchsiacart.adapters import PeerAdapter
 from fuchsiacart.control.pulls import pack_view
+from fuchsiacart.control.replica_messages import AppendRequest
+from fuchsiacart.control.replica_messages import SnapshotRequest
+from fuchsiacart.control.replica_states import Entry
+from fuchsiacart.control.states import StoredState
 from fuchsiacart.control.states import ViewSnapshot
+from fuchsiacart.exceptions import ErrorKind
 from fuchsiacart.exceptions import FuchsiacartError
 from fuchsiacart.exceptions import Run
 from fuchsiacart.host_tasks import ViewReplicator
+from fuchsiacart.messages import Deliver
 from fuchsiacart.messages import GossipReply
 from fuchsiacart.messages import GossipRequest
 from fuchsiacart.messages import PullReply
@@ -273,3 +282,72 @@
 def then_answers_next(context):
     error = call(context, Method.PULL, PullRequest(1, 1))
     assert error is None, error
+
+
+def make_odd_content(content):
+    """Return the bytes of a command or a snapshot with an oddity."""
+    delta = {'revision': 1, 'body': {'type': 'Unheard'}}
+    return {
+        'a command of an unknown kind': encode({'type': 'Unheard'}),
+        'a command without a field': encode({'type': 'LeaveHost'}),
+        'a command cut off': encode(make_change(0))[:-1],
+        'a command nested too deeply': encode(
+            {'type': 'LeaveHost', 'colour': Raw(TOO_DEEP)}
+        ),
+        'a snapshot with a strange delta': encode({'deltas': [delta]}),
+        'a snapshot cut off': encode(StoredState())[:-1],
+        'a snapshot nested too deeply': encode({'colour': Raw(TOO_DEEP)}),
+    }[content]
+
+
+@when('a follower is sent {content} by the leader')
+def when_sent(context, content):
+    """Send what follows the follower's log, as committed."""
+    control = context.control
+    control.run(control.wait_until_applied())
+    leader = control.network.replicas[control.first_leader]
+    state = control.network.replicas[control.follower].state
+    context.index_before = state.last_index
+    index = state.last_index + 1
+    body = make_odd_content(content)
+    if 'snapshot' in content:
+        message = SnapshotRequest(
+            leader.replica,
+            state.term,
+            index,
+            state.term,
+            state.group,
+            body,
+            1_000_000,
+        )
+    else:
+        message = AppendRequest(
+            leader.replica,
+            state.term,
+            state.last_index,
+            state.last_term,
+            (Entry(state.term, body),),
+            index,
+            1_000_000,
+        )
+    context.error = None
+    service = control.services[control.follower]
+    try:
+        control.run(wait_for(service.on_deliver(Deliver(message)), TIMEOUT_S))
+    except (FuchsiacartError, AsyncTimeoutError) as error:
+        context.error = error
+
+
+@then("it is refused as malformed and the follower's log is as before")
+def then_log_kept(context):
+    control = context.control
+    assert isinstance(context.error, FuchsiacartError), repr(context.error)
+    assert context.error.kind is ErrorKind.BAD_REQUEST, context.error
+    state = control.network.replicas[control.follower].state
+    assert state.last_index == context.index_before, state.last_index
+
+
+@then('the follower runs on')
+def then_runs_on(context):
+    control = context.control
+    assert not control.tasks[control.follower].done()
--- a/features/undecoded_messages.feature
+++ b/features/undecoded_messages.feature
@@ -73,3 +73,23 @@
       | changes cut off            |
       | changes that are not packed |
       | a change of an unknown kind |
+
+  Scenario Outline: what no replica of this build can apply is not taken into its log
+    Given 3 control hosts on a network that can be cut
+    And a leader has been elected
+    And 3 changes are accepted
+    When a follower is sent <content> by the leader
+    Then it is refused as malformed and the follower's log is as before
+    And the follower runs on
+    When 2 changes are accepted
+    Then a change accepted meanwhile is on all hosts
+
+    Examples:
+      | content                         |
+      | a command of an unknown kind    |
+      | a command without a field       |
+      | a command cut off               |
+      | a command nested too deeply     |
+      | a snapshot with a strange delta |
+      | a snapshot cut off              |
+      | a snapshot nested too deeply    |
--- a/fuchsiacart/control/leaders.py
+++ b/fuchsiacart/control/leaders.py
@@ -14,6 +14,7 @@
 from fuchsiacart.control.commands import MarkInForce
 from fuchsiacart.control.gateway_reports import GatewayReports
 from fuchsiacart.control.limit_shares import ShareLedger
+from fuchsiacart.control.message_checks import check_message
 from fuchsiacart.control.order_checks import confirm_caller
 from fuchsiacart.control.outcomes import Outcome
 from fuchsiacart.control.pulls import answer_pull
@@ -93,7 +94,9 @@
         """Pass a message of the replicated log to the replica.
 
         :return: a :class:`Deliver` with the response, or :class:`Done`.
+        :raises UndecodedError: if this build cannot apply what it brings.
         """
+        check_message(request.message)
         response = await self._replica.respond(request.message)
         return Done() if response is None else Deliver(response)
 
