Stop at a disk that this build cannot read, and leave it as it is

Its identity is rewritten each time.

Cause: nothing on disk names its format; records are decoded without a refusal, commands only when they are applied; the identity was written first, and the torn end cut while the log was read.

Now a data folder has a file `format` (1). All is read before anything is written.

A log record of more than 256 MiB is still taken for a torn end; no message can carry one, and no change here.

--- a/features/compatibility.feature
+++ b/features/compatibility.feature
@@ -14,6 +14,12 @@
     When each writes a data folder with a log
     Then the other one reads its whole log
 
+  Scenario: the build in production passes over the mark of a disk's format
+    Given the build in production and this one
+    When this one writes a data folder, which that one and this one then open
+    Then each of them reads its whole log
+    And the folder is marked with format 1 all the time
+
   Scenario: a proposal that names its index is a plain one to a build that names none
     Given the build 3bcc90a and this one
     Then this one writes proposals with seen_index
--- a/features/steps/compatibility_steps.py
+++ b/features/steps/compatibility_steps.py
@@ -1,5 +1,6 @@
 """Steps that run the product of two builds, one beside the other."""
 
+from pathlib import Path
 from shutil import rmtree
 from tempfile import mkdtemp
 
@@ -8,7 +9,10 @@
 from behave import when
 from msgspec.json import decode
 from msgspec.msgpack import decode as decode_packed
+from msgspec.msgpack import encode as encode_packed
 
+from fuchsiacart.control.disk_formats import FORMAT_FILE
+from fuchsiacart.control.records import frame
 from tools.compatibility.builds import KEPT_SAMPLES
 from tools.compatibility import lay_out_build
 from tools.compatibility import production_commit
@@ -66,6 +70,19 @@
     ]
 
 
+@when('this one writes a data folder, which that one and this one then open')
+def when_opened_in_turn(context):
+    folder = Path(mkdtemp(prefix='fuchsiacart-build-'))
+    context.resources.callback(rmtree, folder)
+    production, own = context.builds
+    context.saved = [run_samples(own, 'save', None, str(folder))]
+    context.marks = [(folder / FORMAT_FILE).read_bytes()]
+    context.loaded = []
+    for build in (production, own):
+        context.loaded.append(run_samples(build, 'load', None, str(folder)))
+        context.marks.append((folder / FORMAT_FILE).read_bytes())
+
+
 @when('a build of {commit} is laid out')
 def when_laid_out(context, commit):
     context.error = ''
@@ -108,6 +125,18 @@
         assert len(names) == count > 1, (names, count)
 
 
+@then('each of them reads its whole log')
+def then_opened(context):
+    counts = [len(names) for names in context.loaded]
+    assert counts == context.saved * 2 and counts[0] > 1, counts
+
+
+@then('the folder is marked with format 1 all the time')
+def then_marked(context):
+    mark = frame(encode_packed({'format': 1}))
+    assert context.marks == [mark] * 3, context.marks
+
+
 @then('this one writes proposals with seen_index')
 def then_index_written(context):
     assert 'seen_index' in read_proposal(context.written[1])
--- a/fuchsiacart/control/journals.py
+++ b/fuchsiacart/control/journals.py
@@ -1,10 +1,11 @@
 """Durable files of one control host: identity, snapshot and log.
 
-A data folder holds ``identity``, and pairs of ``snapshot-N`` and ``log-N``
-where N is the index of the last entry in the snapshot.  Each record has a
-length, an XXH64 checksum and a body in MessagePack.  A torn record at the
-end of a log is truncated.  A damaged record that is followed by a valid one
-is an error.
+A data folder holds ``format``, see :mod:`disk_formats`, ``identity``, and
+pairs of ``snapshot-N`` and ``log-N`` where N is the index of the last entry in
+the snapshot.  Each record has a length, an XXH64 checksum and a body in
+MessagePack.  A torn record at the end of a log is truncated.  A damaged record
+that is followed by a valid one is an error, and so is a valid record that this
+build cannot decode.  Nothing is written before all has been read.
 """
 
 from os import close as os_close
@@ -13,25 +14,32 @@
 from os import O_RDONLY
 from os import open as os_open
 from pathlib import Path
-from struct import Struct as Layout
 from uuid import uuid4
 
 from msgspec.msgpack import Decoder
 from msgspec.msgpack import encode
 from msgspec import Struct
-from xxhash import xxh64_intdigest
-
+from msgspec.structs import replace
+
+from fuchsiacart.control.disk_formats import describe_formats
+from fuchsiacart.control.disk_formats import FORMAT
+from fuchsiacart.control.disk_formats import FORMAT_FILE
+from fuchsiacart.control.disk_formats import FormatMark
+from fuchsiacart.control.disk_formats import read_format
+from fuchsiacart.control.records import frame
+from fuchsiacart.control.records import has_record_after
+from fuchsiacart.control.records import HEADER
+from fuchsiacart.control.records import read_frame
 from fuchsiacart.control.replica_states import Entry
 from fuchsiacart.control.replica_states import Group
 from fuchsiacart.control.replica_states import latest_group
 from fuchsiacart.control.replica_states import ReplicaState
+from fuchsiacart.decoding import decode_body
 from fuchsiacart.exceptions import JournalError
+from fuchsiacart.exceptions import UndecodedError
 from fuchsiacart.logs import log_warning
 from fuchsiacart.models import ReplicaId
 
-HEADER = Layout('>IQ')
-RECORD_LIMIT_BYTES = 256 * 1024 * 1024
-
 
 class Identity(Struct, frozen=True):
     """The id of a replica, which is valid as long as its data folder.
@@ -78,40 +86,11 @@
 
 Record = HardState | Append | Snapshot | Batch
 
-RECORDS = Decoder(Record)
+SNAPSHOTS = Decoder(Snapshot)
+LOG_RECORDS = Decoder(HardState | Append | Batch)
 IDENTITIES = Decoder(Identity)
 
 
-def frame(body):
-    """Return a record: a header with length and checksum, and the body."""
-    return HEADER.pack(len(body), xxh64_intdigest(body)) + body
-
-
-def read_frame(data, offset):
-    """Read the body of a record.
-
-    :param data: content of a file.
-    :param offset: start of the record in it.
-    :return: the body, or None if no complete valid record starts there.
-    """
-    start = offset + HEADER.size
-    if start > len(data):
-        return None
-    length, checksum = HEADER.unpack_from(data, offset)
-    if length > RECORD_LIMIT_BYTES or start + length > len(data):
-        return None
-    body = data[start : start + length]
-    if xxh64_intdigest(body) != checksum:
-        return None
-    return body
-
-
-def has_record_after(data, offset):
-    """Return True if a valid record starts anywhere after an offset."""
-    last = len(data) - HEADER.size
-    return any(read_frame(data, at) for at in range(offset + 1, last))
-
-
 class RecoveredState(Struct, frozen=True):
     """The durable state of a replica, and the snapshot if there is one."""
 
@@ -119,13 +98,28 @@
     snapshot: bytes | None
 
 
+class _LogContent(Struct, frozen=True):
+    """What was read of a log.
+
+    ``size_bytes`` is that of the file, ``end`` where its last valid record
+    ends.
+    """
+
+    term: int = 0
+    voted_for: ReplicaId | None = None
+    entries: tuple[Entry, ...] = ()
+    end: int = 0
+    size_bytes: int = 0
+
+
 class Journal:
     """The journal files of one replica.
 
     :param folder: the data folder; created if it does not exist.
     :param first_replica: id of a replica in a new folder, or None for a
         random one that was never used before.
-    :raises JournalError: if the identity is damaged, or missing beside a log.
+    :raises JournalError: if the identity is damaged, or missing beside a log,
+        or a later build has written the folder.
     """
 
     def __init__(self, folder, first_replica=None):
@@ -134,33 +128,36 @@
         self._folder.mkdir(parents=True, exist_ok=True)
         self._log = None
         self._log_path = None
-        self.identity = self._open_identity()
+        self._format = read_format(self._folder)
+        self.identity = self._next_identity()
 
-    def load(self):
+    def load(self, check=None):
         """Read the latest snapshot and its log.
 
+        :param check: called with the :class:`RecoveredState` before anything
+            is written; raises :class:`UndecodedError` to refuse it.
         :return: the :class:`RecoveredState`.
-        :raises JournalError: if a file is damaged before its end.
+        :raises JournalError: if a file is damaged before its end, or cannot be
+            read by this build; the folder is left as it is.
         """
-        state = ReplicaState(self.identity.replica)
-        body = None
         base = self._newest_base()
+        recovered, content = self._recover(base or 0)
+        if check is not None:
+            try:
+                check(recovered)
+            except UndecodedError as error:
+                raise self._unreadable(error.detail) from error
+        if self._format != FORMAT:
+            self._write_file(FORMAT_FILE, frame(encode(FormatMark(FORMAT))))
+        self._write_file('identity', frame(encode(self.identity)))
         if base is None:
             self._start_log(0, b'')
-            return RecoveredState(state, None)
-        if base > 0:
-            snapshot = self._read_snapshot(base)
-            body = snapshot.body
-            state = ReplicaState(
-                self.identity.replica,
-                base_index=snapshot.index,
-                base_term=snapshot.term,
-                base_group=snapshot.group,
-                group=snapshot.group,
-                commit_index=snapshot.index,
-            )
-        state = self._replay(state, base)
-        return RecoveredState(state, body)
+            return recovered
+        self._log_path = self._folder / f'log-{base}'
+        if content.end < content.size_bytes:
+            self._truncate_torn_record(content)
+        self._log = open(self._log_path, 'ab')
+        return recovered
 
     def save(self, before, after):
         """Append the difference between two states to the log, durably.
@@ -210,21 +207,27 @@
         if self._log is not None:
             self._log.close()
 
-    def _open_identity(self):
+    def _next_identity(self):
         path = self._folder / 'identity'
         if path.exists():
             body = read_frame(path.read_bytes(), 0)
             if body is None:
                 raise JournalError(f'{path} is damaged')
-            previous = IDENTITIES.decode(body)
-            identity = Identity(previous.replica, previous.boots + 1)
-        elif any(self._folder.glob('log-*')):
+            previous = self._decode(IDENTITIES, body, str(path))
+            return Identity(previous.replica, previous.boots + 1)
+        if any(self._folder.glob('log-*')):
             raise JournalError(f'{path} is missing but there is a log')
-        else:
-            replica = self._first_replica or uuid4().hex
-            identity = Identity(ReplicaId(replica), 1)
-        self._write_file('identity', frame(encode(identity)))
-        return identity
+        replica = self._first_replica or uuid4().hex
+        return Identity(ReplicaId(replica), 1)
+
+    def _decode(self, decoder, body, place):
+        try:
+            return decode_body(decoder, body)
+        except UndecodedError as error:
+            raise self._unreadable(f'{place}: {error.detail}') from error
+
+    def _unreadable(self, detail):
+        return JournalError(f'{detail}; {describe_formats(self._format)}')
 
     def _write_file(self, name, data):
         path = self._folder / name
@@ -257,24 +260,52 @@
             return None
         return max(complete)
 
+    def _recover(self, base):
+        """Return the :class:`RecoveredState` and what was read of the log."""
+        state = ReplicaState(self.identity.replica)
+        body = None
+        if base > 0:
+            snapshot = self._read_snapshot(base)
+            body = snapshot.body
+            state = ReplicaState(
+                self.identity.replica,
+                base_index=snapshot.index,
+                base_term=snapshot.term,
+                base_group=snapshot.group,
+                commit_index=snapshot.index,
+            )
+        content = self._read_log(base)
+        state = replace(
+            state,
+            term=content.term,
+            voted_for=content.voted_for,
+            log=content.entries,
+            group=latest_group(state.base_group, content.entries),
+        )
+        return RecoveredState(state, body), content
+
     def _read_snapshot(self, base):
         path = self._folder / f'snapshot-{base}'
         body = read_frame(path.read_bytes(), 0)
         if body is None:
             raise JournalError(f'{path} is damaged')
-        return RECORDS.decode(body)
+        return self._decode(SNAPSHOTS, body, str(path))
 
-    def _replay(self, state, base):
+    def _read_log(self, base):
         path = self._folder / f'log-{base}'
+        if not path.exists():
+            return _LogContent()
         data = path.read_bytes()
         offset = 0
         term, voted_for, log = 0, None, []
         while offset < len(data):
             body = read_frame(data, offset)
             if body is None:
-                self._truncate_torn_record(path, data, offset)
+                if has_record_after(data, offset):
+                    raise JournalError(f'{path} is damaged at byte {offset}')
                 break
-            decoded = RECORDS.decode(body)
+            place = f'{path} at byte {offset}'
+            decoded = self._decode(LOG_RECORDS, body, place)
             offset += HEADER.size + len(body)
             records = (decoded,)
             if isinstance(decoded, Batch):
@@ -285,31 +316,17 @@
                     continue
                 del log[record.index - base - 1 :]
                 log.append(record.entry)
-        self._log = open(path, 'ab')
-        self._log_path = path
-        return ReplicaState(
-            state.replica,
-            term=term,
-            voted_for=voted_for,
-            log=tuple(log),
-            base_index=state.base_index,
-            base_term=state.base_term,
-            base_group=state.base_group,
-            group=latest_group(state.base_group, log),
-            commit_index=state.commit_index,
-        )
+        return _LogContent(term, voted_for, tuple(log), offset, len(data))
 
-    def _truncate_torn_record(self, path, data, offset):
-        if has_record_after(data, offset):
-            raise JournalError(f'{path} is damaged at byte {offset}')
+    def _truncate_torn_record(self, content):
         log_warning(
             'torn_record_cut',
-            file=path.name,
-            offset=offset,
-            bytes=len(data) - offset,
+            file=self._log_path.name,
+            offset=content.end,
+            bytes=content.size_bytes - content.end,
         )
-        with open(path, 'r+b') as file:
-            file.truncate(offset)
+        with open(self._log_path, 'r+b') as file:
+            file.truncate(content.end)
             fsync(file.fileno())
 
     def _start_log(self, base, data):
--- a/fuchsiacart/control/replicas.py
+++ b/fuchsiacart/control/replicas.py
@@ -21,6 +21,7 @@
 from fuchsiacart.control.election_rules import Step
 from fuchsiacart.control.journals import Journal
 from fuchsiacart.control.leadership_barriers import LeadershipBarriers
+from fuchsiacart.control.message_checks import check_recovered
 from fuchsiacart.control.order_positions import find_subject
 from fuchsiacart.control.pauses import PauseWatch
 from fuchsiacart.control.proposals import ProposalProcessor
@@ -71,8 +72,7 @@
         self._addresses = make_address_book(settings)
         self._sender = ReplicaSender(adapter, self._addresses, self.deliver)
         self._inbox = Queue()
-        founders = founding_voters(settings)
-        self._is_founder = bool(founders)
+        self._is_founder = bool(founding_voters(settings))
         self._journal = Journal(
             settings.control.data_folder,
             FOUNDER if self._is_founder else None,
@@ -227,7 +227,7 @@
             self._journal.close()
 
     def _recover(self):
-        recovered = self._journal.load()
+        recovered = self._journal.load(check_recovered)
         self._state = replace(recovered.state, replica=self.replica)
         if self._is_founder and self.is_blank:
             self._save_founding_group()
--- a/fuchsiacart/decoding.py
+++ b/fuchsiacart/decoding.py
@@ -1,22 +1,19 @@
 """Decoding of bytes that another build may have written."""
 
-from msgspec.msgpack import Decoder
+from re import compile as compile_pattern
+from re import DOTALL
+
 from msgspec import MsgspecError
-from msgspec import Struct
 
 from fuchsiacart.exceptions import UndecodedError
 
 # Nesting beyond the interpreter's limit is no MsgspecError.
 DECODE_ERRORS = (MsgspecError, RecursionError)
 UNKNOWN_KIND = 'a body of unknown kind'
-KIND_LIMIT = 80
-
-
-class _Tagged(Struct):
-    type: str = ''
-
-
-_TAGGED = Decoder(_Tagged)
+# A map whose first key is the tag, as msgspec writes structs; a kind has up to
+# 31 bytes.  Found without a decoder, which fails on what is cut off or nested.
+TAG = compile_pattern(rb'(?:[\x80-\x8f]|\xde..)\xa4type([\xa0-\xbf])', DOTALL)
+KIND_LENGTH_MASK = 0x1F
 
 
 def read_kind(body):
@@ -25,11 +22,11 @@
     :param body: the struct in MessagePack.
     :return: the kind, or ``UNKNOWN_KIND`` if that cannot be read.
     """
-    try:
-        kind = _TAGGED.decode(body).type
-    except DECODE_ERRORS:
+    match = TAG.match(body)
+    if match is None:
         return UNKNOWN_KIND
-    return kind[:KIND_LIMIT] or UNKNOWN_KIND
+    end = match.end() + (match[1][0] & KIND_LENGTH_MASK)
+    return body[match.end() : end].decode(errors='replace') or UNKNOWN_KIND
 
 
 def decode_body(decoder, body):
--- a/tools/seeded_faults/control.py
+++ b/tools/seeded_faults/control.py
@@ -334,4 +334,36 @@
         "return ''",
         'late_orders',
     ),
+    Fault(
+        'a control host starts on commands that it cannot apply',
+        'control/journals.py',
+        'if check is not None:',
+        'if False:',
+        'disk_formats',
+    ),
+    Fault(
+        'a control host starts on a disk of a later format',
+        'control/disk_formats.py',
+        'if found not in READ_FORMATS:',
+        'if False:',
+        'disk_formats',
+    ),
+    Fault(
+        'the identity is written before the disk has been read',
+        'control/journals.py',
+        'self.identity = self._next_identity()',
+        'self.identity = self._next_identity()\n'
+        "        self._write_file('identity', frame(encode(self.identity)))",
+        'disk_formats',
+    ),
+    Fault(
+        'a torn record is cut before the disk has been read',
+        'control/journals.py',
+        'recovered, content = self._recover(base or 0)',
+        'recovered, content = self._recover(base or 0)\n'
+        "        self._log_path = self._folder / f'log-{base or 0}'\n"
+        '        if content.end < content.size_bytes:\n'
+        '            self._truncate_torn_record(content)',
+        'disk_formats',
+    ),
 )
