Show build and disk format of each control host in the status

What operators saw: during a roll no command says which host runs which build; the version is 0.1.0 for all of them.

No message between hosts changes.

--- a/fuchsiacart/cli.py
+++ b/fuchsiacart/cli.py
@@ -97,7 +97,9 @@
                 action(session)
                 return
         if self._options['status']:
-            self._print(session.get_status(), format_status)
+            status = session.get_status()
+            status['control_hosts'] = self._list_control_hosts(session)
+            self._print(status, format_status)
             return
         subject = self._options['SUBJECT'] or ''
         self._print(session.list_audit(subject), format_audit)
@@ -165,17 +167,19 @@
             )
             self._print(group, format_fields)
         else:
-            rows = [
-                self._get_group_or_error(session, host)
-                for host in session.hosts
-            ]
             self._print(
-                rows, lambda groups: '\n\n'.join(map(format_fields, groups))
+                self._list_control_hosts(session),
+                lambda groups: '\n\n'.join(map(format_fields, groups)),
             )
 
+    def _list_control_hosts(self, session):
+        return [
+            self._get_group_or_error(session, host) for host in session.hosts
+        ]
+
     def _get_group_or_error(self, session, host):
         try:
-            return session.get_group(host)
+            return {'host': host} | session.get_group(host)
         except FuchsiacartError as error:
             return {'host': host, 'error': error.detail}
 
--- a/fuchsiacart/client/reports.py
+++ b/fuchsiacart/client/reports.py
@@ -132,6 +132,7 @@
             for row in status['weights']
         ],
     )
+    control_hosts = format_control_hosts(status['control_hosts'])
     revisions = [host['revision'] for host in status['hosts']]
     spread = f'{min(revisions)} to {max(revisions)}' if revisions else '-'
     summary = (
@@ -141,7 +142,29 @@
         f'contracts {status["contracts"]}, claims {status["claims"]}'
     )
     drains = format_drains(status['drains'])
-    return '\n\n'.join((summary, regions, hosts, weights, drains))
+    tables = summary, control_hosts, regions, hosts, weights, drains
+    return '\n\n'.join(tables)
+
+
+def format_control_hosts(rows):
+    """Format what each control host reports of itself as a table.
+
+    Earlier builds name neither build nor format.
+    """
+    return format_table(
+        ('control host', 'replica', 'term', 'commit', 'build', 'format'),
+        [
+            [
+                row['host'],
+                row.get('replica', 'not reached'),
+                row.get('term', '-'),
+                row.get('commit_index', '-'),
+                row.get('build', '-'),
+                row.get('format', '-'),
+            ]
+            for row in rows
+        ],
+    )
 
 
 def _format_item(item):
--- a/fuchsiacart/control/leaders.py
+++ b/fuchsiacart/control/leaders.py
@@ -6,12 +6,14 @@
 from msgspec.structs import replace
 
 from fuchsiacart.adapters import Method
+from fuchsiacart.builds import build_name
 from fuchsiacart.clocks import steady_ms
 from fuchsiacart.clocks import wall_ms
 from fuchsiacart.control.claim_states import claim_name
 from fuchsiacart.control.commands import JoinHost
 from fuchsiacart.control.commands import LeaveHost
 from fuchsiacart.control.commands import MarkInForce
+from fuchsiacart.control.disk_formats import FORMAT
 from fuchsiacart.control.gateway_reports import GatewayReports
 from fuchsiacart.control.limit_shares import ShareLedger
 from fuchsiacart.control.message_checks import check_message
@@ -252,6 +254,8 @@
             state.commit_index,
             self._replica.is_blank,
             state.group,
+            build_name(),
+            FORMAT,
         )
 
     async def bootstrap(self, group):
--- a/fuchsiacart/control/statuses.py
+++ b/fuchsiacart/control/statuses.py
@@ -49,7 +49,10 @@
 
 
 class ReplicaStatus(Struct, frozen=True):
-    """Status of a control host, as it knows it itself."""
+    """Status of a control host, as it knows it itself.
+
+    ``format`` is that of its data folder.
+    """
 
     replica: ReplicaId
     leader: str
@@ -58,6 +61,8 @@
     commit_index: int
     blank: bool
     group: Group
+    build: str
+    format: int
 
 
 def sum_loads(reports, field):
--- a/fuchsiacart/daemon.py
+++ b/fuchsiacart/daemon.py
@@ -37,6 +37,7 @@
 
 from fuchsiacart.adapters import GrpcAdapter
 from fuchsiacart.adapters import PeerServer
+from fuchsiacart.builds import build_name
 from fuchsiacart.control.leaders import ControlService
 from fuchsiacart.control.member_tasks import MemberTask
 from fuchsiacart.control.operators import make_operator_application
@@ -55,7 +56,6 @@
 from fuchsiacart.settings import load_settings
 from fuchsiacart.settings_watchers import SettingsWatcher
 from fuchsiacart.supervisors import Supervisor
-from fuchsiacart.version import __version__
 
 HTTP_BODY_LIMIT_BYTES = 64 * 1024 * 1024
 PEER_GRACE_S = 1.0
@@ -209,6 +209,7 @@
             'listening',
             host=self._settings.host.name,
             role=self._settings.role.value,
+            build=build_name(),
             http=ports.http_address,
             peer=ports.peer_address,
         )
@@ -276,7 +277,7 @@
 
 def main(argv=None):
     """Run the daemon from the command line and exit with its code."""
-    options = docopt(__doc__, argv, version=__version__)
+    options = docopt(__doc__, argv, version=build_name())
     start_logging()
     try:
         settings = load_settings(options['SETTINGS'])
--- a/tools/seeded_faults/common.py
+++ b/tools/seeded_faults/common.py
@@ -147,8 +147,8 @@
     Fault(
         'a replica takes commands that it cannot apply',
         'control/message_checks.py',
-        'if entry.body:',
-        'if False:',
+        'for entry in message.entries:',
+        'for entry in ():',
         'undecoded_messages',
     ),
     Fault(
