Tell a process that its answers could not be decoded

Cause: a refused request is known to both ends, an answer that its caller cannot decode to the caller only.

Now the next call to that process names method and number of such answers in its metadata, which earlier builds pass over. The process logs peer_answer_refused and counts them (fuchsiacart_peer_messages_refused_total has a label `part`).

--- a/features/undecoded_messages.feature
+++ b/features/undecoded_messages.feature
@@ -40,6 +40,30 @@
       | of no bytes                  |
       | of no object                 |
 
+  Scenario: who sent an answer that cannot be decoded hears of it with the next call
+    Given a peer whose answers are messages of an unknown kind
+    And the log of this process is kept
+    When it is called 4 times
+    Then the caller has counted 4 answers that it could not decode
+    And the peer has counted 3 answers that were not decoded
+    And 1 lines of peer_answer_not_decoded and 1 of peer_answer_refused are logged
+
+  Scenario Outline: an odd notice of answers is passed over
+    Given a process that answers behind a proxy
+    And the log of this process is kept
+    When it is called with the notice "<notice>"
+    Then the call is answered
+    And the peer has counted 0 answers that were not decoded
+
+    Examples:
+      | notice       |
+      | Pull         |
+      | Pull x       |
+      | Pull -1      |
+      | Pull 1 1     |
+      | Unheard 1    |
+      | Pull 99999999999 |
+
   Scenario: a request of a method that a peer does not offer is logged and counted
     Given a process that answers behind a proxy
     And the log of this process is kept
--- a/fuchsiacart/adapters.py
+++ b/fuchsiacart/adapters.py
@@ -17,6 +17,9 @@
 from grpc import StatusCode
 from msgspec.msgpack import encode
 
+from fuchsiacart.answer_notices import AnswerNotices
+from fuchsiacart.answer_notices import read_notices
+from fuchsiacart.answer_notices import write_notices
 from fuchsiacart.decoding import decode_body
 from fuchsiacart.exceptions import ErrorKind
 from fuchsiacart.exceptions import FuchsiacartError
@@ -103,6 +106,7 @@
             with open(certificate_file, 'rb') as file:
                 self._credentials = ssl_channel_credentials(file.read())
         self._channels = {}
+        self._notices = AnswerNotices()
         self._reports = PeerReports()
 
     async def call(self, address, method, message, timeout_s):
@@ -110,11 +114,12 @@
         body = _encode_message(message)
         channel = self._get_channel(address)
         stub_method = getattr(channel.stub, method.value)
+        notices = self._notices.take(address)
         try:
             packet = await stub_method(
                 Packet(body=body),
                 timeout=timeout_s,
-                metadata=self._metadata,
+                metadata=self._metadata + write_notices(notices),
             )
         except CancelledError as error:
             if current_task().cancelling():
@@ -154,6 +159,7 @@
             answer = decode_body(ANSWER_DECODERS[method], body)
         except UndecodedError as error:
             self._reports.answer_not_decoded(method, address, error.detail)
+            self._notices.add(address, method)
             raise TransportError(
                 f'{address}: {error.detail}', run=Run.UNKNOWN
             ) from error
@@ -211,20 +217,26 @@
             token = str(metadata.get(TOKEN_METADATA_KEY, ''))
             if not compare_digest(token.encode(), self._token.encode()):
                 await context.abort(StatusCode.UNAUTHENTICATED, 'token')
+            self._report_notices(context)
             reply = await self._run_handler(method, handler, packet, context)
             return Packet(body=encode(reply))
 
         return answer
 
+    def _report_notices(self, context):
+        notices = read_notices(context.invocation_metadata() or (), Method)
+        for method, count in notices.items():
+            self._reports.answer_refused(method, _peer_host(context), count)
+
     async def _run_handler(self, method, handler, packet, context):
         """Run a handler; return its answer, or its error as a Refusal."""
         try:
             request = decode_body(REQUEST_DECODERS[method], packet.body)
             return await handler(request)
         except UndecodedError as error:
-            # The port is that of one connection.
-            peer = context.peer().rpartition(':')[0]
-            self._reports.request_not_decoded(method, peer, error.detail)
+            self._reports.request_not_decoded(
+                method, _peer_host(context), error.detail
+            )
             return Refusal(error.kind, error.detail, error.run)
         except FuchsiacartError as error:
             return Refusal(
@@ -237,6 +249,11 @@
             return Refusal(ErrorKind.INTERNAL, repr(error), Run.UNKNOWN)
 
 
+def _peer_host(context):
+    """Return the address of a caller without the port of its connection."""
+    return context.peer().rpartition(':')[0]
+
+
 class PeerServer:
     """Server for the calls of other processes.
 
--- a/fuchsiacart/metrics.py
+++ b/fuchsiacart/metrics.py
@@ -98,8 +98,8 @@
 )
 PEER_MESSAGES_REFUSED = Counter(
     'fuchsiacart_peer_messages_refused_total',
-    'Requests that other processes refused as malformed or unknown',
-    ['method'],
+    'Messages that other processes refused or could not decode',
+    ['method', 'part'],
 )
 QUARANTINED = Counter(
     'fuchsiacart_quarantined_total', 'Requests put into quarantine'
--- a/fuchsiacart/peer_reports.py
+++ b/fuchsiacart/peer_reports.py
@@ -51,9 +51,20 @@
         :param address: address of the process that refused.
         :param detail: the reason it gave.
         """
-        PEER_MESSAGES_REFUSED.labels(method.value).inc()
+        PEER_MESSAGES_REFUSED.labels(method.value, 'request').inc()
         self._log('peer_request_refused', method, address, detail)
 
+    def answer_refused(self, method, peer, count):
+        """Report that a caller could not decode answers of this process.
+
+        :param method: the :class:`Method` called.
+        :param peer: address of the caller.
+        :param count: number of answers.
+        """
+        PEER_MESSAGES_REFUSED.labels(method.value, 'answer').inc(count)
+        detail = f'{count} answers were not decoded'
+        self._log('peer_answer_refused', method, peer, detail)
+
     def _log(self, event, method, peer, detail):
         subject = event, method, peer
         now_s = monotonic()
