--- a/features/steps/build_status_steps.py
+++ b/features/steps/build_status_steps.py
@@ -23,9 +23,11 @@
 from fuchsiacart.models import token_digest
 from standins.ports import PortReservations
 from standins.toml_files import write_toml
+from tools.compatibility.builds import LIBRARIES
 from tools.compatibility import lay_out_build
 from tools.compatibility import production_commit
 
+PEER_TOKEN = 'token-between-processes-of-a-test'
 TOKEN = 'operators-token-of-a-test'
 START_TIMEOUT_S = 30
 COMMAND_TIMEOUT_S = 30
@@ -43,11 +45,14 @@
     def __init__(self, folder):
         self.root = Path(mkdtemp(prefix='fuchsiacart-status-'))
         self.ports = PortReservations()
-        self._peer_port = self.ports.reserve()
+        self.peer_address = f'127.0.0.1:{self.ports.reserve()}'
         path = self.root / 'settings.toml'
         path.write_text(write_toml(self._settings()))
         self.log_path = self.root / 'log'
-        paths = {'PYTHONPATH': str(folder), 'PYTHONSAFEPATH': '1'}
+        paths = {
+            'PYTHONPATH': f'{folder}:{folder / LIBRARIES}',
+            'PYTHONSAFEPATH': '1',
+        }
         with open(self.log_path, 'wb') as log:
             self._process = Popen(
                 (executable, '-m', 'fuchsiacart.daemon', str(path)),
@@ -58,7 +63,6 @@
         self.address = self._wait_for_address()
 
     def _settings(self):
-        peer_address = f'127.0.0.1:{self._peer_port}'
         return {
             'role': 'control',
             'host': {
@@ -67,15 +71,17 @@
                 'failure_domain': 'cymru-c1',
             },
             'listen': {
-                'peer_port': self._peer_port,
+                'peer_port': int(self.peer_address.rpartition(':')[2]),
                 'ports_file': str(self.root / 'ports'),
             },
             'tokens': {
                 'operator_sha256': token_digest(TOKEN),
                 'backend_sha256': '0' * 64,
-                'peer': 'x' * 16,
+                'peer': PEER_TOKEN,
             },
-            'control_hosts': [{'name': 'c1', 'peer_address': peer_address}],
+            'control_hosts': [
+                {'name': 'c1', 'peer_address': self.peer_address}
+            ],
             'control': {'data_folder': str(self.root / 'data')},
         }
 
@@ -139,6 +145,11 @@
     start_host(context, lay_out_build(production_commit()))
 
 
+@given('a control host of the earlier build {commit}, alone in its group')
+def given_earlier(context, commit):
+    start_host(context, lay_out_build(commit))
+
+
 @when('an operator asks it and one that is down for the status')
 def when_asked(context):
     control = f'--control={context.host.address},{DOWN}'
--- a/features/steps/undecoded_message_steps.py
+++ b/features/steps/undecoded_message_steps.py
@@ -1,5 +1,6 @@
 """Steps for messages that cannot be decoded, over real channels."""
 
+from asyncio import run
 from logging import Handler
 
 from absl import logging
@@ -11,9 +12,11 @@
 from msgspec import Raw
 from prometheus_client import REGISTRY
 
+from features.steps.build_status_steps import PEER_TOKEN
 from features.steps.connection_steps import ConnectionFixture
 from features.steps.connection_steps import TIMEOUT_S
 from features.steps.connection_steps import TOKEN
+from fuchsiacart.adapters import GrpcAdapter
 from fuchsiacart.adapters import Method
 from fuchsiacart.adapters import TOKEN_METADATA_KEY
 from fuchsiacart.answer_notices import NOTICE_METADATA_KEY
@@ -25,6 +28,7 @@
 from fuchsiacart.messages import PullRequest
 from fuchsiacart.peering_pb2 import Packet
 from fuchsiacart.peering_pb2_grpc import PeeringStub
+from tools.compatibility.samples import make_samples
 
 NOT_DECODED = 'fuchsiacart_peer_messages_not_decoded_total'
 REFUSED = 'fuchsiacart_peer_messages_refused_total'
@@ -205,6 +209,28 @@
     assert counted(context, 'answers refused') == count, read_counters()
 
 
+@when('a gateway of this build renews its lease there and reports a suspect')
+def when_renewed(context):
+    """Renew with a value in each field."""
+    request = make_samples()['message']['KeepAliveRequest']
+
+    async def renew():
+        adapter = GrpcAdapter(PEER_TOKEN)
+        try:
+            await adapter.call(
+                context.host.peer_address,
+                Method.KEEP_ALIVE,
+                request,
+                TIMEOUT_S,
+            )
+        except FuchsiacartError as error:
+            return error
+        finally:
+            await adapter.close()
+
+    context.error = run(renew())
+
+
 @when('it is called by a method that it does not offer')
 def when_method_unknown(context):
     context.error = call(context, Method.GOSSIP, GossipRequest(()))
--- a/features/undecoded_messages.feature
+++ b/features/undecoded_messages.feature
@@ -80,6 +80,14 @@
     And the sender has counted 200 requests that were refused
     And 1 lines of peer_request_not_decoded and 1 of peer_request_refused are logged
 
+  Scenario: a renewal that an earlier build cannot read is told by its sender
+    Given a control host of the earlier build 0d0000d, alone in its group
+    And the log of this process is kept
+    When a gateway of this build renews its lease there and reports a suspect
+    Then the call is refused as malformed and not run
+    And the sender has counted 1 requests that were refused
+    And 0 lines of peer_request_not_decoded and 1 of peer_request_refused are logged
+
   Scenario Outline: changes that cannot be unpacked are pulled from another parent
     Given two parents of which the first answers with <packed>
     And the log of this process is kept
