--- a/fuchsiacart/control/replicas.py
+++ b/fuchsiacart/control/replicas.py
@@ -22,6 +22,7 @@
 from fuchsiacart.control.election_rules import Step
 from fuchsiacart.control.journals import Journal
 from fuchsiacart.control.leadership_barriers import LeadershipBarriers
+from fuchsiacart.control.message_checks import check_recovered
 from fuchsiacart.control.order_positions import find_subject
 from fuchsiacart.control.pauses import PauseWatch
 from fuchsiacart.control.proposals import ProposalProcessor
@@ -125,9 +126,8 @@
     @property
     def leader_address(self):
         """Return the address of the leader, empty if it is not known."""
-        if self._state.leader is None:
-            return ''
-        return self._addresses.get(host_of(self._state.leader), '')
+        leader = self._state.leader
+        return self._addresses.get(host_of(leader), '') if leader else ''
 
     @property
     def member_addresses(self):
@@ -229,7 +229,7 @@
             self._journal.close()
 
     def _recover(self):
-        recovered = self._journal.load()
+        recovered = self._journal.load(check_recovered)
         self._state = replace(recovered.state, replica=self.replica)
         if self._is_founder and self.is_blank:
             self._save_founding_group()
--- a/fuchsiacart/metrics.py
+++ b/fuchsiacart/metrics.py
@@ -95,6 +95,16 @@
     'fuchsiacart_log_lines_dropped_total',
     'Log lines that were dropped as nobody read the log',
 )
+PEER_MESSAGES_NOT_DECODED = Counter(
+    'fuchsiacart_peer_messages_not_decoded_total',
+    'Messages of other processes that this one could not decode',
+    ['method', 'part'],
+)
+PEER_MESSAGES_REFUSED = Counter(
+    'fuchsiacart_peer_messages_refused_total',
+    'Messages that other processes refused or could not decode',
+    ['method', 'part'],
+)
 QUARANTINED = Counter(
     'fuchsiacart_quarantined_total', 'Requests put into quarantine'
 )
