--- a/features/control_group.feature
+++ b/features/control_group.feature
@@ -42,7 +42,7 @@
     When all hosts stop at once and start again
     Then all accepted changes are on the remaining hosts
 
-  Scenario: a blank host gives no vote
+  Scenario: a blank host counts for no candidate
     Given 3 control hosts on a network that can be cut
     And a leader has been elected
     When a follower loses its data folder
--- a/features/replacements.feature
+++ b/features/replacements.feature
@@ -86,3 +86,13 @@
     And leaders that lose power while a disk is replaced
     When the same host loses its disk and comes back 4 times in a row
     Then no replica is a member again once it was removed
+
+  Scenario: a replica whose removal it knows to be committed asks for no votes
+    Given four voters whose leader holds its own removal, which no other one has
+    When the removal is committed and the leader loses power
+    Then it asks for no votes once it knows that the removal is committed
+
+  Scenario: a leader promotes a learner that answers, though it does not ask
+    Given the task that maintains a group of 4 voters that should have 5
+    When a learner is ready and no request to join comes
+    Then the task promotes the learner
--- a/features/steps/replacement_steps.py
+++ b/features/steps/replacement_steps.py
@@ -1,15 +1,23 @@
 """Steps for disks that are lost while the control group's members change."""
 
+from asyncio import run
+from asyncio import wait_for
+from contextlib import suppress
+
 from behave import given
 from behave import then
 from behave import when
+from msgspec.structs import replace
 
 from fuchsiacart.control.consensus import Consensus
+from fuchsiacart.control.member_tasks import MemberTask
 from fuchsiacart.control.replica_states import Entry
 from fuchsiacart.control.replica_states import Group
 from fuchsiacart.control.replica_states import latest_group
 from fuchsiacart.control.replica_states import ReplicaState
 from fuchsiacart.control.replica_states import Role
+from fuchsiacart.settings import ControlSettings
+from fuchsiacart.settings import Settings
 from models.fair_elections import FairElections
 from models.fair_elections import restarted
 
@@ -189,3 +197,78 @@
     assert leader is not None, 'no leader'
     held = leader.entries_from(1, len(context.committed))
     assert held == context.committed, leader
+
+
+class StubReplica:
+    """The replica of a leader, as the task that maintains the group sees it.
+
+    :param group: the members.
+    """
+
+    is_leader = True
+
+    def __init__(self, group):
+        self.state = ReplicaState('c0:1/old', group=group)
+        self.ready = frozenset()
+
+    def ready_learners(self):
+        """See :class:`ReplicaTask`."""
+        return self.ready
+
+    def unresponsive_voters(self):
+        """See :class:`ReplicaTask`."""
+        return ()
+
+    async def change_group(self, group):
+        """See :class:`ReplicaTask`."""
+        self.state = replace(self.state, group=group)
+
+
+class StubService:
+    """Takes the handlers that a task registers."""
+
+    def register_handler(self, kind, handler):
+        """See :class:`ControlService`."""
+
+
+@given(
+    'the task that maintains a group of {count:d} voters that should have'
+    ' {target:d}'
+)
+def given_member_task(context, count, target):
+    voters = tuple(f'c{index}:1/old' for index in range(count))
+    context.learner = 'c9:1/new'
+    context.replica = StubReplica(Group(voters, (context.learner,)))
+    settings = Settings.model_construct(
+        control=ControlSettings(tolerated_losses=target // 2), seeds=()
+    )
+    context.task = MemberTask(settings, context.replica, StubService(), None)
+
+
+@when('the removal is committed and the leader loses power')
+def when_removal_committed(context):
+    state = restarted(context.states['a'])
+    context.state = replace(state, commit_index=state.last_index)
+
+
+@when('a learner is ready and no request to join comes')
+def when_ready(context):
+    context.replica.ready = frozenset([context.learner])
+
+    async def maintain():
+        with suppress(TimeoutError):
+            await wait_for(context.task.maintain_group(), 0.5)
+
+    run(maintain())
+
+
+@then('it asks for no votes once it knows that the removal is committed')
+def then_does_not_ask(context):
+    step = Consensus().start_election(context.state)
+    assert step.state is context.state, step
+    assert not step.outbound, step
+
+
+@then('the task promotes the learner')
+def then_task_promotes(context):
+    assert context.learner in context.replica.state.group.voters
--- a/models/fair_elections.py
+++ b/models/fair_elections.py
@@ -6,6 +6,7 @@
 
 from collections import deque
 
+from fuchsiacart.control.addresses import host_of
 from fuchsiacart.control.replica_states import ReplicaState
 from fuchsiacart.control.replica_states import Role
 
@@ -25,7 +26,8 @@
     """Elections among replicas that all reach each other.
 
     Each starts an election in its turn, and all messages arrive before the
-    next one does.
+    next one does.  A message goes to a host: to the replica that runs there
+    now, whichever one it was meant for.
 
     :param states: state of each running replica.
     :param rules: the :class:`Consensus`.
@@ -33,6 +35,7 @@
 
     def __init__(self, states, rules):
         self._states = {state.replica: state for state in states}
+        self._names = {host_of(name): name for name in self._states}
         self._rules = rules
         self._messages = deque()
 
@@ -53,9 +56,12 @@
         self._apply(name, self._rules.start_election(self._states[name]))
         while self._messages:
             each = self._messages.popleft()
-            if each.to in self._states:
-                step = self._rules.receive(self._states[each.to], each.message)
-                self._apply(each.to, step)
+            receiver = self._names.get(host_of(each.to))
+            if receiver is not None:
+                step = self._rules.receive(
+                    self._states[receiver], each.message
+                )
+                self._apply(receiver, step)
         state = self._states[name]
         if state.role is not Role.LEADER:
             return None
