Let a learner whose log may be the longest ask for votes

A group that went from three voters to four could stay without a leader though a majority ran: the learner had an uncommitted entry of a lost leader and refused the earlier leader, which needed its vote, but asked for none itself. The same class as the refused votes: a replica went by its own group to decide whether it takes part.

Any member asks now; votes are counted by the voters of its group, as before. A learner that leads counts as ready, so it promotes itself when a voter is missing. Simulated groups with a learner begin with a voter as leader.

--- a/features/replacements.feature
+++ b/features/replacements.feature
@@ -15,10 +15,10 @@
     When one of the others loses its disk and all lose power
     Then the three hosts left elect the leader, which commits its removal
 
-  Scenario: a host that learns does not ask for votes
+  Scenario: a host that is no member does not ask for votes
     Given four voters and a learner, whose promotion is committed on three voters
-    When the learner hears no leader
-    Then it asks for no votes
+    When a host with a new disk and one that was removed hear no leader
+    Then they ask for no votes
 
   Scenario: a change of the leader does not hold up the promotion of a learner
     Given groups of 4 voters and a learner in simulated time, seeds 1 to 40
@@ -59,3 +59,23 @@
     And leaders that lose power while a disk is replaced
     When the same host loses its disk and comes back 4 times in a row
     Then no replica is a member again once it was removed
+
+  Scenario: a learner whose log is the longest does not keep a majority without a leader
+    Given three voters and a learner that has an entry of a lost leader, and an earlier leader that holds its promotion
+    When the voter that led last loses its disk and all others lose power
+    Then the three hosts left elect a leader that holds the committed entries
+
+  Scenario: a group that grows from three voters to five bears the loss of a disk at each step
+    Given groups of 3 voters in simulated time that lose and delay messages, one with a slow disk, seeds 1 to 60
+    When two hosts join while the leader is cut off 6 times
+    Then at each step the further losses that are tolerated leave a leader with all committed entries
+
+  Scenario: a learner whose log is the longest leads, and becomes a voter
+    Given three voters and a learner that has an entry of a lost leader, and an earlier leader that holds its promotion
+    When the voter that led last loses its disk and all others lose power
+    Then the learner leads and may make itself a voter
+
+  Scenario: a learner that was cut off does not disturb the leader when it comes back
+    Given groups of 4 voters and a learner in simulated time, seeds 1 to 40
+    When the learner is cut off both ways for 6 election timeouts, then heals
+    Then each leader and its term are the same as before
--- a/features/steps/simulated_group_steps.py
+++ b/features/steps/simulated_group_steps.py
@@ -60,7 +60,9 @@
             name: TimedConsensus(SETTINGS, make_random(seed, name), 0)
             for name in self.names
         }
+        self.stopped = set(group.learners)
         self.run_until(lambda: self.leader() is not None, 10_000)
+        self.stopped.clear()
         self.run(1000)
 
     def restart(self, spread_ms):
@@ -230,6 +232,21 @@
         group.stopped.add(group.names[-1])
 
 
+@when(
+    'the learner is cut off both ways for {timeouts:d} election timeouts, then'
+    ' heals'
+)
+def when_learner_isolated(context, timeouts):
+    context.leaders = []
+    for group in context.groups:
+        leader = group.leader()
+        context.leaders.append((leader, group.states[leader].term))
+        group.isolate(group.names[-1])
+        group.run(timeouts * SETTINGS.election_timeout_ms)
+        group.cuts.clear()
+        group.run(3 * SETTINGS.election_timeout_ms)
+
+
 @when(
     'a follower is cut off both ways for {timeouts:d} election timeouts, then'
     ' heals'
--- a/fuchsiacart/control/consensus.py
+++ b/fuchsiacart/control/consensus.py
@@ -165,8 +165,10 @@
         """Return True if a replica is known to hold all committed entries.
 
         :param state: the leader's state.
-        :param replica: the other replica.
+        :param replica: the replica, which may be the leader itself.
         """
+        if replica == state.replica:
+            return True
         progress = state.progress_of(replica)
         if progress is None:
             return False
--- a/fuchsiacart/control/replica_states.py
+++ b/fuchsiacart/control/replica_states.py
@@ -99,11 +99,11 @@
     def may_be_elected(self):
         """Return True if this replica may ask for votes.
 
-        A voter may.  One that the last membership change removes may too,
-        until it knows that the change is committed: its log may be the
-        longest one left, and then no other replica can win.
+        A member may: no other replica can win if its log is the longest one
+        left, also that of a learner.  A replica that the last change of the
+        members removes may too, until it knows that the change is committed.
         """
-        if self.replica in self.group.voters:
+        if self.replica in self.group.members:
             return True
         first_uncommitted = self.commit_index - self.base_index
         for position in reversed(range(first_uncommitted, len(self.log))):
--- a/fuchsiacart/control/timed_consensus.py
+++ b/fuchsiacart/control/timed_consensus.py
@@ -141,7 +141,7 @@
         """Return the learners that can become voters now.
 
         They hold all committed entries and answer: a group waits for the
-        answers of its voters.
+        answers of its voters.  A leader that is a learner is one of them.
 
         :param state: the leader's :class:`ReplicaState`.
         :param now_ms: the current time.
@@ -151,7 +151,7 @@
             learner
             for learner in state.group.learners
             if self.rules.has_committed_entries(state, learner)
-            and self._contacts.silence_ms(learner, now_ms) < limit_ms
+            and self._silence_ms(state, learner, now_ms) < limit_ms
         )
 
     def add_silences(self, state, message, now_ms):
@@ -171,6 +171,11 @@
         )
         return replace(message, silences=silences) if silences else message
 
+    def _silence_ms(self, state, member, now_ms):
+        if member == state.replica:
+            return 0
+        return self._contacts.silence_ms(member, now_ms)
+
     def _tick_leader(self, state, now_ms):
         if not self._timer.has_fresh_quorum(now_ms):
             log_warning('leader_without_quorum', term=state.term)
