--- a/fuchsiacart/control/consensus.py
+++ b/fuchsiacart/control/consensus.py
@@ -167,9 +167,11 @@
         """Return True if a replica is known to hold the entries to an index.
 
         :param state: the leader's state.
-        :param replica: the other replica.
+        :param replica: the replica, which may be the leader itself.
         :param index: the index.
         """
+        if replica == state.replica:
+            return True
         progress = state.progress_of(replica)
         return progress is not None and progress.match_index >= index
 
