Replace voters that stop before they stop, and none that still asks

- A leader that did not hear a voter for a second, after resets and lost packets, removed it although it lived, as a learner for a planned replacement stood ready; the one that stopped then was lost besides.
A voter without contact asks to join through other hosts: one that does so is not removed.

Scenarios in replacements and members, which had no such decisions before.

--- a/features/members.feature
+++ b/features/members.feature
@@ -39,3 +39,17 @@
     Given a group of 5 voters that should have 5
     When a voter stays silent
     Then the group has 5 voters and no learners
+
+  Scenario: a learner takes the place of a voter that is about to stop
+    Given a group of 5 voters that should have 5
+    When a new host asks to join and catches up
+    And the first voter is about to stop
+    Then the group has 5 voters and no learners
+    And it never had fewer than 5 voters, nor changed by more than one
+    And the first voter is no member
+
+  Scenario: a voter that is about to stop stays while no host can replace it
+    Given a group of 5 voters that should have 5
+    When the first voter is about to stop
+    Then the group has 5 voters and no learners
+    And it never had fewer than 5 voters, nor changed by more than one
--- a/features/replacements.feature
+++ b/features/replacements.feature
@@ -116,3 +116,23 @@
     Given groups of 4 voters and a learner in simulated time, seeds 1 to 40
     When the learner is cut off both ways for 6 election timeouts, then heals
     Then each leader and its term are the same as before
+
+  Scenario: a silent voter that asks to join is not replaced
+    Given the task that maintains a group of 5 voters that should have 5
+    When a learner is ready and a voter is silent to the leader, but asks to join
+    Then the task keeps that voter
+
+  Scenario: a silent voter that does not ask is replaced
+    Given the task that maintains a group of 5 voters that should have 5
+    When a learner is ready and a voter is silent to the leader
+    Then the task replaces that voter
+
+  Scenario: a voter that stops is replaced before its process ends
+    Given the task that maintains a group of 5 voters that should have 5
+    When a learner is ready and a voter asks to leave
+    Then the voter is answered within 1000 ms, and is replaced by then
+
+  Scenario: a voter that stops is not held up while no learner is ready
+    Given the task that maintains a group of 5 voters that should have 5
+    When no learner is ready and a voter asks to leave
+    Then the voter is answered within 100 ms, and is a voter still
--- a/features/steps/member_steps.py
+++ b/features/steps/member_steps.py
@@ -76,6 +76,7 @@
         self.target_voters = target_voters
         self.joining = []
         self.silent = set()
+        self.leaving = ()
         self.history = [self.group]
 
     def apply_changes(self):
@@ -87,7 +88,11 @@
                 if replica not in self.group.voters
             ]
             group = next_group(
-                self.group, candidates, self.silent, self.target_voters
+                self.group,
+                candidates,
+                self.silent,
+                self.target_voters,
+                self.leaving,
             )
             if group is None:
                 return
@@ -216,3 +221,17 @@
     members = context.members
     assert members.third not in members.group.members, members.group
     assert members.first in members.group.voters, members.group
+
+
+@when('the first voter is about to stop')
+def when_leaving(context):
+    members = context.members
+    members.first = members.group.voters[0]
+    members.leaving = (members.first,)
+    members.apply_changes()
+
+
+@then('the first voter is no member')
+def then_first_gone(context):
+    members = context.members
+    assert members.first not in members.group.members, members.group
--- a/features/steps/replacement_steps.py
+++ b/features/steps/replacement_steps.py
@@ -1,8 +1,11 @@
 """Steps for disks that are lost while the control group's members change."""
 
+from asyncio import create_task
+from asyncio import gather
 from asyncio import run
 from asyncio import wait_for
 from contextlib import suppress
+from time import monotonic
 
 from behave import given
 from behave import then
@@ -16,6 +19,7 @@
 from fuchsiacart.control.replica_states import latest_group
 from fuchsiacart.control.replica_states import ReplicaState
 from fuchsiacart.control.replica_states import Role
+from fuchsiacart.messages import JoinGroup
 from fuchsiacart.settings import ControlSettings
 from fuchsiacart.settings import Settings
 from models.fair_elections import FairElections
@@ -216,14 +220,16 @@
     def __init__(self, group):
         self.state = ReplicaState('c0:1/old', group=group)
         self.ready = frozenset()
+        self.silent = ()
+        self.member_addresses = ()
 
     def ready_learners(self):
         """See :class:`ReplicaTask`."""
-        return self.ready
+        return self.ready & set(self.state.group.learners)
 
     def unresponsive_voters(self):
         """See :class:`ReplicaTask`."""
-        return ()
+        return self.silent
 
     async def change_group(self, group):
         """See :class:`ReplicaTask`."""
@@ -251,6 +257,84 @@
     context.task = MemberTask(settings, context.replica, StubService(), None)
 
 
+def maintain(context, *actions):
+    """Run the task for half a second, after other actions have begun.
+
+    :param actions: each a coroutine.
+    """
+
+    async def run_all():
+        others = [create_task(action) for action in actions]
+        with suppress(TimeoutError):
+            await wait_for(context.task.maintain_group(), 0.5)
+        await gather(*others)
+
+    run(run_all())
+
+
+async def ask(context, replica, leaves):
+    """Ask the leader for a voter, and note how long the answer takes."""
+    started_s = monotonic()
+    await context.task._on_join(JoinGroup(replica, leaves=leaves))
+    context.taken_s = monotonic() - started_s
+    context.voters_then = context.replica.state.group.voters
+
+
+@when(
+    'a learner is ready and a voter is silent to the leader, but asks to join'
+)
+def when_silent_asks(context):
+    context.voter = context.replica.state.group.voters[2]
+    context.replica.silent = (context.voter,)
+    context.replica.ready = frozenset([context.learner])
+    maintain(context, ask(context, context.voter, False))
+
+
+@when('a learner is ready and a voter is silent to the leader')
+def when_silent(context):
+    context.voter = context.replica.state.group.voters[2]
+    context.replica.silent = (context.voter,)
+    context.replica.ready = frozenset([context.learner])
+    maintain(context)
+
+
+@when('a learner is ready and a voter asks to leave')
+def when_leaves(context):
+    context.voter = context.replica.state.group.voters[2]
+    context.replica.ready = frozenset([context.learner])
+    maintain(context, ask(context, context.voter, True))
+
+
+@when('no learner is ready and a voter asks to leave')
+def when_leaves_alone(context):
+    context.voter = context.replica.state.group.voters[2]
+    maintain(context, ask(context, context.voter, True))
+
+
+@then('the task keeps that voter')
+def then_kept(context):
+    assert context.voter in context.replica.state.group.voters
+
+
+@then('the task replaces that voter')
+def then_task_replaces(context):
+    voters = context.replica.state.group.voters
+    assert context.voter not in voters and context.learner in voters, voters
+
+
+@then('the voter is answered within {limit_ms:d} ms, and is replaced by then')
+def then_left(context, limit_ms):
+    assert context.taken_s * 1000 <= limit_ms, context.taken_s
+    assert context.voter not in context.voters_then, context.voters_then
+    assert context.learner in context.voters_then, context.voters_then
+
+
+@then('the voter is answered within {limit_ms:d} ms, and is a voter still')
+def then_not_left(context, limit_ms):
+    assert context.taken_s * 1000 <= limit_ms, context.taken_s
+    assert context.voter in context.voters_then, context.voters_then
+
+
 @when('the removal is committed and the leader loses power')
 def when_removal_committed(context):
     state = restarted(context.states['a'])
@@ -260,12 +344,7 @@
 @when('a learner is ready and no request to join comes')
 def when_ready(context):
     context.replica.ready = frozenset([context.learner])
-
-    async def maintain():
-        with suppress(TimeoutError):
-            await wait_for(context.task.maintain_group(), 0.5)
-
-    run(maintain())
+    maintain(context)
 
 
 @then('it asks for no votes once it knows that the removal is committed')
--- a/fuchsiacart/control/memberships.py
+++ b/fuchsiacart/control/memberships.py
@@ -51,18 +51,20 @@
     ]
 
 
-def next_group(group, candidates, unresponsive, voter_count):
+def next_group(group, candidates, unresponsive, voter_count, leaving=()):
     """Return the members after the next single change, or None.
 
     The first possible change is chosen: add a candidate as a learner;
     promote a caught-up learner on a host without a voter, if there are too
-    few voters; remove a voter that a caught-up learner will replace.
+    few voters or one leaves; remove a voter that leaves, once there are too
+    many; remove a voter that a caught-up learner will replace.
 
     :param group: the current members.
     :param candidates: each :class:`MemberCandidate`.
     :param unresponsive: voters that have sent no message for long, the one
         to remove first in front.
     :param voter_count: number of voters that the group should have.
+    :param leaving: voters that run and are about to stop.
     """
     newcomer = _find_newcomer(group, candidates)
     if newcomer is not None:
@@ -71,10 +73,13 @@
     promotable = _find_promotable(group, candidates)
     hosts = {host_of(voter) for voter in group.voters}
     added = [each for each in promotable if host_of(each) not in hosts]
-    if added and len(group.voters) < voter_count:
+    departing = [each for each in group.voters if each in leaving]
+    if added and len(group.voters) < voter_count + bool(departing):
         learners = tuple(each for each in group.learners if each != added[0])
         return Group(group.voters + (added[0],), learners)
     replaced = _find_replaced(group, promotable, unresponsive)
+    if departing and len(group.voters) > voter_count:
+        replaced = departing[0]
     if replaced is None:
         return None
     voters = tuple(each for each in group.voters if each != replaced)
--- a/fuchsiacart/daemon.py
+++ b/fuchsiacart/daemon.py
@@ -115,16 +115,20 @@
         watch = Supervisor('control_watch')
         watch.add('watch', service.watch)
         supervisor.add('watch', watch.run)
+        leave = None
         if self._edge is not None:
-            await self._add_route_tasks(supervisor, replica, service)
-        code = await self._run_supervisor(supervisor)
+            members = MemberTask(
+                self._settings, replica, service, self._adapter
+            )
+            leave = members.leave
+            await self._add_route_tasks(supervisor, replica, service, members)
+        code = await self._run_supervisor(supervisor, leave)
         await self._close(http, peer)
         return code
 
-    async def _add_route_tasks(self, supervisor, replica, service):
+    async def _add_route_tasks(self, supervisor, replica, service, members):
         """Add the tasks for routes and for the membership of the group."""
         control = RouteControl(self._settings, replica, service)
-        members = MemberTask(self._settings, replica, service, self._adapter)
         shares = RegionShareTask(self._settings, replica, service)
         tasks = Supervisor('routes')
         tasks.add('join', members.join)
--- a/fuchsiacart/messages.py
+++ b/fuchsiacart/messages.py
@@ -197,10 +197,15 @@
 
 
 class JoinGroup(Struct, frozen=True, tag=True):
-    """Asks for a control host to be added to the control group."""
+    """Asks for a control host to be added to the control group.
+
+    With ``leaves`` the process of a voter stops, and asks that a learner takes
+    its place before.
+    """
 
     replica: ReplicaId
     relayed: bool = False
+    leaves: bool = False
 
 
 class GroupReply(Struct, frozen=True, tag=True):
