Tell a parent that its packed changes could not be unpacked

Cause: the notice of an answer that was not decoded covered the answer itself, not the view and the changes packed in it, in which most kinds of delta travel.

--- a/features/steps/undecoded_change_steps.py
+++ b/features/steps/undecoded_change_steps.py
@@ -15,6 +15,7 @@
 from msgspec.msgpack import encode
 from msgspec import Raw
 
+from features.steps.connection_steps import ConnectionFixture
 from features.steps.connection_steps import TIMEOUT_S
 from features.steps.control_group_steps import make_change
 from features.steps.undecoded_message_steps import TOO_DEEP
@@ -72,6 +73,35 @@
     context.parents = Parents(replies[packed])
 
 
+@given('a peer whose packed view is cut off')
+def given_odd_view(context):
+    reply = PullReply((), pack_view(PARENT_VIEW)[:-1])
+    context.pulls = 0
+
+    async def answer(request):
+        context.pulls += 1
+        return reply
+
+    context.connection = ConnectionFixture(answer)
+    context.resources.callback(context.connection.close)
+
+
+@when('a host pulls from it {count:d} times')
+def when_pulled_often(context, count):
+    connection = context.connection
+
+    async def pull():
+        views = ViewReplicator(connection.adapter, (connection.address,))
+        task = create_task(views.run(lambda: 0))
+        until_s = monotonic() + PULL_LIMIT_S
+        while monotonic() < until_s and context.pulls < count:
+            await sleep(0.005)
+        task.cancel()
+        await gather(task, return_exceptions=True)
+
+    connection.run(pull())
+
+
 @when('a host pulls from them')
 def when_pulled(context):
     """Pull until a view is there, and a few times more."""
--- a/features/undecoded_messages.feature
+++ b/features/undecoded_messages.feature
@@ -48,6 +48,13 @@
     And the peer has counted 3 answers that were not decoded
     And 1 lines of peer_answer_not_decoded and 1 of peer_answer_refused are logged
 
+  Scenario: a parent hears that its changes could not be unpacked
+    Given a peer whose packed view is cut off
+    And the log of this process is kept
+    When a host pulls from it 4 times
+    Then the peer has counted 3 answers that were not decoded
+    And 1 lines of peer_answer_not_decoded and 1 of peer_answer_refused are logged
+
   Scenario Outline: an odd notice of answers is passed over
     Given a process that answers behind a proxy
     And the log of this process is kept
--- a/fuchsiacart/adapters.py
+++ b/fuchsiacart/adapters.py
@@ -70,6 +70,13 @@
         :raises FuchsiacartError: if the answer is a :class:`Refusal`.
         """
 
+    def notice_undecoded(self, address, method):
+        """Tell a process that content of its answer could not be decoded.
+
+        :param address: IP:port of the process.
+        :param method: the :class:`Method` called.
+        """
+
     @abstractmethod
     async def close(self):
         """Close all connections."""
@@ -142,6 +149,10 @@
         channel.last_answer_s = monotonic()
         return self._read_answer(address, method, packet.body)
 
+    def notice_undecoded(self, address, method):
+        """See :meth:`PeerAdapter.notice_undecoded`."""
+        self._notices.add(address, method)
+
     async def close(self):
         """See :meth:`PeerAdapter.close`."""
         channels = list(self._channels.values())
@@ -159,7 +170,7 @@
             answer = decode_body(ANSWER_DECODERS[method], body)
         except UndecodedError as error:
             self._reports.answer_not_decoded(method, address, error.detail)
-            self._notices.add(address, method)
+            self.notice_undecoded(address, method)
             raise TransportError(
                 f'{address}: {error.detail}', run=Run.UNKNOWN
             ) from error
--- a/fuchsiacart/host_tasks.py
+++ b/fuchsiacart/host_tasks.py
@@ -163,6 +163,7 @@
             self._reports.answer_not_decoded(
                 Method.PULL, address, error.detail
             )
+            self._adapter.notice_undecoded(address, Method.PULL)
             raise
 
     def _notify(self):
--- a/standins/delayed.py
+++ b/standins/delayed.py
@@ -73,6 +73,10 @@
         finally:
             await sleep(delay_s)
 
+    def notice_undecoded(self, address, method):
+        """See :meth:`PeerAdapter.notice_undecoded`."""
+        self._inner.notice_undecoded(address, method)
+
     async def close(self):
         """See :meth:`PeerAdapter.close`."""
         await self._inner.close()
