--- a/fuchsiacart/control/memberships.py
+++ b/fuchsiacart/control/memberships.py
@@ -14,13 +14,27 @@
 class MemberCandidate(Struct, frozen=True):
     """A replica that has recently asked to join the group, or learns.
 
-    ``caught_up`` is True if it holds all committed entries.
+    ``caught_up`` is True if it can become a voter now.
     """
 
     replica: str
     caught_up: bool
 
 
+def latest_requests(requested_ms):
+    """Return the replicas that ask to join, the latest of each host.
+
+    An earlier one of the same host has lost its disk; it would displace the
+    later one as a learner.
+
+    :param requested_ms: time of the last request of each replica.
+    """
+    latest = {}
+    for replica in sorted(requested_ms, key=requested_ms.get):
+        latest[host_of(replica)] = replica
+    return tuple(latest.values())
+
+
 def find_candidates(asking, ready):
     """Return a :class:`MemberCandidate` for each possible new voter.
 
@@ -28,7 +42,7 @@
     arrive, as after a change of the leader.
 
     :param asking: replicas that have recently asked to join.
-    :param ready: learners that hold all committed entries and answer.
+    :param ready: see :meth:`TimedConsensus.ready_learners`.
     """
     others = sorted(set(ready) - set(asking))
     return [
@@ -46,7 +60,8 @@
 
     :param group: the current members.
     :param candidates: each :class:`MemberCandidate`.
-    :param unresponsive: voters that have sent no message for long.
+    :param unresponsive: voters that have sent no message for long, the one
+        to remove first in front.
     :param voter_count: number of voters that the group should have.
     """
     newcomer = _find_newcomer(group, candidates)
@@ -94,7 +109,7 @@
     if not promotable:
         return None
     return next(
-        (voter for voter in group.voters if voter in unresponsive), None
+        (voter for voter in unresponsive if voter in group.voters), None
     )
 
 
--- a/fuchsiacart/metrics.py
+++ b/fuchsiacart/metrics.py
@@ -91,6 +91,10 @@
     'Orders refused since they may be outdated, by reason',
     ['reason'],
 )
+LOG_LINES_DROPPED = Counter(
+    'fuchsiacart_log_lines_dropped_total',
+    'Log lines that were dropped as nobody read the log',
+)
 PEER_MESSAGES_NOT_DECODED = Counter(
     'fuchsiacart_peer_messages_not_decoded_total',
     'Messages of other processes that this one could not decode',
