Lose disks and power in the soak while the group's members change

Cause: a control fault of the soak started only once the host of the one before had recovered, no host was ever gone for good, and power and disks were never lost together.

Half of the runs, drawn by a generator of their own, now end with two or three such faults: a control host is wiped, or exchanged for one at a new address. From 0 to 6 s after the start of the successor, or right after it was added, its predecessor removed or it promoted, as many further disks are lost as are tolerated at that moment, and all other control hosts are killed and started within a second. A host counts as lost until 4 s after its start. Some of these runs have five control hosts, three of which are seeds. The group must acknowledge and return a configuration within 15 s; an evacuation in force at the loss of power stays until requests have shown it. Processes of a soak know `tolerated_losses` and `catch_up_s`, as deployments do.

--- a/features/soak_ledger.feature
+++ b/features/soak_ledger.feature
@@ -36,3 +36,15 @@
       | 3     | 10      | 0      |
       | 4     | 10      | 1      |
       | 9     | 6       | 0      |
+
+  Scenario Outline: a leader counts once orders are acknowledged and read
+    Given a configuration that allows bodies of 4096 bytes, acknowledged at <acked_s> s
+    And a read of it that is sent at <read_s> s
+    Then a leader <is_known> known since 5 s
+
+    Examples:
+      | acked_s | read_s | is_known |
+      | 4       | 4      | is not   |
+      | 4       | 6      | is not   |
+      | 6       | 4      | is not   |
+      | 6       | 6      | is       |
--- a/features/steps/soak_ledger_steps.py
+++ b/features/steps/soak_ledger_steps.py
@@ -6,6 +6,7 @@
 from soak.body_limits import FIRST_LARGE_OBJECT
 from soak.body_limits import LARGE_PREFIX
 from soak.ledger import Ledger
+from soak.records import ConfigurationRead
 from soak.records import CRASHING_OBJECT
 from soak.records import GatewayCut
 from soak.records import Order
@@ -133,6 +134,21 @@
     context.ledger.record_request(sent)
 
 
+@given('a read of it that is sent at {sent_s:d} s')
+def given_read(context, sent_s):
+    context.ledger.reads.append(ConfigurationRead(OTHER, 1, float(sent_s)))
+
+
+@then('a leader is known since {since_s:d} s')
+def then_leader(context, since_s):
+    assert context.ledger.has_leader_since(since_s)
+
+
+@then('a leader is not known since {since_s:d} s')
+def then_no_leader(context, since_s):
+    assert not context.ledger.has_leader_since(since_s)
+
+
 @then('the ledger reports {count:d} broken promises')
 def then_broken(context, count):
     violations = context.ledger.check_promises(timed=True)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -12,6 +12,7 @@
 
 from soak.launch import Conditions
 from soak.ledger import RECONNECT_LIMIT_S
+from soak.processes import CONTROL_RECOVERY_S
 from soak.proxies import LinkState
 from soak.records import GatewayCut
 from soak.records import PlannedStop
@@ -26,9 +27,6 @@
 CLOCK_OFFSETS_S = (-2.0, 2.0)
 SYNC_DELAY_S = 0.3
 LINK_DELAY_S = 0.15
-# A control host counts as lost until it has had this time to catch up. No
-# other control fault starts before.
-CONTROL_RECOVERY_S = 4.0
 # A crashed server's address goes to a new server after this time; a flapping
 # server divides it among its restarts.
 ADDRESS_REUSE_DELAY_S = 2.0
@@ -362,11 +360,9 @@
 
     async def _cut(self, process, fault):
         state = CUT_STATES[fault.variant % len(CUT_STATES)]
-        for link in process.links.values():
-            link.set_state(state)
+        process.set_links(state)
         await sleep(fault.span_s)
-        for link in process.links.values():
-            link.set_state(LinkState.OPEN)
+        process.set_links(LinkState.OPEN)
 
     async def _delay(self, process, fault):
         for link in process.links.values():
--- a/soak/ledger.py
+++ b/soak/ledger.py
@@ -108,6 +108,16 @@
         acked = [order for order in self.orders if order.acked_s < NEVER_S]
         return max(acked, key=lambda order: order.version, default=None)
 
+    def has_leader_since(self, since_s):
+        """Return True if the control group has served an operator since.
+
+        That takes a configuration that was acknowledged and one that was read.
+        """
+        is_acked = any(
+            since_s < order.acked_s < NEVER_S for order in self.orders
+        )
+        return is_acked and any(read.sent_s > since_s for read in self.reads)
+
     def check_promises(self, timed):
         """Check the promises that need the records of the whole run.
 
--- a/soak/operators.py
+++ b/soak/operators.py
@@ -185,6 +185,8 @@
             evacuation = Evacuation(domain, monotonic())
             self._soak.ledger.evacuations.append(evacuation)
             await sleep(self._soak.random.uniform(*EVACUATION_RANGE_S))
+            while self._soak.member_injector.holds_evacuations:
+                await sleep(RETRY_INTERVAL_S)
             evacuation.ended_s = monotonic()
         while await self._send_until_decided('DELETE', path) is None:
             if self._soak.is_finished:
--- a/soak/processes.py
+++ b/soak/processes.py
@@ -28,8 +28,11 @@
 
 DOMAINS = ('north-a', 'north-b', 'south-a')
 REGIONS = {domain: domain[:-2] for domain in DOMAINS}
-CONTROL_HOSTS = 3
+# Control hosts that the others are told to find the group by.
+SEED_HOSTS = 3
 STOP_TIMEOUT_S = 6.0
+# A control host counts as lost until it has had this time to catch up.
+CONTROL_RECOVERY_S = 4.0
 RESTART_INTERVAL_S = 0.2
 POLL_INTERVAL_S = 0.05
 # Field of /proc/PID/stat behind the name of the program, and its bit of a
@@ -55,6 +58,8 @@
 [control]
 data_folder = "{folder}"
 bootstrap = {bootstrap}
+tolerated_losses = {tolerated_losses}
+catch_up_s = {catch_up_s}
 [routes]
 stop_s = {stop_s}
 heartbeat_s = 0.5
@@ -303,6 +308,11 @@
                 self.unexpected_exits_s.append(monotonic())
                 self.start()
 
+    def set_links(self, state):
+        """Set the :class:`LinkState` of all proxies."""
+        for link in self.links.values():
+            link.set_state(state)
+
     async def close(self):
         """Kill the process and close its proxies."""
         self.resume()
@@ -336,6 +346,8 @@
             digest=TOKEN_DIGEST,
             folder=Path(self.folder / 'data'),
             bootstrap=str(bootstrap).lower(),
+            tolerated_losses=self._soak.member_plan.tolerated_losses,
+            catch_up_s=CONTROL_RECOVERY_S,
             stop_s=STOP_TIMEOUT_S,
             listeners=listeners,
             regions='\n'.join(
--- a/soak/proxies.py
+++ b/soak/proxies.py
@@ -22,13 +22,15 @@
     """What a proxy forwards.
 
     ``SILENT`` forwards nothing, ``ONE_WAY`` only requests; ``REFUSING`` resets
-    open connections and new ones.
+    open connections and new ones.  ``GONE`` is silent for good, as a host that
+    no longer exists.
     """
 
     OPEN = 'open'
     SILENT = 'silent'
     ONE_WAY = 'one_way'
     REFUSING = 'refusing'
+    GONE = 'gone'
 
 
 class LinkProxy:
@@ -74,7 +76,7 @@
     async def close(self):
         """Close the listener and all connections."""
         self._server.close()
-        self._opened.set()
+        self.set_state(LinkState.OPEN)
         self.reset()
         await self._server.wait_closed()
 
@@ -82,6 +84,10 @@
         if self.state is LinkState.REFUSING:
             _abort(writer)
             return
+        if self.state is LinkState.GONE:
+            await self._opened.wait()
+            _abort(writer)
+            return
         host, _, port = self._private.rpartition(':')
         try:
             process_reader, process_writer = await open_connection(
--- a/soak/runs.py
+++ b/soak/runs.py
@@ -30,19 +30,22 @@
 from soak.faults import FaultInjector
 from soak.large_callers import LargeCaller
 from soak.ledger import Ledger
+from soak.member_faults import draw_member_plan
+from soak.member_faults import MemberFaultInjector
 from soak.operators import Operator
 from soak.operators import SERVICES
-from soak.processes import CONTROL_HOSTS
 from soak.processes import DOMAINS
 from soak.processes import Network
 from soak.processes import Ports
 from soak.processes import Role
+from soak.processes import SEED_HOSTS
 from soak.processes import SoakProcess
 from soak.records import LoopStall
 from soak.servers import StandInServer
 
 GATEWAYS = 3
 FIRST_GATEWAY_INDEX = 11
+FIRST_SUCCESSOR_INDEX = 21
 CALLERS = 8
 # Further callers, which use all gateways whatever a directory names.
 FIXED_CALLERS = 4
@@ -76,6 +79,7 @@
             + draw_server_cuts(Random(f'server cuts {seed}')),
             key=lambda fault: fault.at_s,
         )
+        self.member_plan = draw_member_plan(Random(f'group losses {seed}'))
         self._crash_random = Random(f'crashes {seed}')
         self.builds = BuildPlan(commit, Random(f'builds {seed}'))
         self.network = Network(slot)
@@ -87,28 +91,50 @@
         self.servers = []
         self.evacuable_domains = DOMAINS[1:]
         self.control = [
-            SoakProcess(self, Role.CONTROL, 1 + index, DOMAINS[index])
-            for index in range(CONTROL_HOSTS)
+            SoakProcess(
+                self, Role.CONTROL, 1 + index, DOMAINS[index % len(DOMAINS)]
+            )
+            for index in range(self.member_plan.control_hosts)
         ]
+        self._gone = []
         self.gateways = [
             SoakProcess(
                 self, Role.GATEWAY, FIRST_GATEWAY_INDEX + index, DOMAINS[index]
             )
             for index in range(GATEWAYS)
         ]
+        self.operator = Operator(self)
         self.injector = FaultInjector(self)
+        self.member_injector = MemberFaultInjector(self, self.member_plan)
+        self.recovery_timeout_s = RECOVERY_TIMEOUT_S
         self._started_servers = 0
         self._tasks = []
 
     @property
     def seeds(self):
         """Addresses at which a process finds the others when it starts."""
-        return [process.public_address for process in self.control]
+        return [host.public_address for host in self.control[:SEED_HOSTS]]
 
     def shuffled_control(self):
         """Return the control hosts in random order."""
         return self.random.sample(self.control, len(self.control))
 
+    async def exchange_control(self, index):
+        """Start a new control host, at a new address, in place of another.
+
+        :param index: position of the host that is gone.
+        """
+        old = self.control[index]
+        successor = SoakProcess(
+            self,
+            Role.CONTROL,
+            FIRST_SUCCESSOR_INDEX + len(self._gone),
+            old.domain,
+        )
+        self._gone.append(old)
+        self.control[index] = successor
+        await self._start_process(successor)
+
     async def replace_server(self, old, swap_service):
         """Start a new server at the address and port of another one.
 
@@ -130,21 +156,21 @@
         :return: descriptions of the broken promises.
         """
         self._tasks.append(create_task(self._record_loop_stalls()))
+        if not timed:
+            self.recovery_timeout_s = START_TIMEOUT_S
         try:
             await self._start_deployment()
-            operator = Operator(self)
-            await operator.put_first_configuration()
+            await self.operator.put_first_configuration()
             callers = self._start_callers()
             await self._wait_until_served(START_TIMEOUT_S)
             callers.append(self._start_crashing_caller())
-            orders = create_task(operator.run())
+            orders = create_task(self.operator.run())
             await self.injector.inject_all(self.plan)
+            await self.member_injector.inject_all()
             self.faults_are_over = True
             await orders
-            await self._wait_until_served(
-                RECOVERY_TIMEOUT_S if timed else START_TIMEOUT_S
-            )
-            await self._check_final_configuration(operator)
+            await self._wait_until_served(self.recovery_timeout_s)
+            await self._check_final_configuration()
             self.is_finished = True
             await gather(*callers)
             await self._stop_gateways()
@@ -161,15 +187,18 @@
 
     async def _start_deployment(self):
         for process in self.control + self.gateways:
-            await process.open_links()
-            process.start(bootstrap=process.role is Role.CONTROL)
-            self._tasks.append(create_task(process.restart_on_exit()))
+            await self._start_process(process, process.role is Role.CONTROL)
         for index, domain in enumerate(DOMAINS):
             for number in range(SERVERS_PER_SERVICE * len(SERVICES)):
                 service = SERVICES[number % len(SERVICES)]
                 address = self.network.server_address(1 + index)
                 self.servers.append(self._new_server(service, domain, address))
 
+    async def _start_process(self, process, bootstrap=False):
+        await process.open_links()
+        process.start(bootstrap)
+        self._tasks.append(create_task(process.restart_on_exit()))
+
     def _new_server(self, service, domain, address, port=0):
         self._started_servers += 1
         name = f's{self._started_servers}'
@@ -234,12 +263,12 @@
             'RECOVER', f'not served within {timeout_s} s'
         )
 
-    async def _check_final_configuration(self, operator):
+    async def _check_final_configuration(self):
         """Check that no acknowledged configuration was lost or altered."""
         deadline_s = monotonic() + START_TIMEOUT_S
         body = None
         while body is None and monotonic() < deadline_s:
-            body = await operator.read()
+            body = await self.operator.read()
         acked = self.ledger.newest_acked
         if body is None:
             self.ledger.record_violation(
@@ -278,7 +307,7 @@
         await gather(*self._tasks, return_exceptions=True)
         for server in self.servers:
             await server.crash()
-        for process in self.control + self.gateways:
+        for process in self.control + self._gone + self.gateways:
             await process.close()
 
 
@@ -292,7 +321,7 @@
             wait_for(soak.execute(not options['--untimed']), RUN_TIMEOUT_S)
         )
     except (CancelledError, OSError, TimeoutError) as error:
-        violations = [f'SOAK: {error!r}']
+        violations = [f'SOAK: {error!r}', *soak.ledger.violations]
     requests = soak.ledger.requests.values()
     served = sum(sent.status == 200 for sent in requests)
     print(
@@ -305,6 +334,14 @@
     )
     for build, count in soak.builds.starts.items():
         print(f'  {count} starts of {build}')
+    members = soak.member_injector
+    if members.injected:
+        print(
+            f'  {len(soak.control)} control hosts, {len(members.injected)}'
+            f' replaced, {len(members.recoveries_s)} recovered losses of power'
+            f' with {members.lost_disks} disks,'
+            f' within {max(members.recoveries_s, default=0):.1f} s'
+        )
     if soak.ledger.stalls:
         stalled_s = sum(
             stall.end_s - stall.start_s for stall in soak.ledger.stalls
@@ -321,7 +358,9 @@
         kept_folder = Path(options['KEEP']) / str(seed)
         rmtree(kept_folder, ignore_errors=True)
         copytree(soak.folder, kept_folder)
-        plan = '\n'.join(str(fault) for fault in soak.injector.injected)
+        plan = '\n'.join(
+            str(fault) for fault in soak.injector.injected + members.injected
+        )
         (kept_folder / 'plan').write_text(plan)
         (kept_folder / 'broken').write_text('\n'.join(violations))
     rmtree(soak.folder, ignore_errors=True)
