Cut the power of the soak's control group while it repairs itself

Cause: a promotion is committed on three hosts and missing on two for a few milliseconds only on loopback, and a loss of power came only after a replacement, whose successor counts as lost, so that two disks could hardly be lost with it.

Control hosts now lie up to 80 ms apart while their members change, and three of ten losses of power follow the one before without a replacement, as soon as disks may be lost again.

--- a/soak/member_faults.py
+++ b/soak/member_faults.py
@@ -23,6 +23,11 @@
 # By the number of tolerated losses.
 CONTROL_HOSTS = (1, 3, 5)
 FAULT_COUNT_RANGE = (2, 3)
+# Between control hosts, as between regions.  A change then reaches some of
+# them well before others.
+DISTANCE_RANGE_S = (0.0, 0.08)
+# Otherwise power and disks are lost while the group repairs itself.
+REPLACE_PROBABILITY = 0.7
 PAUSE_RANGE_S = (0.0, 1.0)
 WIPE_PROBABILITY = 0.4
 SILENT_PROBABILITY = 0.5
@@ -49,18 +54,20 @@
 
 
 class MemberFault(Struct, frozen=True):
-    """A control host is replaced; a loss of power may follow.
-
-    ``target`` selects the host, modulo their number.  A host that keeps its
-    address comes back with an empty disk.  Connections to one that is gone
-    fall silent, or are reset.  ``power_loss_s`` counts from the start of the
-    successor or, if ``changes`` is not 0, from that many changes of the
-    members, and is None if the power stays.  ``lost_disks`` are lost with the
-    power at most, those of the hosts that come first in ``disk_order``.
-    ``restarts_s`` says when each host is back.
+    """A control host may be replaced; a loss of power may follow.
+
+    ``target`` is the position of the host.  A host that keeps its address
+    comes back with an empty disk.  Connections to one that is gone fall
+    silent, or are reset.  ``power_loss_s`` counts from the start of the
+    successor or, without one, from when disks may be lost again; if
+    ``changes`` is not 0, from that many changes of the members since.  It is
+    None if the power stays.  ``lost_disks`` are lost with the power at most,
+    those of the hosts that come first in ``disk_order``.  ``restarts_s`` says
+    when each host is back.
     """
 
     pause_s: float
+    replaces: bool
     target: int
     keeps_address: bool
     is_silent: bool
@@ -74,9 +81,13 @@
 
 
 class MemberPlan(Struct, frozen=True):
-    """The losses that the control group tolerates, and its faults."""
+    """The losses that the control group tolerates, and its faults.
+
+    ``distances_s`` holds the delay in front of each control host.
+    """
 
     tolerated_losses: int = 1
+    distances_s: tuple[float, ...] = ()
     faults: tuple[MemberFault, ...] = ()
 
     @property
@@ -95,11 +106,15 @@
     if random.random() >= RUN_PROBABILITY:
         return MemberPlan()
     tolerated_losses = 2 if random.random() < LARGE_GROUP_PROBABILITY else 1
+    distances_s = tuple(
+        round(random.uniform(*DISTANCE_RANGE_S), 3)
+        for _ in range(CONTROL_HOSTS[tolerated_losses])
+    )
     faults = tuple(
         _draw_fault(random, tolerated_losses)
         for _ in range(random.randint(*FAULT_COUNT_RANGE))
     )
-    return MemberPlan(tolerated_losses, faults)
+    return MemberPlan(tolerated_losses, distances_s, faults)
 
 
 def _draw_fault(random, tolerated_losses):
@@ -112,6 +127,7 @@
     power_loss_s = round(random.uniform(*range_s), 3)
     return MemberFault(
         pause_s=round(random.uniform(*PAUSE_RANGE_S), 2),
+        replaces=random.random() < REPLACE_PROBABILITY,
         target=random.randrange(hosts),
         keeps_address=random.random() < WIPE_PROBABILITY,
         is_silent=random.random() < SILENT_PROBABILITY,
@@ -160,8 +176,9 @@
 class MemberFaultInjector:
     """Injects the faults of a :class:`MemberPlan`, one after the other.
 
-    ``recoveries_s`` holds the times after which the group had a leader again,
-    ``lost_disks`` the number of disks lost with the power.
+    ``replaced`` counts the hosts that were replaced, ``lost_disks`` the disks
+    lost with the power; ``recoveries_s`` holds the times after which the group
+    had a leader again.
 
     :param soak: the :class:`Soak` run.
     :param plan: the plan.
@@ -175,6 +192,7 @@
         self._hold_until_s = 0.0
         self._log_sizes = {}
         self.injected = []
+        self.replaced = 0
         self.recoveries_s = []
         self.lost_disks = 0
 
@@ -185,10 +203,20 @@
 
     async def inject_all(self):
         """Inject all faults; stop if the group has no leader in time."""
-        await sleep(CONTROL_RECOVERY_S if self._plan.faults else 0.0)
+        if not self._plan.faults:
+            return
+        await sleep(CONTROL_RECOVERY_S)
+        for index in range(self._plan.control_hosts):
+            self._set_distance(index)
         for fault in self._plan.faults:
             await sleep(fault.pause_s)
-            await self._replace(fault)
+            self.injected.append(fault)
+            await self._wait_until_tolerated(fault.target)
+            self._log_sizes = {
+                path: path.stat().st_size for path in self._find_logs()
+            }
+            if fault.replaces:
+                await self._replace(fault)
             if fault.power_loss_s is None:
                 continue
             await self._wait_for_changes(fault.changes)
@@ -199,15 +227,17 @@
                 return
         await sleep(max(0.0, self._hold_until_s - monotonic()))
 
-    async def _replace(self, fault):
-        """Replace a control host by an empty one, once that is tolerated."""
-        index = fault.target
+    def _set_distance(self, index):
+        link = self._soak.control[index].links['peer']
+        link.delay_s = self._plan.distances_s[index]
+
+    async def _wait_until_tolerated(self, index):
         while not self._budget.allows((index,), monotonic()):
             await sleep(POLL_INTERVAL_S)
-        self.injected.append(fault)
-        self._log_sizes = {
-            path: path.stat().st_size for path in self._find_logs()
-        }
+
+    async def _replace(self, fault):
+        """Replace a control host by an empty one."""
+        index = fault.target
         host = self._soak.control[index]
         if fault.is_silent and not fault.keeps_address:
             host.set_links(LinkState.GONE)
@@ -218,6 +248,8 @@
             host.start()
         else:
             await self._soak.exchange_control(index)
+            self._set_distance(index)
+        self.replaced += 1
         self._budget.record(index, monotonic())
 
     def _find_logs(self):
--- a/soak/runs.py
+++ b/soak/runs.py
@@ -337,7 +337,7 @@
     members = soak.member_injector
     if members.injected:
         print(
-            f'  {len(soak.control)} control hosts, {len(members.injected)}'
+            f'  {len(soak.control)} control hosts, {members.replaced}'
             f' replaced, {len(members.recoveries_s)} recovered losses of power'
             f' with {members.lost_disks} disks,'
             f' within {max(members.recoveries_s, default=0):.1f} s'
