Let gateways lose power with the soak's control group

Cause: gateways that run on keep the configuration and the evacuations that they were told, so a control group that forgot them was hardly seen. In four of ten losses of power all gateways are killed as well, as in the users' last faults.

--- a/soak/member_faults.py
+++ b/soak/member_faults.py
@@ -43,6 +43,9 @@
 CHANGE_TIMEOUT_S = 6.0
 AFTER_CHANGE_RANGE_S = (0.0, 0.05)
 CHANGE_EVENT = b'event=members_change '
+# Gateways that run on know what they were told; those that start anew show
+# what the control group still knows.
+GATEWAY_PROBABILITY = 0.4
 RESTART_RANGE_S = (0.1, 1.0)
 POLL_INTERVAL_S = 0.05
 CHANGE_POLL_INTERVAL_S = 0.005
@@ -63,7 +66,7 @@
     ``changes`` is not 0, from that many changes of the members since.  It is
     None if the power stays.  ``lost_disks`` are lost with the power at most,
     those of the hosts that come first in ``disk_order``.  ``restarts_s`` says
-    when each host is back.
+    when each host is back.  Gateways may lose power as well.
     """
 
     pause_s: float
@@ -78,6 +81,7 @@
     lost_disks: int
     disk_order: tuple[int, ...]
     restarts_s: tuple[float, ...]
+    includes_gateways: bool
 
 
 class MemberPlan(Struct, frozen=True):
@@ -140,6 +144,7 @@
         restarts_s=tuple(
             round(random.uniform(*RESTART_RANGE_S), 2) for _ in range(hosts)
         ),
+        includes_gateways=random.random() < GATEWAY_PROBABILITY,
     )
 
 
@@ -285,16 +290,17 @@
         :return: True if the group had a leader again in time.
         """
         hosts = self._soak.control
+        gateways = self._soak.gateways if fault.includes_gateways else []
         self._is_recovering = True
         # The promises do not cover gateways until the group is back.
         with marked_as_disturbed(self._soak.gateways):
             lost = self._budget.choose(
                 fault.disk_order, fault.lost_disks, monotonic()
             )
-            for host in hosts:
-                host.send_signal(SIGKILL)
-            for host in hosts:
-                host.kill()
+            for process in (*hosts, *gateways):
+                process.send_signal(SIGKILL)
+            for process in (*hosts, *gateways):
+                process.kill()
             for index in lost:
                 hosts[index].wipe()
             self.lost_disks += len(lost)
@@ -304,6 +310,8 @@
                     for index, after_s in enumerate(fault.restarts_s)
                 )
             )
+            for gateway in gateways:
+                gateway.start()
             has_recovered = await self._wait_for_leader(lost)
         self._hold_until_s = monotonic() + EVACUATION_HOLD_S
         self._is_recovering = False
