Play losses of disks and power during a replacement in the checks

Seed 3946: five control hosts, of which one is exchanged and one wiped; each time, around the removal of the old voter, one or two further disks are lost, as far as tolerated, and the power of all other control hosts, once with that of the gateways.

--- a/tools/check.py
+++ b/tools/check.py
@@ -21,11 +21,12 @@
 
 SOURCES = ('fuchsiacart', 'standins', 'models', 'features', 'tools', 'soak')
 # Seeds of the soak; those that have failed stay here as regression cases.
+# 3946: disks and power are lost while the members of the control group change.
 # 7: responses were reported as late while the event loop of the soak was
 # blocked.  703, 871: gateways had exited in time, but the kernel had not freed
 # what they had mapped.  521318, 215859: a refusal of another gateway was
 # passed on for a request that had run.
-SOAK_SEEDS = ('2', '7', '703', '871', '521318', '215859')
+SOAK_SEEDS = ('2', '7', '703', '871', '521318', '215859', '3946')
 # A seed in which processes change from the build in production to this tree
 # as they are restarted.
 BUILDS_SEED = '3501'
