--- a/tools/seeded_faults/control.py
+++ b/tools/seeded_faults/control.py
@@ -163,7 +163,7 @@
     Fault(
         'two lost voters are removed before one is replaced',
         'control/memberships.py',
-        'if added and len(group.voters) < voter_count:',
+        'if added and len(group.voters) < voter_count + bool(departing):',
         'if added and len(group.voters) < voter_count - 1:',
         'members',
     ),
@@ -429,4 +429,68 @@
         '            self._truncate_torn_record(content)',
         'disk_formats',
     ),
+    Fault(
+        'a tick counts before the votes that came with it',
+        'control/replica_events.py',
+        'return others + ticks[:1]',
+        'return ticks[:1] + others',
+        'elections',
+    ),
+    Fault(
+        'the own write counts as silence of others',
+        'control/elections.py',
+        'counted_ms = min(taken_ms, self._timeout_ms)',
+        'counted_ms = 0.0',
+        'elections',
+    ),
+    Fault(
+        'a new leader is judged by a quorum from before its election',
+        'control/timed_consensus.py',
+        '            self._timer.on_elected(now_ms)\n',
+        '',
+        'elections',
+    ),
+    Fault(
+        'a blank host that has voted forgets its term',
+        'control/replica_states.py',
+        'term=max(self.term, 1),',
+        'term=1,',
+        'replacements',
+    ),
+    Fault(
+        'a learner must hold the newest commit to be ready',
+        'control/timed_consensus.py',
+        'now_ms - limit_ms * READY_LAG, state.commit_index',
+        'now_ms, state.commit_index',
+        'replacements',
+    ),
+    Fault(
+        'a voter that asks to join is replaced for its silence',
+        'control/member_tasks.py',
+        'if voter not in self._join_requested_ms',
+        'if True',
+        'replacements',
+    ),
+    Fault(
+        'a voter that stops is answered before it is replaced',
+        'control/member_tasks.py',
+        'if replica not in group.voters:\n                return',
+        'return',
+        'replacements',
+    ),
+    Fault(
+        'a voter that stops is removed before its successor comes',
+        'control/memberships.py',
+        'if departing and len(group.voters) > voter_count:',
+        'if departing and promotable:',
+        'members',
+        more=(
+            Edit(
+                'control/memberships.py',
+                'if added and len(group.voters) < voter_count'
+                ' + bool(departing):',
+                'if added and len(group.voters) < voter_count:',
+            ),
+        ),
+    ),
 )
