Let the soak's ledger know the state before the first configuration

For later configurations the one before is allowed for 2.5 s; for the first one the ledger knew no state before, in which a gateway allows 64 MiB. By the code, a gateway reads such a request under these limits and keeps it until it has caught up. The request is still checked once the first configuration has to be in force, and a refusal is still wrong if that configuration allows it: the new rows say both. Red before: the first of them.

--- a/features/soak_ledger.feature
+++ b/features/soak_ledger.feature
@@ -26,6 +26,18 @@
       | 100000 | 4096   | 11     | 200    | 0     |
       | 100000 | 4096   | 13     | 400    | 0     |
 
+  Scenario Outline: requests with a body of 7000 bytes around the first configuration
+    Given a configuration that allows bodies of <limit> bytes, acknowledged at 1 s
+    And a request with a large body that is sent at <sent_s> s and answered <status>
+    Then the ledger reports <count> broken promises
+
+    Examples:
+      | limit  | sent_s | status | count |
+      | 4096   | 2      | 200    | 0     |
+      | 4096   | 2      | 400    | 0     |
+      | 4096   | 4      | 200    | 1     |
+      | 100000 | 2      | 400    | 1     |
+
   Scenario Outline: runs of a request that crashes servers
     Given a request that crashed 3 servers by 5 s
     And <count> requests of its kind that run from <start_s> s on
--- a/soak/ledger.py
+++ b/soak/ledger.py
@@ -10,6 +10,7 @@
 from soak.body_limits import find_limit_error
 from soak.body_limits import is_large
 from soak.records import NEVER_S
+from soak.records import Order
 
 # Time limits and retry budget of the users' deployments.
 CONFIG_APPLY_LIMIT_S = 2.5
@@ -33,6 +34,8 @@
 CRASHED_LIMIT = 3
 CRASH_LEARNED_LIMIT_S = 4.0
 LATE_RUNS_LIMIT = 3
+# Gateways without a configuration allow larger bodies than any caller sends.
+UNCONFIGURED = Order(0, 0, '', b'', 0.0, 64 * 1024 * 1024)
 
 
 class Ledger:
@@ -175,7 +178,10 @@
                 'ANSWER', f'{sent.request_id} {late_s:.1f} s late'
             )
         if is_large(sent):
-            error = find_limit_error(sent, self._possible_orders(sent))
+            orders = self._possible_orders(sent)
+            if not self._is_configured(sent.sent_s):
+                orders.append(UNCONFIGURED)
+            error = find_limit_error(sent, orders)
             if error:
                 self.record_violation('LIMITS', error)
         for run in sent.runs:
@@ -238,6 +244,13 @@
             and not order.refused
         ]
 
+    def _is_configured(self, at_s):
+        """Return True if all gateways must have a configuration by then."""
+        return any(
+            order.acked_s + CONFIG_APPLY_LIMIT_S < at_s
+            for order in self.orders
+        )
+
     def _check_cut(self, cut):
         """Check that callers at gateways that were cut off were served.
 
