Ignore the own messages that were meant for an earlier replica on the host

Replicas are named after addresses: a leader whose earlier id is still a voter sends that one its entries, gets them itself, and took them for those of another leader of its term: it stepped down at once.

--- a/features/replacements.feature
+++ b/features/replacements.feature
@@ -136,3 +136,8 @@
     Given the task that maintains a group of 5 voters that should have 5
     When no learner is ready and a voter asks to leave
     Then the voter is answered within 100 ms, and is a voter still
+
+  Scenario: a leader is not deposed by its own message to an earlier replica on its host
+    Given three voters and a learner on the host of one that is lost, whose log is the longest
+    When the learner is elected and sends to all members
+    Then it leads on and commits an entry of its term
--- a/features/steps/replacement_steps.py
+++ b/features/steps/replacement_steps.py
@@ -366,3 +366,28 @@
     assert leader is not None and leader.replica == 'e', leader
     group = Group(leader.group.voters + ('e',))
     assert rules.may_change_group(leader, group), leader
+
+
+@given(
+    'three voters and a learner on the host of one that is lost, whose log is'
+    ' the longest'
+)
+def given_successor(context):
+    group = Group(('a', 'b', 'c'), ('c/2',))
+    log = (Entry(1, group=Group(('a', 'b', 'c'))), Entry(1, group=group))
+    logs = {'a': log, 'b': log, 'c/2': log + (Entry(2),)}
+    context.running = [
+        ReplicaState(name, term=2, log=each, group=group)
+        for name, each in logs.items()
+    ]
+
+
+@when('the learner is elected and sends to all members')
+def when_successor_elected(context):
+    context.leader = FairElections(context.running, Consensus()).elect(ROUNDS)
+
+
+@then('it leads on and commits an entry of its term')
+def then_leads_on(context):
+    assert context.leader is not None, 'no leader'
+    assert context.leader.replica == 'c/2', context.leader
--- a/fuchsiacart/control/consensus.py
+++ b/fuchsiacart/control/consensus.py
@@ -46,8 +46,11 @@
         :param leader_is_fresh: True if the receiver has heard from a
             leader, or as leader from a quorum, within an election timeout;
             vote requests are then refused or ignored.
-        :return: the step.
+        :return: the step; unchanged by a message of its own, which was meant
+            for an earlier replica on its host.
         """
+        if message.sender == state.replica:
+            return Step(state)
         if isinstance(message, PreVoteRequest):
             return self._on_pre_vote(state, message, leader_is_fresh)
         if isinstance(message, PreVoteResponse):
--- a/models/fair_elections.py
+++ b/models/fair_elections.py
@@ -26,8 +26,8 @@
     """Elections among replicas that all reach each other.
 
     Each starts an election in its turn, and all messages arrive before the
-    next one does.  A message goes to a host: to the replica that runs there
-    now, whichever one it was meant for.
+    next one does.  A message for a replica that is gone goes to the one that
+    runs on its host now.
 
     :param states: state of each running replica.
     :param rules: the :class:`Consensus`.
@@ -56,7 +56,9 @@
         self._apply(name, self._rules.start_election(self._states[name]))
         while self._messages:
             each = self._messages.popleft()
-            receiver = self._names.get(host_of(each.to))
+            receiver = each.to
+            if receiver not in self._states:
+                receiver = self._names.get(host_of(each.to))
             if receiver is not None:
                 step = self._rules.receive(
                     self._states[receiver], each.message
--- a/tools/seeded_faults/control.py
+++ b/tools/seeded_faults/control.py
@@ -493,4 +493,11 @@
             ),
         ),
     ),
+    Fault(
+        'a leader takes its own messages for those of another',
+        'control/consensus.py',
+        'if message.sender == state.replica:',
+        'if False:',
+        'replacements',
+    ),
 )
