--- a/fuchsiacart/control/leaders.py
+++ b/fuchsiacart/control/leaders.py
@@ -6,14 +6,17 @@
 from msgspec.structs import replace
 
 from fuchsiacart.adapters import Method
+from fuchsiacart.builds import build_name
 from fuchsiacart.clocks import steady_ms
 from fuchsiacart.clocks import wall_ms
 from fuchsiacart.control.claim_states import claim_name
 from fuchsiacart.control.commands import JoinHost
 from fuchsiacart.control.commands import LeaveHost
 from fuchsiacart.control.commands import MarkInForce
+from fuchsiacart.control.disk_formats import FORMAT
 from fuchsiacart.control.gateway_reports import GatewayReports
 from fuchsiacart.control.limit_shares import ShareLedger
+from fuchsiacart.control.message_checks import check_message
 from fuchsiacart.control.order_checks import confirm_caller
 from fuchsiacart.control.outcomes import Outcome
 from fuchsiacart.control.pulls import answer_pull
@@ -93,7 +96,9 @@
         """Pass a message of the replicated log to the replica.
 
         :return: a :class:`Deliver` with the response, or :class:`Done`.
+        :raises UndecodedError: if this build cannot apply what it brings.
         """
+        check_message(request.message)
         response = await self._replica.respond(request.message)
         return Done() if response is None else Deliver(response)
 
@@ -249,6 +254,8 @@
             state.commit_index,
             self._replica.is_blank,
             state.group,
+            build_name(),
+            FORMAT,
         )
 
     async def bootstrap(self, group):
--- a/fuchsiacart/control/replica_states.py
+++ b/fuchsiacart/control/replica_states.py
@@ -99,11 +99,11 @@
     def may_be_elected(self):
         """Return True if this replica may ask for votes.
 
-        A voter may.  One that the last membership change removes may too,
-        until it knows that the change is committed: its log may be the
-        longest one left, and then no other replica can win.
+        A member may: no other replica can win if its log is the longest one
+        left, also that of a learner.  A replica that the last change of the
+        members removes may too, until it knows that the change is committed.
         """
-        if self.replica in self.group.voters:
+        if self.replica in self.group.members:
             return True
         first_uncommitted = self.commit_index - self.base_index
         for position in reversed(range(first_uncommitted, len(self.log))):
@@ -123,11 +123,17 @@
     def with_initial_group(self, group):
         """Return this blank state with the initial members as its only entry.
 
+        A vote that it has given already, and its term, hold on.
+
         :param group: the members.
         """
         first_entry = Entry(1, group=group)
         return replace(
-            self, term=1, log=(first_entry,), group=group, commit_index=1
+            self,
+            term=max(self.term, 1),
+            log=(first_entry,),
+            group=group,
+            commit_index=1,
         )
 
     def entries_from(self, index, limit=None):
--- a/fuchsiacart/daemon.py
+++ b/fuchsiacart/daemon.py
@@ -37,6 +37,7 @@
 
 from fuchsiacart.adapters import GrpcAdapter
 from fuchsiacart.adapters import PeerServer
+from fuchsiacart.builds import build_name
 from fuchsiacart.control.leaders import ControlService
 from fuchsiacart.control.member_tasks import MemberTask
 from fuchsiacart.control.operators import make_operator_application
@@ -50,12 +51,12 @@
 from fuchsiacart.logs import log_error
 from fuchsiacart.logs import log_event
 from fuchsiacart.logs import start_logging
+from fuchsiacart.logs import stop_logging
 from fuchsiacart.metrics import MetricsHandler
 from fuchsiacart.settings import DaemonRole
 from fuchsiacart.settings import load_settings
 from fuchsiacart.settings_watchers import SettingsWatcher
 from fuchsiacart.supervisors import Supervisor
-from fuchsiacart.version import __version__
 
 HTTP_BODY_LIMIT_BYTES = 64 * 1024 * 1024
 PEER_GRACE_S = 1.0
@@ -114,16 +115,20 @@
         watch = Supervisor('control_watch')
         watch.add('watch', service.watch)
         supervisor.add('watch', watch.run)
+        leave = None
         if self._edge is not None:
-            await self._add_route_tasks(supervisor, replica, service)
-        code = await self._run_supervisor(supervisor)
+            members = MemberTask(
+                self._settings, replica, service, self._adapter
+            )
+            leave = members.leave
+            await self._add_route_tasks(supervisor, replica, service, members)
+        code = await self._run_supervisor(supervisor, leave)
         await self._close(http, peer)
         return code
 
-    async def _add_route_tasks(self, supervisor, replica, service):
+    async def _add_route_tasks(self, supervisor, replica, service, members):
         """Add the tasks for routes and for the membership of the group."""
         control = RouteControl(self._settings, replica, service)
-        members = MemberTask(self._settings, replica, service, self._adapter)
         shares = RegionShareTask(self._settings, replica, service)
         tasks = Supervisor('routes')
         tasks.add('join', members.join)
@@ -209,6 +214,7 @@
             'listening',
             host=self._settings.host.name,
             role=self._settings.role.value,
+            build=build_name(),
             http=ports.http_address,
             peer=ports.peer_address,
         )
@@ -269,6 +275,7 @@
     All is closed by now, and on a busy machine the cleanup takes longer than
     is left of a planned stop.
     """
+    stop_logging()
     stdout.flush()
     stderr.flush()
     _exit(code)
@@ -276,7 +283,7 @@
 
 def main(argv=None):
     """Run the daemon from the command line and exit with its code."""
-    options = docopt(__doc__, argv, version=__version__)
+    options = docopt(__doc__, argv, version=build_name())
     start_logging()
     try:
         settings = load_settings(options['SETTINGS'])
--- a/tools/seeded_faults/control.py
+++ b/tools/seeded_faults/control.py
@@ -71,24 +71,74 @@
     Fault(
         'a vote request disturbs a leader heard recently',
         'control/election_rules.py',
-        'and not leader_is_fresh\n            and message.term > state.term',
-        'and message.term > state.term',
+        'if leader_is_fresh and message.term > state.term:',
+        'if False:',
         'elections',
-    ),
-    Fault(
-        'a host with a lost disk keeps its identity and votes',
-        'control/election_rules.py',
-        'return state.replica in state.group.voters\n',
-        'return True\n',
-        'control_group',
         (
             Edit(
-                'control/journals.py',
-                'self._first_replica or uuid4().hex',
-                "'same'",
+                'control/election_rules.py',
+                'if leader_is_fresh:',
+                'if False:',
             ),
         ),
     ),
+    Fault(
+        'a host with a lost disk keeps its identity and votes',
+        'control/journals.py',
+        'self._first_replica or uuid4().hex',
+        "'same'",
+        'control_group',
+    ),
+    Fault(
+        'a host votes only as a voter of its own log',
+        'control/election_rules.py',
+        'if not self._is_up_to_date(state, request):',
+        'is_voter = state.replica in state.group.voters\n'
+        '        if not is_voter or not self._is_up_to_date(state, request):',
+        'replacements',
+    ),
+    Fault(
+        'a leader whose removal is not committed asks for no votes',
+        'control/election_rules.py',
+        'if not state.may_be_elected:',
+        'if state.replica not in state.group.voters:',
+        'replacements',
+    ),
+    Fault(
+        'a learner asks for no votes',
+        'control/replica_states.py',
+        'if self.replica in self.group.members:',
+        'if self.replica in self.group.voters:',
+        'replacements',
+    ),
+    Fault(
+        'a learner that leads is not promoted',
+        'control/consensus.py',
+        'if replica == state.replica:',
+        'if False:',
+        'replacements',
+    ),
+    Fault(
+        'a learner that does not answer counts as ready',
+        'control/timed_consensus.py',
+        'and self._silence_ms(state, learner, now_ms) < limit_ms',
+        '',
+        'replacements',
+    ),
+    Fault(
+        'a learner counts only while its requests to join arrive',
+        'control/memberships.py',
+        'for replica in (*asking, *others)',
+        'for replica in asking',
+        'replacements',
+    ),
+    Fault(
+        'the request of a lost replica to join counts beside its successor',
+        'control/memberships.py',
+        'latest[host_of(replica)] = replica',
+        'latest[replica] = replica',
+        'replacements',
+    ),
     Fault(
         'a late heartbeat restores a server that has left',
         'control/route_states.py',
@@ -267,14 +317,20 @@
     Fault(
         'a command is encoded within its batch',
         'control/replicas.py',
-        'Proposal(encode_command(command), future)',
-        'Proposal(command, future)',
+        'encode_command(command), future, find_subject(command)',
+        'command, future, find_subject(command)',
         'odd_entries',
         more=(
             Edit(
-                'control/replicas.py',
-                '[proposal.body for proposal in proposals]',
-                '[encode_command(each.body) for each in proposals]',
+                'control/proposals.py',
+                '[each.body for each in accepted]',
+                '[encode_command(each.body) for each in accepted]',
+            ),
+            Edit(
+                'control/proposals.py',
+                'from fuchsiacart.control.election_rules import Step',
+                'from fuchsiacart.control.commands import encode_command\n'
+                'from fuchsiacart.control.election_rules import Step',
             ),
         ),
     ),
@@ -334,4 +390,43 @@
         "return ''",
         'late_orders',
     ),
+    Fault(
+        'a log is compacted by its entries only',
+        'control/compactions.py',
+        'or self._bytes >= self._settings.compact_bytes',
+        'or False',
+        'memory',
+    ),
+    Fault(
+        'a control host starts on commands that it cannot apply',
+        'control/journals.py',
+        'if check is not None:',
+        'if False:',
+        'disk_formats',
+    ),
+    Fault(
+        'a control host starts on a disk of a later format',
+        'control/disk_formats.py',
+        'if found not in READ_FORMATS:',
+        'if False:',
+        'disk_formats',
+    ),
+    Fault(
+        'the identity is written before the disk has been read',
+        'control/journals.py',
+        'self.identity = self._next_identity()',
+        'self.identity = self._next_identity()\n'
+        "        self._write_file('identity', frame(encode(self.identity)))",
+        'disk_formats',
+    ),
+    Fault(
+        'a torn record is cut before the disk has been read',
+        'control/journals.py',
+        'recovered, content = self._recover(base or 0)',
+        'recovered, content = self._recover(base or 0)\n'
+        "        self._log_path = self._folder / f'log-{base or 0}'\n"
+        '        if content.end < content.size_bytes:\n'
+        '            self._truncate_torn_record(content)',
+        'disk_formats',
+    ),
 )
