--- a/fuchsiacart/log_streams.py
+++ b/fuchsiacart/log_streams.py
@@ -31,7 +31,7 @@
         self._buffer_bytes = buffer_bytes
         self._waiting = bytearray()
         self._dropped = 0
-        self._is_closed = False
+        self._deadline_s = None
         self._changed = Condition()
         self._thread = Thread(target=self._run, name='log', daemon=True)
         self._thread.start()
@@ -56,14 +56,16 @@
     def close(self, timeout_s=CLOSE_TIMEOUT_S):
         """Write what waits, as far as it is read in time.
 
+        The time counts once: the end of the interpreter closes it again.
+
         :param timeout_s: seconds to wait.
         :return: True if all was written.
         """
-        deadline_s = monotonic() + timeout_s
         with self._changed:
-            self._is_closed = True
+            if self._deadline_s is None:
+                self._deadline_s = monotonic() + timeout_s
             self._changed.notify()
-        self._thread.join(max(0.0, deadline_s - monotonic()))
+        self._thread.join(max(0.0, self._deadline_s - monotonic()))
         return not self._thread.is_alive()
 
     def _run(self):
@@ -81,7 +83,7 @@
         """Wait for lines and return them, empty after the last ones."""
         with self._changed:
             while not self._waiting and not self._dropped:
-                if self._is_closed:
+                if self._deadline_s is not None:
                     return b''
                 self._changed.wait()
             data = bytes(self._waiting)
--- a/tools/seeded_faults/common.py
+++ b/tools/seeded_faults/common.py
@@ -148,7 +148,7 @@
     Fault(
         'an end waits for the reader of the log',
         'log_streams.py',
-        'self._thread.join(max(0.0, deadline_s - monotonic()))',
+        'self._thread.join(max(0.0, self._deadline_s - monotonic()))',
         'self._thread.join(10.0)',
         'logs',
     ),
