Log what a gateway believed of a server, and what its answers say

The record of the incident can't tell whether a gateway never read that a server leaves, knew and lost it, or left the home regions of a route. The line of an attempt now has the version and the home regions that it was placed by, the region of the server, its start and its state in the view; server_leaving names the request whose answer said that its server leaves, at the head of the answer. Nothing is decided by it yet.

--- a/fuchsiacart/gateway/attempts.py
+++ b/fuchsiacart/gateway/attempts.py
@@ -84,7 +84,8 @@
     ``server_check`` checks whether the server that broke off last is lost.
     ``room``, ``believed_load`` and ``load_age_ms`` are the requests per slot
     that were allowed for the last placement, the load on which it was based
-    and the age of that load, -1 if none was known.
+    and the age of that load, -1 if none was known.  ``version`` is that of
+    the configuration that the route is from.
     """
 
     request: InboundRequest
@@ -101,6 +102,7 @@
     room: float = 0.0
     believed_load: float = 0.0
     load_age_ms: float = -1.0
+    version: int = 0
 
     @property
     def deadline_s(self):
--- a/fuchsiacart/gateway/dialects.py
+++ b/fuchsiacart/gateway/dialects.py
@@ -41,12 +41,14 @@
     ``not_run`` promises that the request was not run; ``is_misdirected``
     says that the address now belongs to another server.  ``is_authentic`` is
     False if the response carries no proof that the server sent it.
+    ``is_leaving`` says that the server is about to end.
     """
 
     not_run: bool
     is_misdirected: bool
     is_authentic: bool
     load: ReportedLoad | None
+    is_leaving: bool = False
 
 
 class Dialect(ABC):
--- a/fuchsiacart/gateway/exchanges.py
+++ b/fuchsiacart/gateway/exchanges.py
@@ -90,7 +90,9 @@
 
     ``make_headers`` takes the milliseconds left until the deadline and
     returns the headers; ``read_id`` takes the headers of a response and
-    returns the id of the request that it belongs to, or ''.
+    returns the id of the request that it belongs to, or ''.  ``on_headers``
+    is called with the status and the headers of each response to the request
+    as soon as they arrive, interim responses included.
     """
 
     start_line: RequestStartLine
@@ -98,6 +100,7 @@
     body: bytes | None
     request_id: str
     read_id: Callable[[HTTPHeaders], str]
+    on_headers: Callable[[int, HTTPHeaders], None] | None = None
 
 
 class ExchangeLimits(Struct, frozen=True):
@@ -131,10 +134,12 @@
     """Collects a response; it is complete once ``finished`` is set.
 
     :param connection: the :class:`ServerConnection`.
+    :param request: the :class:`OutboundRequest`.
     """
 
-    def __init__(self, connection):
+    def __init__(self, connection, request):
         self._connection = connection
+        self._request = request
         self._is_aborted = False
         self.start_line = None
         self.headers = None
@@ -155,6 +160,8 @@
     def headers_received(self, start_line, headers):
         self.start_line = start_line
         self.headers = headers
+        if self._request.on_headers is not None and self.is_own():
+            self._request.on_headers(start_line.code, headers)
 
     def data_received(self, chunk):
         self.chunks.append(chunk)
@@ -163,6 +170,14 @@
     def finish(self):
         self.finished = not self._is_aborted
 
+    def is_own(self):
+        """Return True if the response may belong to the request."""
+        return is_own_response(
+            self._request.request_id,
+            self._request.read_id(self.headers),
+            self._connection.is_reused,
+        )
+
     def is_delimited(self):
         """Return True if the headers say where the response ends."""
         return (
@@ -190,7 +205,7 @@
     def __init__(self, server_name, budget):
         self.server_name = server_name
         self.budget = budget
-        self._is_reused = False
+        self.is_reused = False
         self._stream = _PeekStream(
             socket(AF_INET, SOCK_STREAM), max_buffer_size=BUFFER_LIMIT_BYTES
         )
@@ -260,7 +275,7 @@
         if reader is None:
             return self._make_broken_result(repr(self._stream.error))
         self._is_complete = is_sent and reader.is_delimited()
-        self._is_reused = True
+        self.is_reused = True
         self._idle_until_s = monotonic() + _idle_timeout_s(reader.headers)
         served_s = monotonic() - sent_s - self._round_trip_s
         return ExchangeResult(
@@ -285,7 +300,7 @@
         ``MAX_RESPONSES_READ`` responses belonged to other requests.
         """
         for _ in range(MAX_RESPONSES_READ):
-            reader = _ResponseReader(self)
+            reader = _ResponseReader(self, request)
             try:
                 await connection.read_response(reader)
             finally:
@@ -295,19 +310,16 @@
                 return None
             if not reader.is_delimited() and self._stream.error is not None:
                 return None
-            answered_id = request.read_id(reader.headers)
-            if is_own_response(
-                request.request_id, answered_id, self._is_reused
-            ):
+            if reader.is_own():
                 return reader
             log_event(
                 'response_discarded',
                 request=request.request_id,
                 server=self.server_name,
-                answered=answered_id,
+                answered=request.read_id(reader.headers),
                 status=reader.start_line.code,
             )
-            self._is_reused = True
+            self.is_reused = True
         return None
 
     async def _write_request(self, connection, request, headers):
--- a/fuchsiacart/gateway/forwarding.py
+++ b/fuchsiacart/gateway/forwarding.py
@@ -164,7 +164,7 @@
 
     def _start_attempts(self, request, route):
         service = self._splitter.choose(route)
-        attempts = Attempts(request, route, service)
+        attempts = Attempts(request, route, service, version=self.version)
         self._check_quarantine(attempts)
         if self.reachability.is_isolated:
             # The gateway that sends it to a server counts it.
--- a/fuchsiacart/gateway/server_attempts.py
+++ b/fuchsiacart/gateway/server_attempts.py
@@ -68,6 +68,9 @@
                     request.body or None,
                     request.metadata.request_id,
                     self._dialect.read_request_id,
+                    lambda status, headers: self._read_statement(
+                        request, record, status, headers
+                    ),
                 ),
                 ExchangeLimits(
                     min(CONNECT_TIMEOUT_S, left_s), attempts.deadline_s
@@ -85,6 +88,19 @@
             return None
         return self._handle_response(attempts, server, result, taken_s)
 
+    def _read_statement(self, request, record, status, headers):
+        """Note what a server says of itself at the head of a response."""
+        metadata = self._dialect.read_response(status, headers)
+        if metadata.is_leaving and not metadata.is_misdirected:
+            log_event(
+                'server_leaving',
+                request=request.metadata.request_id,
+                server=record.name,
+                born_ms=record.born_ms,
+                state=record.state.value,
+                status=status,
+            )
+
     def _handle_response(self, attempts, server, result, taken_s):
         """Record a response and return it, or None if it is not accepted."""
         attempts.sent += 1
@@ -172,6 +188,11 @@
             request=attempts.request.metadata.request_id,
             object=attempts.request.metadata.object_key,
             server=server.name,
+            born_ms=server.record.born_ms,
+            state=server.record.state.value,
+            region=server.region,
+            homes=','.join(attempts.route.home_regions),
+            version=attempts.version,
             load=round(attempts.believed_load, 1),
             load_age_ms=int(attempts.load_age_ms),
             room=round(attempts.room, 2),
--- a/fuchsiacart/platform/headers.py
+++ b/fuchsiacart/platform/headers.py
@@ -17,6 +17,7 @@
 SERVER_STAMP = 'X-Server-Stamp'
 SERVER_LOAD = 'X-Server-Load'
 NOT_RUN = 'X-Not-Run'
+SERVER_LEAVING = 'Server-Leaving'
 HTTP_MISDIRECTED = 421
 # Counts at the start of the load header.
 LOAD_COUNTS = 3
@@ -57,6 +58,7 @@
             is_misdirected,
             SERVER_STAMP in headers,
             _read_load(headers.get(SERVER_LOAD)),
+            headers.get(SERVER_LEAVING, '').strip() == '1',
         )
 
 
--- a/tools/seeded_faults/gateway.py
+++ b/tools/seeded_faults/gateway.py
@@ -20,9 +20,7 @@
     Fault(
         'an answer to another request is accepted',
         'gateway/exchanges.py',
-        'if is_own_response(\n'
-        '                request.request_id, answered_id, self._is_reused\n'
-        '            ):',
+        'if reader.is_own():',
         'if True:',
         'exchanges',
     ),
