--- /dev/null
+++ b/features/departures.feature
@@ -0,0 +1,10 @@
+Feature: backend servers that say in their answers that they leave
+
+  Scenario: an instance that leaves by its answers alone gets no new request
+    Given 3 control hosts and 2 gateways started for the first time
+    And 6 instances of a service, of which one will leave by its answers alone
+    When the operator puts a configuration
+    Then a request through each gateway gets a whole answer with its stamp
+    When the instance says in each answer that it leaves, and requests go on
+    Then it gets no request that was sent 2.5 s after it had said so
+    And all requests are answered
--- /dev/null
+++ b/features/steps/departure_steps.py
@@ -0,0 +1,104 @@
+"""Steps for instances that leave, through separate processes."""
+
+from asyncio import create_task
+from asyncio import gather
+from asyncio import sleep
+from time import monotonic
+
+from behave import given
+from behave import then
+from behave import when
+
+from features.steps.platform_path_steps import Instance
+from features.steps.platform_path_steps import InstanceHandler
+
+# What the platform allows for requests that were sent before.
+DRAIN_S = 2.5
+# Time for which requests go on afterwards.
+AFTER_S = 3.0
+SEND_INTERVAL_S = 0.03
+OBJECTS = 24
+
+
+class LeavingHandler(InstanceHandler):
+    """Answers, and says whether its instance leaves."""
+
+    async def get(self):
+        """See :class:`InstanceHandler`."""
+        instance = self.application.settings['instance']
+        sent_s = float(self.request.headers['X-Attempt-Id'].split('-')[1])
+        instance.sent_s.append(sent_s)
+        if instance.leaves:
+            self.set_header('Server-Leaving', '1')
+            instance.said_s = instance.said_s or monotonic()
+        await super().get()
+
+
+class LeavingInstance(Instance):
+    """An instance whose heartbeats say that it is ready to the end."""
+
+    handler = LeavingHandler
+
+    def __init__(self, name, fixture):
+        super().__init__(name, fixture)
+        self.leaves = False
+        self.sent_s = []
+        self.said_s = None
+
+    @property
+    def late_count(self):
+        """Number of requests that reached it and were sent too late."""
+        return sum(sent_s > self.said_s + DRAIN_S for sent_s in self.sent_s)
+
+
+@given(
+    '{count:d} instances of a service, of which one will leave by its answers'
+    ' alone'
+)
+def given_leaving_instances(context, count):
+    """Start instances in this process."""
+    fixture = context.platform
+
+    async def start():
+        for index in range(count):
+            instance = LeavingInstance(f'i-{index}', fixture)
+            fixture.instances.append(instance)
+            fixture.tasks.append(create_task(instance.send_heartbeats()))
+
+    fixture.run(start())
+
+
+@when('the instance says in each answer that it leaves, and requests go on')
+def when_leaves(context):
+    """Send requests for several objects to each gateway."""
+    fixture = context.platform
+    context.statuses = []
+
+    async def send(ip, index):
+        reply = await fixture.send_request(ip, f'/stock/{index % OBJECTS}')
+        context.statuses.append(None if reply is None else reply.code)
+
+    async def send_all():
+        sending = []
+        fixture.instances[0].leaves = True
+        end_s = monotonic() + DRAIN_S + AFTER_S
+        while monotonic() < end_s:
+            for ip in fixture.gateways:
+                sending.append(create_task(send(ip, len(sending))))
+            await sleep(SEND_INTERVAL_S)
+        await gather(*sending)
+
+    fixture.run(send_all())
+
+
+@then('it gets no request that was sent 2.5 s after it had said so')
+def then_no_late_arrival(context):
+    instance = context.platform.instances[0]
+    assert instance.said_s is not None, 'it got no request at all'
+    assert not instance.late_count, instance.late_count
+
+
+@then('all requests are answered')
+def then_all_answered(context):
+    failed = [status for status in context.statuses if status != 200]
+    assert context.statuses and not failed, failed
