Pool connections by the start of a server

Cause: idle connections were kept by the name of their server. A server that starts again under its name, at another address, while its earlier process still runs, got requests over connections to that process, and answers of the earlier start counted as those of the new one. Now a connection belongs to the start that it was opened for; gateways that relay have starts too.

--- a/features/exchanges.feature
+++ b/features/exchanges.feature
@@ -5,6 +5,13 @@
     When 5 requests are sent one after the other
     Then each gets its own answer over 1 connection
 
+  Scenario: no request for a new start of a server goes over a connection to an earlier one
+    Given a server that answers each request
+    When 2 requests are sent one after the other
+    And the server starts again under its name
+    And a request is sent to the new start
+    Then each gets its own answer over 2 connections
+
   Scenario Outline: an incomplete, invalid or foreign answer counts as broken
     Given a server that <fault>
     When a request is sent
--- a/features/steps/exchange_steps.py
+++ b/features/steps/exchange_steps.py
@@ -21,6 +21,7 @@
 from behave import given
 from behave import then
 from behave import when
+from msgspec.structs import replace
 from tornado.httputil import HTTPHeaders
 
 from fuchsiacart.failure_kinds import FailureKind
@@ -361,6 +362,20 @@
     fixture.outcomes.append(outcome)
 
 
+@when('the server starts again under its name')
+def when_started_again(context):
+    """Register a later start; the earlier one still listens."""
+    fixture = context.exchange
+    fixture.record = replace(fixture.record, born_ms=2)
+
+
+@when('a request is sent to the new start')
+def when_sent_to_new_start(context):
+    fixture = context.exchange
+    request_id = f'r{len(fixture.outcomes)}'
+    fixture.outcomes.append(fixture.run(fixture.send(request_id)))
+
+
 @when('a request is sent and cancelled')
 def when_cancelled(context):
     """Cancel a request 0.1 s after it was sent."""
--- a/fuchsiacart/gateway/connection_pools.py
+++ b/fuchsiacart/gateway/connection_pools.py
@@ -18,8 +18,8 @@
 class ConnectionPool:
     """Idle connections to all backend servers.
 
-    They are pooled by server name rather than by address, so that no
-    connection outlives its server.
+    They are pooled by the start of the server rather than by its address, so
+    that no connection is used for another server or a later start.
 
     :param reachability: the :class:`ServerReachability` that is told which
         connections could be opened.
@@ -44,7 +44,7 @@
         connection = None
         # A response without an id could be that to an earlier request.
         if request.request_id:
-            connection = self._pop_idle(record.name)
+            connection = self._pop_idle(record.start)
         is_reused = connection is not None
         if not is_reused:
             connection = ServerConnection(record.name, self._budget)
@@ -65,7 +65,7 @@
         if monotonic() >= deadline_s:
             # The connection took the rest of its time, or this process was
             # paused.
-            self._keep(record.name, connection)
+            self._keep(record.start, connection)
             return ExchangeResult(failure=FailureKind.NOT_SENT)
         try:
             result = await wait_for(
@@ -77,7 +77,7 @@
         except BaseException:
             connection.close()
             raise
-        self._release(record.name, connection, result)
+        self._release(record.start, connection, result)
         return result
 
     async def can_connect(self, record, timeout_s):
@@ -99,24 +99,24 @@
             self._record_unconnected(record, error)
             return False
         self._reachability.record_connected()
-        self._idle[record.name].append(connection)
+        self._idle[record.start].append(connection)
         return True
 
-    def has_idle(self, name):
+    def has_idle(self, record):
         """Return True if an open connection to a server may be used.
 
-        :param name: name of the server.
+        :param record: the :class:`ServerRecord`.
         """
-        idle = self._idle.get(name, ())
+        idle = self._idle.get(record.start, ())
         return any(connection.is_reusable for connection in idle)
 
-    def retain(self, names):
+    def retain(self, starts):
         """Close the connections to all other servers.
 
-        :param names: names of the servers whose connections are kept.
+        :param starts: each :class:`ServerStart` whose connections are kept.
         """
-        for name in set(self._idle) - set(names):
-            self._close_idle(name)
+        for start in set(self._idle) - set(starts):
+            self._close_idle(start)
 
     def _record_unconnected(self, record, error):
         if isinstance(error, TimeoutError):
@@ -124,8 +124,8 @@
         else:
             self._reachability.record_refused(record.name)
 
-    def _pop_idle(self, name):
-        idle = self._idle[name]
+    def _pop_idle(self, start):
+        idle = self._idle[start]
         while idle:
             connection = idle.pop()
             if connection.is_reusable:
@@ -133,21 +133,21 @@
             connection.close()
         return None
 
-    def _release(self, name, connection, result):
+    def _release(self, start, connection, result):
         if result.failure is not None:
             connection.close()
             # The cause may have broken the other connections as well.
-            self._close_idle(name)
+            self._close_idle(start)
             return
-        self._keep(name, connection)
+        self._keep(start, connection)
 
-    def _keep(self, name, connection):
+    def _keep(self, start, connection):
         """Keep a connection for further requests if it can be reused."""
         if connection.is_reusable:
-            self._idle[name].append(connection)
+            self._idle[start].append(connection)
             return
         connection.close()
 
-    def _close_idle(self, name):
-        for connection in self._idle.pop(name, ()):
+    def _close_idle(self, start):
+        for connection in self._idle.pop(start, ()):
             connection.close()
--- a/fuchsiacart/gateway/forwarding.py
+++ b/fuchsiacart/gateway/forwarding.py
@@ -91,7 +91,7 @@
             self.route_table = RouteTable(view.configuration)
         self._gateway_count = max(1, gateway_count)
         self.selector.apply_view(view, self.route_table, steady_ms())
-        self._pool.retain(view.servers)
+        self._pool.retain(record.start for record in view.servers.values())
         self.reachability.apply_view(len(view.servers))
         if self.version:
             self.freshness.record_use()
@@ -142,7 +142,7 @@
             return await self.relay.make_attempt(attempts)
         server = self._choose_server(attempts)
         if self.reachability.is_confined and not self._pool.has_idle(
-            server.name
+            server.record
         ):
             return await self.relay.make_attempt(attempts)
         return await self._sender.make_attempt(attempts, server)
--- a/fuchsiacart/gateway/gateway_selectors.py
+++ b/fuchsiacart/gateway/gateway_selectors.py
@@ -28,6 +28,11 @@
         self._avoided_until_ms = {}
         self.in_flight = Counter()
 
+    @property
+    def hosts(self):
+        """Each :class:`Host` that may be chosen."""
+        return self._hosts
+
     @property
     def names(self):
         """Names of the gateways that may be chosen."""
--- a/fuchsiacart/gateway/relays.py
+++ b/fuchsiacart/gateway/relays.py
@@ -26,6 +26,7 @@
 from fuchsiacart.metrics import GATEWAY_RELAYS
 from fuchsiacart.problems import Problem
 from fuchsiacart.problems import PROBLEM_TYPE
+from fuchsiacart.servers import ServerStart
 
 CONNECT_TIMEOUT_S = 0.3
 # Statuses by which callers know that a request has not run.
@@ -33,11 +34,16 @@
 
 
 class RelayTarget(Struct, frozen=True):
-    """Name and caller address of another gateway."""
+    """Start and caller address of another gateway."""
 
-    name: str
+    start: ServerStart
     address: str
 
+    @property
+    def name(self):
+        """Name of the gateway."""
+        return self.start.name
+
 
 class Relay:
     """Sends requests to other gateways.
@@ -57,7 +63,7 @@
         :param hosts: each :class:`Host` of the view.
         """
         self.selector.apply_view(hosts)
-        self._pool.retain(self.selector.names)
+        self._pool.retain(_start_of(host) for host in self.selector.hosts)
 
     def read(self, request):
         """Return a request with the caller for whom it was relayed.
@@ -93,7 +99,7 @@
         self.selector.in_flight[host.name] += 1
         try:
             result = await self._pool.exchange(
-                RelayTarget(host.name, host.http_address),
+                RelayTarget(_start_of(host), host.http_address),
                 self._make_request(attempts.request),
                 ExchangeLimits(
                     min(CONNECT_TIMEOUT_S, left_s), attempts.deadline_s
@@ -191,3 +197,8 @@
             taken_ms=int(taken_s * MILLISECONDS),
             detail=result.detail,
         )
+
+
+def _start_of(host):
+    """Return the :class:`ServerStart` of a gateway, as of a server."""
+    return ServerStart(host.name, host.incarnation)
--- a/fuchsiacart/servers.py
+++ b/fuchsiacart/servers.py
@@ -31,6 +31,13 @@
     DRAINING = 'draining'
 
 
+class ServerStart(Struct, frozen=True):
+    """Names one start of a backend server."""
+
+    name: BackendServerId
+    born_ms: int
+
+
 class ServerRecord(Struct, frozen=True):
     """State of a backend server as reported in its latest call.
 
@@ -48,6 +55,11 @@
     state: ServerState = ServerState.READY
     cold_ms: float = 0.0
 
+    @property
+    def start(self):
+        """The :class:`ServerStart` that the record is of."""
+        return ServerStart(self.name, self.born_ms)
+
     @property
     def order_key(self):
         """Return the key that sorts the calls of a server by time."""
