Send no new request to a server that says in an answer that it leaves

Cause: the header was passed on to callers and read by nobody; a server stayed in use until its heartbeat said so. Class: what a peer says of itself in an answer is passed on unread.

Now a gateway keeps, for each start of a server, that it leaves: through views, also those that lack the server, probes, suspensions, retries and relays. It is read at the head of each answer, interim and broken ones and those that a caller has left included, and looked up again once a connection is open. The gateway reports it with the renewals of its lease until its view has it; the leader records the server as draining, one change however many gateways report. An answer to a relayed request names the start to the gateway that relays.

--- a/features/steps/departure_steps.py
+++ b/features/steps/departure_steps.py
@@ -9,6 +9,7 @@
 from behave import then
 from behave import when
 
+from features.steps.platform_path_steps import DOMAINS
 from features.steps.platform_path_steps import Instance
 from features.steps.platform_path_steps import InstanceHandler
 
@@ -74,21 +75,70 @@
     fixture = context.platform
     context.statuses = []
 
+    fixture.instances[0].leaves = True
+    fixture.run(_send_for(context, fixture.gateways, DRAIN_S + AFTER_S))
+
+
+async def _send_for(context, gateways, span_s):
+    """Send requests to gateways for some seconds and keep the statuses."""
+    fixture = context.platform
+
     async def send(ip, index):
         reply = await fixture.send_request(ip, f'/stock/{index % OBJECTS}')
         context.statuses.append(None if reply is None else reply.code)
 
-    async def send_all():
-        sending = []
-        fixture.instances[0].leaves = True
-        end_s = monotonic() + DRAIN_S + AFTER_S
-        while monotonic() < end_s:
-            for ip in fixture.gateways:
-                sending.append(create_task(send(ip, len(sending))))
-            await sleep(SEND_INTERVAL_S)
-        await gather(*sending)
-
-    fixture.run(send_all())
+    sending = []
+    end_s = monotonic() + span_s
+    while monotonic() < end_s:
+        for ip in gateways:
+            sending.append(create_task(send(ip, len(sending))))
+        await sleep(SEND_INTERVAL_S)
+    await gather(*sending)
+
+
+@when('the instance says that it leaves in an answer to the first gateway')
+def when_first_told(context):
+    """Send requests to the first gateway until it was told."""
+    fixture = context.platform
+    instance = fixture.instances[0]
+    instance.leaves = True
+    context.statuses = []
+
+    async def is_told():
+        await fixture.send_request(fixture.gateways[0])
+        return instance.said_s is not None
+
+    fixture.run(fixture.wait_until(is_told))
+
+
+@when('requests go to the second gateway 2.5 s later')
+def when_second_sends(context):
+    fixture = context.platform
+    fixture.run(sleep(DRAIN_S))
+    fixture.run(_send_for(context, fixture.gateways[1:], AFTER_S))
+
+
+@when('the first gateway is killed and started again')
+def when_first_restarted(context):
+    fixture = context.platform
+    ip = fixture.gateways[0]
+    fixture.processes[ip].kill()
+    fixture.processes[ip].wait()
+    fixture.start('gateway', ip, DOMAINS[0])
+
+
+@when('requests go to the first gateway again')
+def when_first_sends(context):
+    """Send requests once it serves."""
+    fixture = context.platform
+    ip = fixture.gateways[0]
+
+    async def serves():
+        reply = await fixture.send_request(ip)
+        return reply is not None and reply.code == 200
+
+    fixture.run(fixture.wait_until(serves))
+    fixture.run(_send_for(context, (ip,), AFTER_S))
 
 
 @then('it gets no request that was sent 2.5 s after it had said so')
--- a/features/steps/forwarding_steps.py
+++ b/features/steps/forwarding_steps.py
@@ -166,9 +166,13 @@
 class ForwardingFixture:
     """A forwarder and its backend servers."""
 
+    dialect = PlainDialect
+    make_server = StandInServer
+
     def __init__(self, count, fault):
         self.loop = new_event_loop()
         self.outcome = None
+        self.error = None
         self.servers = []
         self.services = ('stock',)
         self.run(self._open(count, fault))
@@ -184,7 +188,7 @@
             name='gateway', region='cymru', failure_domain='cymru-a'
         )
         routes = RouteSettings(regions=REGIONS, retry_slack=ONE_RETRY_SLACK)
-        self.forwarder = Forwarder(FakeSettings(host, routes), PlainDialect())
+        self.forwarder = Forwarder(FakeSettings(host, routes), self.dialect())
         self.view = RouteView()
         # The request's order of preference depends on the names of all
         # servers. Servers without a fault are started to find the first one,
@@ -203,7 +207,7 @@
         self._apply_configuration()
 
     def _add_server(self, name, fault='answers'):
-        server = StandInServer(name, fault)
+        server = self.make_server(name, fault)
         self.servers.append(server)
         self.view.servers[name] = ServerRecord(
             name, 1, 1, 'stock', f'127.0.0.1:{server.port}', 'cymru-a', SLOTS
@@ -263,6 +267,7 @@
             answer = await self.forwarder.serve(request)
         except RequestError as error:
             self.outcome = error.kind.value
+            self.error = error
             return
         self.outcome = str(answer.status)
 
--- /dev/null
+++ b/fuchsiacart/control/departures.py
@@ -0,0 +1,72 @@
+"""Servers of which gateways report that they leave."""
+
+from msgspec.structs import replace
+
+from fuchsiacart.clocks import wall_ms
+from fuchsiacart.control.commands import RecordServer
+from fuchsiacart.logs import log_event
+from fuchsiacart.servers import ServerState
+
+# Reports that the leader keeps until it has proposed their change.
+REPORT_LIMIT = 4096
+
+
+class DepartureReports:
+    """Collects the reports of all gateways until they are in the log.
+
+    Performs no I/O.  Many gateways report the same departure; it is one
+    change.  A gateway reports again until its view has the change, so what is
+    dropped here is not lost.
+    """
+
+    def __init__(self):
+        self._starts = {}
+
+    def add(self, starts):
+        """Record what a gateway reports.
+
+        :param starts: each :class:`ServerStart` that leaves.
+        """
+        for start in starts:
+            if len(self._starts) < REPORT_LIMIT:
+                self._starts[start] = None
+
+    def take_records(self, records):
+        """Return the records to store, and forget the reports.
+
+        The record of a departure comes after the last call of that start, so
+        calls that the server has sent before do not undo it.
+
+        :param records: each registered :class:`ServerRecord`, by name.
+        :return: a list of :class:`ServerRecord`.
+        """
+        starts, self._starts = self._starts, {}
+        known = (records.get(start.name) for start in starts)
+        return [
+            replace(
+                record,
+                state=ServerState.DRAINING,
+                sequence=record.sequence + 1,
+            )
+            for record in known
+            if record is not None
+            and record.start in starts
+            and record.state is ServerState.READY
+        ]
+
+
+async def record_departures(replica, reports):
+    """Store the records of the servers that are reported to leave.
+
+    :param replica: the :class:`ReplicaTask` of the leader.
+    :param reports: the :class:`DepartureReports`.
+    :raises ChangeError: if they cannot be committed.
+    """
+    servers = replica.replicated_state.stored.routes.servers
+    for record in reports.take_records(servers):
+        await replica.propose(RecordServer(record, wall_ms()))
+        log_event(
+            'server_departure_recorded',
+            server=record.name,
+            born_ms=record.born_ms,
+        )
--- a/fuchsiacart/control/gateway_reports.py
+++ b/fuchsiacart/control/gateway_reports.py
@@ -6,6 +6,7 @@
 from fuchsiacart.clocks import steady_ms
 from fuchsiacart.clocks import wall_ms
 from fuchsiacart.control.comparisons import PeerComparison
+from fuchsiacart.control.departures import DepartureReports
 from fuchsiacart.load_boards import LoadBoard
 from fuchsiacart.load_boards import ServerIndex
 from fuchsiacart.logs import log_event
@@ -24,6 +25,7 @@
     """
 
     def __init__(self, settings):
+        self.departures = DepartureReports()
         self._comparison = PeerComparison()
         self._detected_ms = 0.0
         self._quarantine = Quarantine(settings.entry.quarantine_ms)
@@ -36,11 +38,12 @@
         self._lease_ms = settings.entry.lease_ms
 
     def add_report(self, request, now_ms):
-        """Merge the evidence, suspects and counts of one gateway.
+        """Merge the departures, evidence, suspects and counts of one gateway.
 
         :param request: its :class:`KeepAliveRequest`.
         :param now_ms: current time, in milliseconds of a steady clock.
         """
+        self.departures.add(request.leaving)
         self._comparison.add_evidence(request.evidence, now_ms)
         self._add_suspects(request.suspects)
         self._board.record(request.host.name, request.counts, now_ms)
--- a/fuchsiacart/control/leaders.py
+++ b/fuchsiacart/control/leaders.py
@@ -13,6 +13,7 @@
 from fuchsiacart.control.commands import JoinHost
 from fuchsiacart.control.commands import LeaveHost
 from fuchsiacart.control.commands import MarkInForce
+from fuchsiacart.control.departures import record_departures
 from fuchsiacart.control.disk_formats import FORMAT
 from fuchsiacart.control.gateway_reports import GatewayReports
 from fuchsiacart.control.limit_shares import ShareLedger
@@ -285,11 +286,12 @@
                 next_steer_at_s = monotonic() + steer_interval_s
                 continue
             self._reset_on_new_term()
-            self._gateway_reports.log_outliers(
-                self._replica.replicated_state.stored.routes.servers,
-                steady_ms(),
-            )
+            servers = self._replica.replicated_state.stored.routes.servers
+            self._gateway_reports.log_outliers(servers, steady_ms())
             try:
+                await record_departures(
+                    self._replica, self._gateway_reports.departures
+                )
                 await self._expire_leases()
                 await self._mark_in_force()
                 if self._settings.routes is not None:
--- a/fuchsiacart/entry/dispatch.py
+++ b/fuchsiacart/entry/dispatch.py
@@ -262,6 +262,10 @@
         """Return no evidence, as owners suspend failing servers themselves."""
         return ()
 
+    def leaving_servers(self):
+        """Return no servers, as they announce that they leave."""
+        return ()
+
     def counts(self):
         """Return no counts, as only the owner sends to a server."""
         return ()
--- a/fuchsiacart/gateway/callers.py
+++ b/fuchsiacart/gateway/callers.py
@@ -21,8 +21,10 @@
 from fuchsiacart.gateway.caller_connections import CallerConnection
 from fuchsiacart.gateway.caller_connections import close_idle_connections
 from fuchsiacart.gateway.hop_headers import end_to_end_headers
+from fuchsiacart.gateway.hop_headers import format_start
 from fuchsiacart.gateway.hop_headers import RELAYED_FOR
 from fuchsiacart.gateway.hop_headers import RELAYED_ID
+from fuchsiacart.gateway.hop_headers import RELAYED_LEAVING
 from fuchsiacart.logs import log_error
 from fuchsiacart.logs import log_event
 from fuchsiacart.metrics import GATEWAY_LATENCY
@@ -188,6 +190,8 @@
         exchange.answered_s = monotonic()
         headers = end_to_end_headers(response.headers)
         _name_request(headers, request)
+        if request.is_relayed and response.leaving is not None:
+            headers[RELAYED_LEAVING] = format_start(response.leaving)
         await exchange.send(
             response.status, response.reason, headers, response.body
         )
--- a/fuchsiacart/gateway/connection_pools.py
+++ b/fuchsiacart/gateway/connection_pools.py
@@ -67,6 +67,11 @@
             # paused.
             self._keep(record.start, connection)
             return ExchangeResult(failure=FailureKind.NOT_SENT)
+        if request.may_send is not None and not request.may_send():
+            self._keep(record.start, connection)
+            return ExchangeResult(
+                failure=FailureKind.NOT_SENT, detail='it takes no request now'
+            )
         try:
             result = await wait_for(
                 connection.send_request(request, deadline_s),
--- a/fuchsiacart/gateway/exchanges.py
+++ b/fuchsiacart/gateway/exchanges.py
@@ -36,6 +36,7 @@
 from fuchsiacart.gateway.response_checks import is_own_response
 from fuchsiacart.logs import log_error
 from fuchsiacart.logs import log_event
+from fuchsiacart.servers import ServerStart
 
 HEADER_LIMIT_BYTES = 65_536
 # Bytes that a connection reads before its response is asked for them.
@@ -62,12 +63,16 @@
 
 
 class ServerResponse(Struct, frozen=True):
-    """A complete response of a backend server."""
+    """A complete response of a backend server.
+
+    ``leaving`` is the start of the server if the response says that it leaves.
+    """
 
     status: int
     reason: str
     headers: HTTPHeaders
     body: bytes
+    leaving: ServerStart | None = None
 
 
 class ExchangeResult(Struct, frozen=True):
@@ -92,7 +97,8 @@
     returns the headers; ``read_id`` takes the headers of a response and
     returns the id of the request that it belongs to, or ''.  ``on_headers``
     is called with the status and the headers of each response to the request
-    as soon as they arrive, interim responses included.
+    as soon as they arrive, interim responses included.  ``may_send`` is asked
+    once the connection is open, right before the request is sent.
     """
 
     start_line: RequestStartLine
@@ -101,6 +107,7 @@
     request_id: str
     read_id: Callable[[HTTPHeaders], str]
     on_headers: Callable[[int, HTTPHeaders], None] | None = None
+    may_send: Callable[[], bool] | None = None
 
 
 class ExchangeLimits(Struct, frozen=True):
--- a/fuchsiacart/gateway/forwarding.py
+++ b/fuchsiacart/gateway/forwarding.py
@@ -25,6 +25,7 @@
 from fuchsiacart.gateway.route_tables import RouteTable
 from fuchsiacart.gateway.route_tables import TargetSplitter
 from fuchsiacart.gateway.server_attempts import ServerSender
+from fuchsiacart.gateway.server_statements import ServerStatements
 from fuchsiacart.gateway.suspects import SuspectTracker
 from fuchsiacart.gateway.trials import TrialSchedule
 from fuchsiacart.gateway.view_freshness import ViewFreshness
@@ -51,7 +52,10 @@
             settings.host.region, settings.routes.regions
         )
         random = make_random(settings.seed, settings.host.name)
-        self.relay = Relay(GatewaySelector(settings.host, random), dialect)
+        self.statements = ServerStatements(self.selector.departures)
+        self.relay = Relay(
+            GatewaySelector(settings.host, random), dialect, self.statements
+        )
         self._admission = RankedAdmission()
         self.freshness = ViewFreshness()
         self.planned_stop = PlannedStop()
@@ -70,6 +74,8 @@
             self.demands,
             self.evidence,
             self.suspects,
+            self.selector,
+            self.statements,
         )
 
     @property
--- a/fuchsiacart/gateway/hop_headers.py
+++ b/fuchsiacart/gateway/hop_headers.py
@@ -2,10 +2,14 @@
 
 from tornado.httputil import HTTPHeaders
 
+from fuchsiacart.servers import ServerStart
+
 # The caller for which a gateway relays a request.
 RELAYED_FOR = 'Fuchsiacart-Relayed-For'
 # The id of the relayed request that a response belongs to.
 RELAYED_ID = 'Fuchsiacart-Relayed-Id'
+# The start of the server whose relayed response says that it leaves.
+RELAYED_LEAVING = 'Fuchsiacart-Relayed-Leaving'
 HOP_HEADERS = frozenset(
     (
         'connection',
@@ -13,6 +17,7 @@
         'expect',
         RELAYED_FOR.lower(),
         RELAYED_ID.lower(),
+        RELAYED_LEAVING.lower(),
         'keep-alive',
         'proxy-authenticate',
         'proxy-authorization',
@@ -25,6 +30,22 @@
 )
 
 
+def format_start(start):
+    """Return a :class:`ServerStart` as the value of ``RELAYED_LEAVING``."""
+    return f'{start.born_ms} {start.name}'
+
+
+def parse_start(text):
+    """Return the :class:`ServerStart` of a value, or None if malformed.
+
+    :param text: the value of ``RELAYED_LEAVING``.
+    """
+    born, _, name = text.partition(' ')
+    if not born.isdecimal() or not born.isascii() or not name:
+        return None
+    return ServerStart(name, int(born))
+
+
 def end_to_end_headers(headers):
     """Return a copy of the headers without the hop-by-hop headers.
 
--- a/fuchsiacart/gateway/hosts.py
+++ b/fuchsiacart/gateway/hosts.py
@@ -67,6 +67,7 @@
         self._views.on_change(self._update_view)
         self._lease.on_renewal(self._confirm_view)
         self.forwarder.suspects.on_suspect(self._lease.renew_soon)
+        self.forwarder.statements.on_departure(self._lease.renew_soon)
         self._prober = ReachabilityProber(
             self.forwarder,
             make_random(settings.seed, settings.host.name),
@@ -158,6 +159,10 @@
         """Return the :class:`ServerCount` of each server in use."""
         return count_in_flight(self.forwarder.selector.servers)
 
+    def leaving_servers(self):
+        """Return each :class:`ServerStart` that leaves, for the leader."""
+        return self.forwarder.selector.unconfirmed_departures()
+
     def record_loads(self, load_map, counted_ms):
         """Record what other gateways have in flight.
 
--- a/fuchsiacart/gateway/placements.py
+++ b/fuchsiacart/gateway/placements.py
@@ -14,6 +14,7 @@
 
 from fuchsiacart.clocks import MILLISECONDS
 from fuchsiacart.control.region_shares import order_regions
+from fuchsiacart.gateway.departures import DepartureLedger
 from fuchsiacart.gateway.tracked_servers import TrackedServer
 from fuchsiacart.load_boards import ServerIndex
 from fuchsiacart.ownership import rendezvous_order
@@ -68,6 +69,7 @@
         self._evacuated = frozenset()
         self._cold_rates = {}
         self.is_warmup_owner = lambda server: True
+        self.departures = DepartureLedger()
 
     def apply_view(self, view, table, now_ms):
         """Apply a new view.
@@ -113,6 +115,23 @@
         """Return the :class:`TrackedServer` of a server, or None."""
         return self._servers.get(name)
 
+    def unconfirmed_departures(self):
+        """See :meth:`DepartureLedger.unconfirmed`."""
+        records = {
+            name: server.record for name, server in self._servers.items()
+        }
+        return self.departures.unconfirmed(records)
+
+    def accepts(self, server):
+        """Return False if a server leaves, and takes no new request.
+
+        :param server: the :class:`TrackedServer`.
+        """
+        record = server.record
+        if record.state is ServerState.DRAINING:
+            return False
+        return not self.departures.covers(record.start)
+
     def end_suspensions(self):
         """Use all servers again, whatever has failed so far."""
         for server in self._servers.values():
@@ -265,7 +284,7 @@
 
     def _is_usable(self, server, placement, now_ms):
         record = server.record
-        if record.state is ServerState.DRAINING or server.is_misdirected:
+        if server.is_misdirected or not self.accepts(server):
             return False
         if record.name in placement.excluded:
             return False
--- a/fuchsiacart/gateway/relays.py
+++ b/fuchsiacart/gateway/relays.py
@@ -20,8 +20,10 @@
 from fuchsiacart.gateway.exchanges import OutboundRequest
 from fuchsiacart.gateway.exchanges import request_line
 from fuchsiacart.gateway.hop_headers import end_to_end_headers
+from fuchsiacart.gateway.hop_headers import parse_start
 from fuchsiacart.gateway.hop_headers import RELAYED_FOR
 from fuchsiacart.gateway.hop_headers import RELAYED_ID
+from fuchsiacart.gateway.hop_headers import RELAYED_LEAVING
 from fuchsiacart.logs import log_event
 from fuchsiacart.metrics import GATEWAY_RELAYS
 from fuchsiacart.problems import Problem
@@ -50,11 +52,13 @@
 
     :param selector: the :class:`GatewaySelector`.
     :param dialect: the :class:`Dialect` of callers and backend servers.
+    :param statements: the :class:`ServerStatements`.
     """
 
-    def __init__(self, selector, dialect):
+    def __init__(self, selector, dialect, statements):
         self.selector = selector
         self._dialect = dialect
+        self._statements = statements
         self._pool = ConnectionPool()
 
     def apply_view(self, hosts):
@@ -100,7 +104,7 @@
         try:
             result = await self._pool.exchange(
                 RelayTarget(_start_of(host), host.http_address),
-                self._make_request(attempts.request),
+                self._make_request(attempts.request, host.name),
                 ExchangeLimits(
                     min(CONNECT_TIMEOUT_S, left_s), attempts.deadline_s
                 ),
@@ -111,15 +115,24 @@
         self._log(attempts, host, result, monotonic() - started_s)
         return response
 
-    def _make_request(self, request):
+    def _make_request(self, request, gateway):
         return OutboundRequest(
             request_line(request.method, request.target),
             lambda left_ms: self._make_headers(request, left_ms),
             request.body or None,
             request.metadata.request_id,
             self._read_id,
+            lambda status, headers: self._read_statement(
+                request, gateway, headers
+            ),
         )
 
+    def _read_statement(self, request, gateway, headers):
+        """Note that the server of a relayed response leaves."""
+        start = parse_start(headers.get(RELAYED_LEAVING, ''))
+        if start is not None:
+            self._statements.record_departure(start, request, gateway)
+
     def _make_headers(self, request, left_ms):
         headers = end_to_end_headers(request.headers)
         self._dialect.write_deadline(headers, left_ms)
--- a/fuchsiacart/gateway/server_attempts.py
+++ b/fuchsiacart/gateway/server_attempts.py
@@ -2,6 +2,8 @@
 
 from time import monotonic
 
+from msgspec.structs import replace
+
 from fuchsiacart.clocks import MILLISECONDS
 from fuchsiacart.clocks import steady_ms
 from fuchsiacart.failure_kinds import FailureKind
@@ -31,10 +33,20 @@
     :param demands: the :class:`DemandMeter`.
     :param evidence: the :class:`EvidenceMeter`.
     :param suspects: the :class:`SuspectTracker`.
+    :param selector: the :class:`ServerSelector`.
+    :param statements: the :class:`ServerStatements`.
     """
 
     def __init__(
-        self, dialect, pool, reachability, demands, evidence, suspects
+        self,
+        dialect,
+        pool,
+        reachability,
+        demands,
+        evidence,
+        suspects,
+        selector,
+        statements,
     ):
         self._dialect = dialect
         self._pool = pool
@@ -42,6 +54,8 @@
         self._demands = demands
         self._evidence = evidence
         self._suspects = suspects
+        self._selector = selector
+        self._statements = statements
 
     async def make_attempt(self, attempts, server):
         """Send a request to a server.
@@ -71,6 +85,7 @@
                     lambda status, headers: self._read_statement(
                         request, record, status, headers
                     ),
+                    lambda: self._selector.accepts(server),
                 ),
                 ExchangeLimits(
                     min(CONNECT_TIMEOUT_S, left_s), attempts.deadline_s
@@ -89,17 +104,10 @@
         return self._handle_response(attempts, server, result, taken_s)
 
     def _read_statement(self, request, record, status, headers):
-        """Note what a server says of itself at the head of a response."""
+        """Act on what a server says of itself at the head of a response."""
         metadata = self._dialect.read_response(status, headers)
         if metadata.is_leaving and not metadata.is_misdirected:
-            log_event(
-                'server_leaving',
-                request=request.metadata.request_id,
-                server=record.name,
-                born_ms=record.born_ms,
-                state=record.state.value,
-                status=status,
-            )
+            self._statements.record_departure(record.start, request)
 
     def _handle_response(self, attempts, server, result, taken_s):
         """Record a response and return it, or None if it is not accepted."""
@@ -111,6 +119,8 @@
         )
         if metadata.load is not None:
             server.record_report(metadata.load, steady_ms())
+        if metadata.is_leaving:
+            response = replace(response, leaving=server.record.start)
         if metadata.not_run and is_promise(
             attempts.request.metadata.request_id,
             self._dialect.read_request_id(response.headers),
--- a/fuchsiacart/host_tasks.py
+++ b/fuchsiacart/host_tasks.py
@@ -319,6 +319,7 @@
             self._dispatcher.flush_evidence(),
             self._dispatcher.report_suspects(),
             self._dispatcher.counts(),
+            self._dispatcher.leaving_servers(),
         )
         # A third of the lease, in seconds.
         timeout_s = self._settings.entry.lease_ms / 3000
--- a/fuchsiacart/messages.py
+++ b/fuchsiacart/messages.py
@@ -27,6 +27,7 @@
 from fuchsiacart.models import Rank
 from fuchsiacart.models import ReplicaId
 from fuchsiacart.models import ServiceId
+from fuchsiacart.servers import ServerStart
 
 
 class Refusal(Struct, frozen=True, tag=True):
@@ -125,7 +126,8 @@
 
     ``demands_slots`` holds the demand for each service, ``shares`` the
     shares the host has at present, ``counts`` its requests in flight at
-    backend servers.
+    backend servers.  ``leaving`` are servers that have told this host that
+    they leave, and that are ready in its view.
     """
 
     host: Host
@@ -139,6 +141,7 @@
     evidence: tuple[ServerEvidence, ...] = ()
     suspects: SuspectReport = SuspectReport()
     counts: tuple[ServerCount, ...] = ()
+    leaving: tuple[ServerStart, ...] = ()
 
 
 class KeepAliveReply(Struct, frozen=True, tag=True):
--- a/fuchsiacart/metrics.py
+++ b/fuchsiacart/metrics.py
@@ -54,6 +54,10 @@
     'Requests relayed to other gateways, by result',
     ['result'],
 )
+SERVER_DEPARTURES = Counter(
+    'fuchsiacart_server_departures_total',
+    'Backend servers that have said in an answer that they leave',
+)
 LOOKUPS = Counter('fuchsiacart_lookups_total', 'Look-ups answered')
 REVISION = Gauge('fuchsiacart_revision', 'Revision in force at this process')
 LEASE_LEFT = Gauge(
