Send no request to a full server for the time that its 503 names

What callers saw: requests went on to a server that had refused one and said for how long it wants none; each cost a retry of the shared budget.

Now a gateway keeps it for each start of a server and asks again right before a request is sent. After the time it sends one request at a time, and twice as many with each success; gateways return spread over half of the time, a second at most. A time beyond five minutes ends then; negative and malformed ones are none. Where all servers of a service want nothing, callers are refused at once, to return when the first one has room. Such a 503 is no evidence against its server.

The step files share their servers (stating_servers).

--- a/features/departures.feature
+++ b/features/departures.feature
@@ -4,7 +4,8 @@
     Given 3 control hosts and 2 gateways started for the first time
     And 6 instances of a service, of which one will leave by its answers alone
     When the operator puts a configuration
-    Then a request through each gateway gets a whole answer with its stamp
+    Then the directory names both gateways
+    And a request through each gateway gets a whole answer with its stamp
     When the instance says in each answer that it leaves, and requests go on
     Then it gets no request that was sent 2.5 s after it had said so
     And all requests are answered
@@ -13,7 +14,8 @@
     Given 3 control hosts and 2 gateways started for the first time
     And 6 instances of a service, of which one will leave by its answers alone
     When the operator puts a configuration
-    Then a request through each gateway gets a whole answer with its stamp
+    Then the directory names both gateways
+    And a request through each gateway gets a whole answer with its stamp
     When the instance says that it leaves in an answer to the first gateway
     And requests go to the second gateway 2.5 s later
     Then it gets no request that was sent 2.5 s after it had said so
--- a/features/statements.feature
+++ b/features/statements.feature
@@ -109,3 +109,110 @@
     Given a control group that knows a server as ready
     When the server starts again, and 12 gateways report that the earlier start leaves
     Then no change is made
+
+  Scenario Outline: a server gets no request for the time that its refusal names
+    Given a gateway before 3 servers, of which the first <refuses>
+    When the gateway serves a request
+    And its suspension ends
+    And the gateway serves 30 requests for several objects
+    Then the first server has got 1 request
+    And those requests were answered by others
+    And one line tells that the first server is full, for 1000 ms
+
+    Examples:
+      | refuses                                            |
+      | refuses for 1 s                                    |
+      | fails with 503 for 1 s                             |
+      | refuses for 1 s and breaks its refusal off         |
+
+  Scenario: a full server gets requests once its time is over
+    Given a gateway before 3 servers, of which the first refuses once for 0.2 s
+    When the gateway serves a request
+    And the gateway serves a request 0.4 s later
+    Then the first server has got 2 requests
+
+  Scenario Outline: a refusal that names no usable time, and an answer that is none, keep no request away
+    Given a gateway before 3 servers, of which the first <answers>
+    When the gateway serves a request
+    And the gateway serves 30 requests for several objects
+    Then the first server has got more than 1 request
+
+    Examples:
+      | answers                                            |
+      | refuses without a time                             |
+      | answers, and names 1 s                             |
+
+  Scenario Outline: a full server gets no request <whatever happens>
+    Given a gateway before 3 servers, of which the first refuses for 1 s
+    When the gateway serves a request
+    And <whatever happens>
+    And the gateway serves 30 requests for several objects
+    Then the first server has got 1 request
+
+    Examples:
+      | whatever happens                                   |
+      | its heartbeat says that it is ready                |
+      | it is missing from a view and comes back           |
+      | a probe reaches it                                 |
+
+  Scenario: a new start of a full server gets requests
+    Given a gateway before 3 servers, of which the first refuses for 1 s
+    When the gateway serves a request
+    And it starts again under its name
+    And the gateway serves 30 requests for several objects
+    Then the first server has got more than 1 request
+
+  Scenario: a request is not sent to a server that is full before it connects
+    Given a gateway before 3 servers, of which the first answers
+    When the gateway serves a request, and its server is full once it was chosen
+    Then the first server has got 0 requests
+    And the request was answered
+
+  Scenario: callers are refused at once while all servers are full, until the first has room
+    Given a gateway before 2 servers, of which the first refuses for 1 s
+    When the other server is full for 0.1 s
+    And the gateway serves a request
+    And the gateway serves another request
+    Then it is refused within 0.1 s, to return after 50 to 150 ms
+    And the first server has got 1 request
+
+  Scenario: a full server is judged neither slow nor failing
+    Given a gateway before 3 servers, of which the first fails with 503 for 1 s
+    When the gateway serves a request
+    Then it has no evidence against the first server
+
+  Scenario: a gateway sends few requests to a server that was full, and more with each success
+    Given a gateway that was told by a server to wait 1 s
+    Then it sends 0 requests at once 0.9 s later
+    And it sends 1 requests at once 1.6 s later
+    When a request is answered 1.6 s later
+    Then it sends 2 requests at once 1.6 s later
+    When the server says again to wait 1 s, 1.7 s later
+    Then it sends 0 requests at once 2.6 s later
+    And it sends 1 requests at once 3.3 s later
+    When 4 requests are answered 3.3 s later
+    Then it sends any number of requests 3.3 s later
+
+  Scenario: gateways do not return to a server that was full at the same moment
+    Given 60 gateways that were told by a server to wait 2 s
+    Then none returns within 2 s
+    And at most 12 of them return within the same 100 ms
+    And all have returned after 3 s
+
+  Scenario: a time beyond all bounds ends
+    Given a gateway that was told by a server to wait 1000000 s
+    Then it sends 1 requests at once 302 s later
+
+  Scenario Outline: the time that an instance names is read as a number of seconds
+    Given an instance that answers <status> with Retry-After "<text>"
+    Then it names <wait_ms> ms
+
+    Examples:
+      | status | text                          | wait_ms |
+      | 503    | 2                             | 2000    |
+      | 503    | 0.25                          | 250     |
+      | 503    | -1                            | 0       |
+      | 503    | nan                           | 0       |
+      | 503    | inf                           | 0       |
+      | 503    | soon                          | 0       |
+      | 503    | Sun, 06 Dec 2026 16:00:00 GMT | 0       |
--- a/features/steps/departure_steps.py
+++ b/features/steps/departure_steps.py
@@ -57,12 +57,15 @@
     ' alone'
 )
 def given_leaving_instances(context, count):
-    """Start instances in this process."""
-    fixture = context.platform
+    start_instances(context.platform, LeavingInstance, count)
+
+
+def start_instances(fixture, kind, count):
+    """Start instances of one class in this process."""
 
     async def start():
         for index in range(count):
-            instance = LeavingInstance(f'i-{index}', fixture)
+            instance = kind(f'i-{index}', fixture)
             fixture.instances.append(instance)
             fixture.tasks.append(create_task(instance.send_heartbeats()))
 
@@ -76,10 +79,10 @@
     context.statuses = []
 
     fixture.instances[0].leaves = True
-    fixture.run(_send_for(context, fixture.gateways, DRAIN_S + AFTER_S))
+    fixture.run(send_for(context, fixture.gateways, DRAIN_S + AFTER_S))
 
 
-async def _send_for(context, gateways, span_s):
+async def send_for(context, gateways, span_s):
     """Send requests to gateways for some seconds and keep the statuses."""
     fixture = context.platform
 
@@ -115,7 +118,7 @@
 def when_second_sends(context):
     fixture = context.platform
     fixture.run(sleep(DRAIN_S))
-    fixture.run(_send_for(context, fixture.gateways[1:], AFTER_S))
+    fixture.run(send_for(context, fixture.gateways[1:], AFTER_S))
 
 
 @when('the first gateway is killed and started again')
@@ -138,7 +141,7 @@
         return reply is not None and reply.code == 200
 
     fixture.run(fixture.wait_until(serves))
-    fixture.run(_send_for(context, (ip,), AFTER_S))
+    fixture.run(send_for(context, (ip,), AFTER_S))
 
 
 @then('it gets no request that was sent 2.5 s after it had said so')
--- a/features/steps/statement_steps.py
+++ b/features/steps/statement_steps.py
@@ -11,18 +11,16 @@
 from behave import then
 from behave import when
 from msgspec.structs import replace
-from tornado.iostream import StreamClosedError
 from tornado.netutil import bind_sockets
-from tornado.tcpserver import TCPServer
-
-from features.steps.forwarding_steps import ForwardingFixture
-from features.steps.forwarding_steps import ID_HEADER
-from features.steps.forwarding_steps import KINDS
-from features.steps.forwarding_steps import NOT_RUN_HEADER
-from features.steps.forwarding_steps import PlainDialect
-from features.steps.forwarding_steps import PROOF_HEADER
+
 from features.steps.forwarding_steps import REQUEST_ID
 from features.steps.route_steps import SERVER
+from features.steps.stating_servers import answer
+from features.steps.stating_servers import KIND
+from features.steps.stating_servers import LEAVING_HEADER
+from features.steps.stating_servers import StatementFixture
+from features.steps.stating_servers import StatingServer
+from fuchsiacart.clocks import steady_ms
 from fuchsiacart.control.departures import DepartureReports
 from fuchsiacart.control.route_states import RouteState
 from fuchsiacart.gateway.callers import CallerServer
@@ -37,194 +35,9 @@
 from fuchsiacart.models import Host
 from fuchsiacart.servers import ServerState
 
-LEAVING_HEADER = 'Leaving'
-KIND = KINDS['an idempotent']
-# Within the time-out of the route, which is 2 s.
-FOREVER_S = 5.0
 PROBE_TIMEOUT_S = 0.3
 
 
-class StatingDialect(PlainDialect):
-    """A dialect in which servers say that they leave."""
-
-    def read_response(self, status, headers):
-        """See :meth:`Dialect.read_response`."""
-        metadata = super().read_response(status, headers)
-        return replace(metadata, is_leaving=LEAVING_HEADER in headers)
-
-
-def make_head(status, *names, request_id=REQUEST_ID, length=0):
-    """Return the head of a response as bytes.
-
-    :param status: status code and reason.
-    :param names: names of headers whose value is 1.
-    :param request_id: id of the request that it names.
-    :param length: length of the body; None for none.
-    """
-    lines = [f'HTTP/1.1 {status}', f'{ID_HEADER}: {request_id}']
-    lines += [f'{name}: 1' for name in names]
-    if length is not None:
-        lines.append(f'Content-Length: {length}')
-    return '\r\n'.join([*lines, '', '']).encode()
-
-
-OK = make_head('200 OK', PROOF_HEADER)
-LEAVING_OK = make_head('200 OK', PROOF_HEADER, LEAVING_HEADER)
-LEAVING_START = make_head('200 OK', PROOF_HEADER, LEAVING_HEADER, length=9)
-
-
-async def answer(server, stream):
-    """Answer without a word on the server itself."""
-    await stream.write(OK)
-
-
-async def answer_leaving(server, stream):
-    """Answer, and say that the server leaves."""
-    await stream.write(LEAVING_OK)
-
-
-async def refuse_leaving(server, stream):
-    """Refuse, and say that the server leaves."""
-    head = make_head('503 Full', NOT_RUN_HEADER, LEAVING_HEADER)
-    await stream.write(head)
-
-
-async def fail_leaving(server, stream):
-    """Fail, and say that the server leaves."""
-    await stream.write(make_head('500 Failed', PROOF_HEADER, LEAVING_HEADER))
-
-
-async def answer_after_interim(server, stream):
-    """Say that the server leaves in an interim response only."""
-    hint = make_head('103 Early Hints', LEAVING_HEADER, length=None)
-    await stream.write(hint + OK)
-
-
-async def break_off(server, stream):
-    """Say that the server leaves, and close within the body."""
-    await stream.write(LEAVING_START)
-    stream.close()
-
-
-async def never_end(server, stream):
-    """Say that the server leaves, and send no body."""
-    await stream.write(LEAVING_START)
-    await sleep(FOREVER_S)
-
-
-async def answer_another(server, stream):
-    """Say that the server leaves, in an answer to another request."""
-    if server.served > 1:
-        await stream.write(OK)
-        return
-    await stream.write(
-        make_head('200 OK', PROOF_HEADER, LEAVING_HEADER, request_id='another')
-    )
-    stream.close()
-
-
-async def answer_leaving_once(server, stream):
-    """Say with the first answer only that the server leaves."""
-    await stream.write(LEAVING_OK if server.served == 1 else OK)
-
-
-async def answer_leaving_late(server, stream):
-    """Say with the first answer that the server leaves, after 0.3 s."""
-    if server.served > 1:
-        await stream.write(OK)
-        return
-    await sleep(0.3)
-    await stream.write(LEAVING_OK)
-
-
-async def break_off_late(server, stream):
-    """Close without an answer after 0.2 s."""
-    await sleep(0.2)
-    stream.close()
-
-
-SCRIPTS = {
-    'answers': answer,
-    'says in an answer that it leaves': answer_leaving,
-    'says in a refusal that it leaves': refuse_leaving,
-    'says in a failure that it leaves': fail_leaving,
-    'says in an interim answer that it leaves': answer_after_interim,
-    'says that it leaves and breaks its answer off': break_off,
-    'says that it leaves and never ends its answer': never_end,
-    'says in an answer to another request that it leaves': answer_another,
-    'says so once': answer_leaving_once,
-    'says after 0.3 s that it leaves': answer_leaving_late,
-    'breaks off after 0.2 s': break_off_late,
-}
-
-
-class StatingServer(TCPServer):
-    """A backend server that answers each request by a script."""
-
-    def __init__(self, name, script='answers'):
-        super().__init__()
-        self.name = name
-        self.served = 0
-        self.respond = SCRIPTS[script]
-        self._streams = set()
-        sockets = bind_sockets(0, '127.0.0.1')
-        self.port = sockets[0].getsockname()[1]
-        self.add_sockets(sockets)
-
-    async def handle_stream(self, stream, address):
-        """See :class:`TCPServer`."""
-        self._streams.add(stream)
-        try:
-            while True:
-                await stream.read_until(b'\r\n\r\n')
-                self.served += 1
-                await self.respond(self, stream)
-        except StreamClosedError:
-            self._streams.discard(stream)
-
-    async def close(self):
-        """Stop listening and close all connections."""
-        self.stop()
-        for stream in tuple(self._streams):
-            stream.close()
-
-
-class StatementFixture(ForwardingFixture):
-    """A gateway before servers that say that they leave."""
-
-    dialect = StatingDialect
-    make_server = StatingServer
-
-    def __init__(self, count, script):
-        self.lines = []
-        super().__init__(count, script)
-
-    @property
-    def first(self):
-        """The server to which requests for the first object go."""
-        return self.servers[0]
-
-    @property
-    def first_record(self):
-        """The record of the first server."""
-        return self.view.servers[self.first.name]
-
-    def put_record(self, **fields):
-        """Change the record of the first server in the view."""
-        record = replace(self.first_record, **fields)
-        self.view.servers[record.name] = record
-        self.forwarder.apply_view(self.view, 1)
-
-    async def serve_objects(self, count):
-        """Serve requests for several objects one after the other."""
-        outcomes = []
-        for index in range(count):
-            await self.serve(KIND, object_key=f'object-{index}')
-            outcomes.append(self.outcome)
-        await self.serve(KIND)
-        return [*outcomes, self.outcome]
-
-
 def _record_lines(fixture):
     """Return a stand-in for ``log_event`` that keeps its lines."""
 
@@ -320,21 +133,55 @@
     fixture.run(serve())
 
 
-@when('the gateway serves a request, and its server leaves once it was chosen')
-def when_leaves_once_chosen(context):
-    """Let the statement come between the choice and the connection."""
-    fixture = context.statements
+def _serve_with_statement(fixture, state):
+    """Let a statement of the first server come between choice and send.
+
+    :param state: takes the :class:`ServerStart` that says it.
+    """
     exchange = ConnectionPool.exchange
 
-    async def leave_and_exchange(pool, record, request, limits):
+    async def state_and_exchange(pool, record, request, limits):
         if record.name == fixture.first.name:
-            fixture.forwarder.selector.departures.add(record.start)
+            state(record.start)
         return await exchange(pool, record, request, limits)
 
-    with patch.object(ConnectionPool, 'exchange', leave_and_exchange):
+    with patch.object(ConnectionPool, 'exchange', state_and_exchange):
         fixture.run(fixture.serve(KIND))
 
 
+@when('the gateway serves a request, and its server leaves once it was chosen')
+def when_leaves_once_chosen(context):
+    fixture = context.statements
+    _serve_with_statement(fixture, fixture.forwarder.selector.departures.add)
+
+
+@when(
+    'the gateway serves a request, and its server is full once it was chosen'
+)
+def when_full_once_chosen(context):
+    fixture = context.statements
+    backoffs = fixture.forwarder.selector.backoffs
+    _serve_with_statement(
+        fixture, lambda start: backoffs.record(start, 1000.0, steady_ms())
+    )
+
+
+@when('the other server is full for {wait_s:g} s')
+def when_other_full(context, wait_s):
+    fixture = context.statements
+    other = fixture.view.servers[fixture.servers[1].name]
+    fixture.forwarder.selector.backoffs.record(
+        other.start, wait_s * 1000, steady_ms()
+    )
+
+
+@when('the gateway serves a request {after_s:g} s later')
+def when_served_later(context, after_s):
+    fixture = context.statements
+    fixture.run(sleep(after_s))
+    fixture.run(fixture.serve(KIND))
+
+
 @when('the gateway serves a request, and the other server leaves meanwhile')
 def when_other_leaves(context):
     fixture = context.statements
@@ -435,6 +282,34 @@
     assert fixture.error.retry_after_ms > 0
 
 
+@then(
+    'it is refused within {limit_s:g} s, to return after {least_ms:d} to'
+    ' {most_ms:d} ms'
+)
+def then_refused_until(context, limit_s, least_ms, most_ms):
+    then_refused(context, limit_s)
+    retry_after_ms = context.statements.error.retry_after_ms
+    assert least_ms <= retry_after_ms <= most_ms, retry_after_ms
+
+
+@then('one line tells that the first server is full, for {wait_ms:d} ms')
+def then_full_logged(context, wait_ms):
+    fixture = context.statements
+    lines = [
+        (fields['server'], fields['request'], fields['wait_ms'])
+        for event, fields in fixture.lines
+        if event == 'server_full'
+    ]
+    assert lines == [(fixture.first.name, REQUEST_ID, wait_ms)], lines
+
+
+@then('it has no evidence against the first server')
+def then_no_evidence(context):
+    fixture = context.statements
+    evidence = {each.name: each for each in fixture.forwarder.evidence.flush()}
+    assert fixture.first.name not in evidence, evidence
+
+
 async def _answered_headers(fixture, *lines):
     """Return the head of an answer that a caller of the gateway gets."""
     callers = CallerServer(fixture.forwarder, fixture.dialect())
--- /dev/null
+++ b/fuchsiacart/gateway/backoffs.py
@@ -0,0 +1,100 @@
+"""Backend servers that have said for how long they want no request.
+
+Answers a load that some servers cannot take for a while: what is sent to them
+meanwhile is refused, and costs a retry.  Once the time is over, a gateway
+sends few requests and more with each success, and gateways that were told
+the same do not return at the same moment.
+"""
+
+from msgspec import Struct
+
+# Longest time for which a statement holds; a server that names a longer one
+# is asked again after it.
+MAX_BACKOFF_MS = 300_000.0
+# Part of the stated time, and its bound, over which gateways return.
+SPREAD_PART = 0.5
+MAX_SPREAD_MS = 1000.0
+# Requests in flight that a success adds room for are doubled up to here; then
+# the back-off is forgotten.
+FULL_IN_FLIGHT = 16
+# Starts that are kept; the oldest are dropped first.
+BACKOFF_LIMIT = 4096
+
+
+class Backoff(Struct):
+    """The back-off from one start of a server.
+
+    Nothing is sent before ``until_ms``, and from then on at most
+    ``max_in_flight`` requests at a time.
+    """
+
+    until_ms: float
+    max_in_flight: int = 1
+
+
+class BackoffLedger:
+    """Knows which starts of servers want no request.  Performs no I/O.
+
+    All times are milliseconds of one steady clock.
+
+    :param random: random number generator.
+    """
+
+    def __init__(self, random):
+        self._random = random
+        self._backoffs = {}
+
+    def record(self, start, wait_ms, now_ms):
+        """Record that a server wants no request for some time.
+
+        :param start: the :class:`ServerStart`.
+        :param wait_ms: the time that it names.
+        :param now_ms: the current time.
+        :return: True if it was not known to want none now.
+        """
+        if wait_ms <= 0:
+            return False
+        wait_ms = min(wait_ms, MAX_BACKOFF_MS)
+        spread_ms = min(wait_ms * SPREAD_PART, MAX_SPREAD_MS)
+        until_ms = now_ms + wait_ms + self._random.uniform(0.0, spread_ms)
+        earlier = self._backoffs.pop(start, None)
+        if earlier is not None:
+            until_ms = max(until_ms, earlier.until_ms)
+        self._backoffs[start] = Backoff(until_ms)
+        while len(self._backoffs) > BACKOFF_LIMIT:
+            del self._backoffs[next(iter(self._backoffs))]
+        return earlier is None or earlier.until_ms <= now_ms
+
+    def accepts(self, start, in_flight, now_ms):
+        """Return True if a request may be sent to a server.
+
+        :param start: the :class:`ServerStart`.
+        :param in_flight: other requests of this gateway in flight there.
+        :param now_ms: the current time.
+        """
+        backoff = self._backoffs.get(start)
+        if backoff is None:
+            return True
+        return now_ms >= backoff.until_ms and in_flight < backoff.max_in_flight
+
+    def wait_ms(self, start, now_ms):
+        """Return the milliseconds for which a server wants no request.
+
+        :param start: the :class:`ServerStart`.
+        :param now_ms: the current time.
+        """
+        backoff = self._backoffs.get(start)
+        return max(0.0, backoff.until_ms - now_ms) if backoff else 0.0
+
+    def record_success(self, start, now_ms):
+        """Allow more requests once a server has answered one.
+
+        :param start: the :class:`ServerStart`.
+        :param now_ms: the current time.
+        """
+        backoff = self._backoffs.get(start)
+        if backoff is None or now_ms < backoff.until_ms:
+            return
+        backoff.max_in_flight *= 2
+        if backoff.max_in_flight >= FULL_IN_FLIGHT:
+            del self._backoffs[start]
--- a/fuchsiacart/gateway/dialects.py
+++ b/fuchsiacart/gateway/dialects.py
@@ -41,7 +41,8 @@
     ``not_run`` promises that the request was not run; ``is_misdirected``
     says that the address now belongs to another server.  ``is_authentic`` is
     False if the response carries no proof that the server sent it.
-    ``is_leaving`` says that the server is about to end.
+    ``is_leaving`` says that the server is about to end, ``retry_after_ms``
+    for how long it wants no request if it refuses this one; 0 if not told.
     """
 
     not_run: bool
@@ -49,6 +50,7 @@
     is_authentic: bool
     load: ReportedLoad | None
     is_leaving: bool = False
+    retry_after_ms: float = 0.0
 
 
 class Dialect(ABC):
--- a/fuchsiacart/gateway/forwarding.py
+++ b/fuchsiacart/gateway/forwarding.py
@@ -48,11 +48,13 @@
         self._started_ms = steady_ms()
         self._gateway_count = 1
         self.route_table = None
+        random = make_random(settings.seed, settings.host.name)
         self.selector = ServerSelector(
-            settings.host.region, settings.routes.regions
+            settings.host.region, settings.routes.regions, random
+        )
+        self.statements = ServerStatements(
+            self.selector.departures, self.selector.backoffs
         )
-        random = make_random(settings.seed, settings.host.name)
-        self.statements = ServerStatements(self.selector.departures)
         self.relay = Relay(
             GatewaySelector(settings.host, random), dialect, self.statements
         )
--- a/fuchsiacart/gateway/placements.py
+++ b/fuchsiacart/gateway/placements.py
@@ -7,6 +7,7 @@
 
 from collections import defaultdict
 from itertools import islice
+from random import Random
 
 from msgspec import Struct
 from msgspec.structs import replace
@@ -14,6 +15,7 @@
 
 from fuchsiacart.clocks import MILLISECONDS
 from fuchsiacart.control.region_shares import order_regions
+from fuchsiacart.gateway.backoffs import BackoffLedger
 from fuchsiacart.gateway.departures import DepartureLedger
 from fuchsiacart.gateway.tracked_servers import TrackedServer
 from fuchsiacart.load_boards import ServerIndex
@@ -56,9 +58,10 @@
 
     :param region: the gateway's region.
     :param regions: region of each failure domain.
+    :param random: random number generator.
     """
 
-    def __init__(self, region, regions):
+    def __init__(self, region, regions, random=None):
         self._regions = dict(regions)
         self._region = region
         self._servers = {}
@@ -70,6 +73,7 @@
         self._cold_rates = {}
         self.is_warmup_owner = lambda server: True
         self.departures = DepartureLedger()
+        self.backoffs = BackoffLedger(random or Random())
 
     def apply_view(self, view, table, now_ms):
         """Apply a new view.
@@ -122,15 +126,17 @@
         }
         return self.departures.unconfirmed(records)
 
-    def accepts(self, server):
-        """Return False if a server leaves, and takes no new request.
+    def accepts(self, server, in_flight, now_ms):
+        """Return True unless a server leaves, or wants no request now.
 
         :param server: the :class:`TrackedServer`.
+        :param in_flight: other requests of this gateway in flight there.
+        :param now_ms: the current time.
         """
-        record = server.record
-        if record.state is ServerState.DRAINING:
-            return False
-        return not self.departures.covers(record.start)
+        start = server.record.start
+        return not self._leaves(server) and self.backoffs.accepts(
+            start, in_flight, now_ms
+        )
 
     def end_suspensions(self):
         """Use all servers again, whatever has failed so far."""
@@ -184,8 +190,10 @@
         :return: milliseconds, or None if that cannot be estimated.
         """
         domains = self._by_service.get(placement.service)
-        if not domains or not service_ms:
+        if not domains:
             return None
+        if not service_ms:
+            return self._time_to_return_ms(domains, placement, now_ms)
         placement = replace(placement, excluded=frozenset())
         hash_fraction = _hash_fraction(placement.object_key)
         for region in self._ordered_regions(placement, domains, hash_fraction):
@@ -196,7 +204,27 @@
                     _time_to_limit_ms(server, placement, service_ms, now_ms)
                     for server in preferred
                 )
-        return None
+        return self._time_to_return_ms(domains, placement, now_ms)
+
+    def _time_to_return_ms(self, domains, placement, now_ms):
+        """Return when the first server that wants no request may want some.
+
+        :return: milliseconds, or None if a server does not say so.
+        """
+        waits_ms = [
+            self.backoffs.wait_ms(server.record.start, now_ms)
+            for domain, servers in domains.items()
+            if self._may_serve(domain, placement)
+            for server in servers
+            if not self._leaves(server)
+        ]
+        return min(waits_ms, default=0.0) or None
+
+    def _leaves(self, server):
+        return (
+            server.record.state is ServerState.DRAINING
+            or self.departures.covers(server.record.start)
+        )
 
     def _update_server(self, record, now_ms):
         server = self._servers.get(record.name)
@@ -284,7 +312,9 @@
 
     def _is_usable(self, server, placement, now_ms):
         record = server.record
-        if server.is_misdirected or not self.accepts(server):
+        if server.is_misdirected:
+            return False
+        if not self.accepts(server, server.in_flight, now_ms):
             return False
         if record.name in placement.excluded:
             return False
--- a/fuchsiacart/gateway/server_attempts.py
+++ b/fuchsiacart/gateway/server_attempts.py
@@ -20,6 +20,7 @@
 CONNECT_TIMEOUT_S = 0.3
 SUCCESS_STATUSES = range(200, 300)
 MIN_SERVER_ERROR_STATUS = 500
+STATUS_SERVICE_UNAVAILABLE = 503
 # Status of a server that reaches the deadline that it was given.
 STATUS_GATEWAY_TIMEOUT = 504
 
@@ -85,7 +86,9 @@
                     lambda status, headers: self._read_statement(
                         request, record, status, headers
                     ),
-                    lambda: self._selector.accepts(server),
+                    lambda: self._selector.accepts(
+                        server, server.in_flight - 1, steady_ms()
+                    ),
                 ),
                 ExchangeLimits(
                     min(CONNECT_TIMEOUT_S, left_s), attempts.deadline_s
@@ -108,6 +111,10 @@
         metadata = self._dialect.read_response(status, headers)
         if metadata.is_leaving and not metadata.is_misdirected:
             self._statements.record_departure(record.start, request)
+        if _is_full(status, metadata):
+            self._statements.record_backoff(
+                record.start, request, metadata.retry_after_ms
+            )
 
     def _handle_response(self, attempts, server, result, taken_s):
         """Record a response and return it, or None if it is not accepted."""
@@ -136,6 +143,8 @@
             self._log_attempt(attempts, server, 'foreign_answer')
             return None
         self._log_attempt(attempts, server, response.status, taken_s=taken_s)
+        if _is_full(response.status, metadata):
+            return response
         self._demands.record_service_time(
             attempts.service, taken_s, metadata.load
         )
@@ -147,6 +156,9 @@
         if response.status >= MIN_SERVER_ERROR_STATUS:
             self._evidence.record_failure(server.record)
             return response
+        self._selector.backoffs.record_success(
+            server.record.start, steady_ms()
+        )
         self._record_served(server, result, metadata.load)
         return response
 
@@ -212,6 +224,15 @@
         )
 
 
+def _is_full(status, metadata):
+    """Return True if a server says for how long it wants no request."""
+    return (
+        status == STATUS_SERVICE_UNAVAILABLE
+        and metadata.retry_after_ms > 0
+        and not metadata.is_misdirected
+    )
+
+
 def _is_foreign(response, metadata):
     """Return True if a response does not come from the backend server.
 
--- a/fuchsiacart/metrics.py
+++ b/fuchsiacart/metrics.py
@@ -58,6 +58,10 @@
     'fuchsiacart_server_departures_total',
     'Backend servers that have said in an answer that they leave',
 )
+SERVER_BACKOFFS = Counter(
+    'fuchsiacart_server_backoffs_total',
+    'Times at which a backend server began to want no request for a while',
+)
 LOOKUPS = Counter('fuchsiacart_lookups_total', 'Look-ups answered')
 REVISION = Gauge('fuchsiacart_revision', 'Revision in force at this process')
 LEASE_LEFT = Gauge(
--- a/fuchsiacart/platform/headers.py
+++ b/fuchsiacart/platform/headers.py
@@ -4,6 +4,7 @@
 from tornado.httputil import parse_cookie
 
 from fuchsiacart.bounds import MAX_SLOTS
+from fuchsiacart.clocks import MILLISECONDS
 from fuchsiacart.gateway.dialects import Dialect
 from fuchsiacart.gateway.dialects import ReportedLoad
 from fuchsiacart.gateway.dialects import RequestMetadata
@@ -18,6 +19,7 @@
 SERVER_LOAD = 'X-Server-Load'
 NOT_RUN = 'X-Not-Run'
 SERVER_LEAVING = 'Server-Leaving'
+RETRY_AFTER_S = 'Retry-After'
 HTTP_MISDIRECTED = 421
 # Counts at the start of the load header.
 LOAD_COUNTS = 3
@@ -59,6 +61,7 @@
             SERVER_STAMP in headers,
             _read_load(headers.get(SERVER_LOAD)),
             headers.get(SERVER_LEAVING, '').strip() == '1',
+            (_read_number(headers.get(RETRY_AFTER_S)) or 0.0) * MILLISECONDS,
         )
 
 
