--- a/fuchsiacart/control/leaders.py
+++ b/fuchsiacart/control/leaders.py
@@ -289,9 +289,8 @@
             servers = self._replica.replicated_state.stored.routes.servers
             self._gateway_reports.log_outliers(servers, steady_ms())
             try:
-                await record_departures(
-                    self._replica, self._gateway_reports.departures
-                )
+                departures = self._gateway_reports.departures
+                await record_departures(self._replica, departures)
                 await self._expire_leases()
                 await self._mark_in_force()
                 if self._settings.routes is not None:
