Show that a kept connection outlives the address of its server

Connections are pooled by the start, and before by the name, of a server: an entry that names another address under the same start leaves the connections to the earlier one in use. If that address belongs to another server by then, its 421 keeps the server out until its entry changes again.

--- a/features/statement_attribution.feature
+++ b/features/statement_attribution.feature
@@ -34,3 +34,11 @@
     Given a gateway before 3 servers, of which the first breaks off after 0.2 s
     When the gateway serves a request, and the second server leaves once it was chosen
     Then the request was answered
+
+  Scenario: a server that has moved gets requests at its new address only
+    Given a gateway before 2 servers, of which the first answers
+    When the gateway serves a request
+    And the first server moves to another address under its start
+    And the gateway serves 30 requests for several objects
+    Then no request has reached its earlier address since
+    And requests have reached its new address
--- a/features/steps/attribution_steps.py
+++ b/features/steps/attribution_steps.py
@@ -15,6 +15,7 @@
 from features.steps.stating_servers import KIND
 from features.steps.stating_servers import OK
 from features.steps.stating_servers import REFUSAL
+from features.steps.stating_servers import StatingServer
 from features.steps.stating_servers import WAIT_HEADER
 from fuchsiacart.clocks import steady_ms
 from fuchsiacart.gateway.connection_pools import ConnectionPool
@@ -136,3 +137,30 @@
     with patch.object(ConnectionPool, 'exchange', leave_and_exchange):
         fixture.run(fixture.serve(KIND))
     assert len(chosen) >= 2, chosen
+
+
+@when('the first server moves to another address under its start')
+def when_moved(context):
+    fixture = context.statements
+
+    async def open_server():
+        return StatingServer(fixture.first.name)
+
+    context.moved = fixture.run(open_server())
+    fixture.servers.append(context.moved)
+    context.served_before = fixture.first.served
+    fixture.put_record(
+        sequence=fixture.first_record.sequence + 1,
+        address=f'127.0.0.1:{context.moved.port}',
+    )
+
+
+@then('no request has reached its earlier address since')
+def then_none_since(context):
+    served = context.statements.first.served - context.served_before
+    assert served == 0, served
+
+
+@then('requests have reached its new address')
+def then_reached_new(context):
+    assert context.moved.served, 'none has'
