Count only requests sent since in the return to a full server

What callers would see: a service with one server was refused for as long as one earlier request ran (15 of 15 in 1.5 s), and answers to requests sent before a 503 ended the slow return before anything was tried. Cause: the back-off compared all requests in flight with its bound, and took each answer after its time for a success; what was sent before the 503 says nothing of the server now. Now each request is counted by the back-off under which it is sent, and a new 503 starts the count anew.

--- a/features/steps/attribution_steps.py
+++ b/features/steps/attribution_steps.py
@@ -10,6 +10,7 @@
 from behave import then
 from behave import when
 
+from features.steps.backoff_steps import count_at_once
 from features.steps.stating_servers import answer
 from features.steps.stating_servers import FOREVER_S
 from features.steps.stating_servers import KIND
@@ -113,9 +114,7 @@
     fixture = context.statements
     start = fixture.first_record.start
     backoffs = fixture.forwarder.selector.backoffs
-    may_send = 0
-    while may_send < 64 and backoffs.accepts(start, may_send, steady_ms()):
-        may_send += 1
+    may_send = count_at_once(backoffs, start, steady_ms())
     assert 0 < may_send <= most, may_send
 
 
--- a/features/steps/backoff_steps.py
+++ b/features/steps/backoff_steps.py
@@ -23,14 +23,14 @@
     return ledger
 
 
-def _count_at_once(ledger, after_s):
+def count_at_once(ledger, start, now_ms):
     """Return how many requests may be in flight at a time, or ``MANY``."""
-    in_flight = 0
-    while in_flight < MANY and ledger.accepts(
-        START, in_flight, after_s * 1000
-    ):
-        in_flight += 1
-    return in_flight
+    counted = []
+    while len(counted) < MANY and ledger.accepts(start, now_ms):
+        counted.append(ledger.begin(start))
+    for each in counted:
+        ledger.end(each)
+    return len(counted)
 
 
 @given('a gateway that was told by a server to wait {wait_s:d} s')
@@ -40,7 +40,10 @@
 
 @when('a request is answered {after_s:g} s later')
 def when_answered(context, after_s):
-    context.ledger.record_success(START, after_s * 1000)
+    assert context.ledger.accepts(START, after_s * 1000)
+    counted = context.ledger.begin(START)
+    context.ledger.end(counted)
+    context.ledger.record_success(START, counted)
 
 
 @when('{count:d} requests are answered {after_s:g} s later')
@@ -56,13 +59,14 @@
 
 @then('it sends {count:d} requests at once {after_s:g} s later')
 def then_sends(context, count, after_s):
-    sent = _count_at_once(context.ledger, after_s)
+    sent = count_at_once(context.ledger, START, after_s * 1000)
     assert sent == count, sent
 
 
 @then('it sends any number of requests {after_s:g} s later')
 def then_sends_any(context, after_s):
-    assert _count_at_once(context.ledger, after_s) == MANY
+    sent = count_at_once(context.ledger, START, after_s * 1000)
+    assert sent == MANY, sent
 
 
 @given('{count:d} gateways that were told by a server to wait {wait_s:d} s')
@@ -73,7 +77,7 @@
 
 def _returned_ms(ledger):
     now_ms = 0
-    while not ledger.accepts(START, 0, now_ms):
+    while not ledger.accepts(START, now_ms):
         now_ms += STEP_MS
     return now_ms
 
--- a/fuchsiacart/gateway/backoffs.py
+++ b/fuchsiacart/gateway/backoffs.py
@@ -24,12 +24,18 @@
 class Backoff(Struct):
     """The back-off from one start of a server.
 
-    Nothing is sent before ``until_ms``, and from then on at most
-    ``max_in_flight`` requests at a time.
+    Nothing is sent before ``until_ms``.  From then on ``in_flight`` counts the
+    requests that are sent, ``max_in_flight`` at a time at most; requests that
+    were sent before say nothing about the server now.
     """
 
     until_ms: float
     max_in_flight: int = 1
+    in_flight: int = 0
+
+    def has_room(self, now_ms):
+        """Return True if one more request may be sent."""
+        return now_ms >= self.until_ms and self.in_flight < self.max_in_flight
 
 
 class BackoffLedger:
@@ -65,17 +71,45 @@
             del self._backoffs[next(iter(self._backoffs))]
         return earlier is None or earlier.until_ms <= now_ms
 
-    def accepts(self, start, in_flight, now_ms):
+    def accepts(self, start, now_ms):
         """Return True if a request may be sent to a server.
 
         :param start: the :class:`ServerStart`.
-        :param in_flight: other requests of this gateway in flight there.
+        :param now_ms: the current time.
+        """
+        backoff = self._backoffs.get(start)
+        return backoff is None or backoff.has_room(now_ms)
+
+    def begin(self, start):
+        """Count a request that is about to be sent.
+
+        :param start: the :class:`ServerStart`.
+        :return: the :class:`Backoff` that counts it, or None.
+        """
+        backoff = self._backoffs.get(start)
+        if backoff is not None:
+            backoff.in_flight += 1
+        return backoff
+
+    def may_send(self, start, counted, now_ms):
+        """Return True if a request may still be sent.
+
+        :param start: the :class:`ServerStart`.
+        :param counted: what :meth:`begin` returned for the request.
         :param now_ms: the current time.
         """
         backoff = self._backoffs.get(start)
         if backoff is None:
             return True
-        return now_ms >= backoff.until_ms and in_flight < backoff.max_in_flight
+        return backoff is counted and now_ms >= backoff.until_ms
+
+    def end(self, counted):
+        """Count a request as finished.
+
+        :param counted: what :meth:`begin` returned for the request.
+        """
+        if counted is not None:
+            counted.in_flight -= 1
 
     def wait_ms(self, start, now_ms):
         """Return the milliseconds for which a server wants no request.
@@ -86,14 +120,14 @@
         backoff = self._backoffs.get(start)
         return max(0.0, backoff.until_ms - now_ms) if backoff else 0.0
 
-    def record_success(self, start, now_ms):
-        """Allow more requests once a server has answered one.
+    def record_success(self, start, counted):
+        """Allow more requests once one that was sent since was answered.
 
         :param start: the :class:`ServerStart`.
-        :param now_ms: the current time.
+        :param counted: what :meth:`begin` returned for the request.
         """
         backoff = self._backoffs.get(start)
-        if backoff is None or now_ms < backoff.until_ms:
+        if backoff is None or backoff is not counted:
             return
         backoff.max_in_flight *= 2
         if backoff.max_in_flight >= FULL_IN_FLIGHT:
--- a/fuchsiacart/gateway/placements.py
+++ b/fuchsiacart/gateway/placements.py
@@ -126,16 +126,16 @@
         }
         return self.departures.unconfirmed(records)
 
-    def accepts(self, server, in_flight, now_ms):
+    def may_send(self, server, counted, now_ms):
         """Return True unless a server leaves, or wants no request now.
 
-        :param server: the :class:`TrackedServer`.
-        :param in_flight: other requests of this gateway in flight there.
+        :param server: the :class:`TrackedServer` that was chosen.
+        :param counted: the :class:`Backoff` that counts the request, or None.
         :param now_ms: the current time.
         """
         start = server.record.start
-        return not self._leaves(server) and self.backoffs.accepts(
-            start, in_flight, now_ms
+        return not self._leaves(server) and self.backoffs.may_send(
+            start, counted, now_ms
         )
 
     def end_suspensions(self):
@@ -312,9 +312,9 @@
 
     def _is_usable(self, server, placement, now_ms):
         record = server.record
-        if server.is_misdirected:
+        if server.is_misdirected or self._leaves(server):
             return False
-        if not self.accepts(server, server.in_flight, now_ms):
+        if not self.backoffs.accepts(record.start, now_ms):
             return False
         if record.name in placement.excluded:
             return False
--- a/fuchsiacart/gateway/server_attempts.py
+++ b/fuchsiacart/gateway/server_attempts.py
@@ -70,6 +70,8 @@
         if left_s <= 0:
             raise attempts.make_deadline_error()
         known_losses = self._suspects.losses_in_row(request)
+        backoffs = self._selector.backoffs
+        counted = backoffs.begin(record.start)
         server.in_flight += 1
         started_s = monotonic()
         try:
@@ -86,8 +88,8 @@
                     lambda status, headers: self._read_statement(
                         request, record, status, headers
                     ),
-                    lambda: self._selector.accepts(
-                        server, server.in_flight - 1, steady_ms()
+                    lambda: self._selector.may_send(
+                        server, counted, steady_ms()
                     ),
                 ),
                 ExchangeLimits(
@@ -96,6 +98,7 @@
             )
         finally:
             server.in_flight -= 1
+            backoffs.end(counted)
         taken_s = monotonic() - started_s
         if result.failure is not None:
             self._record_failed_attempt(attempts, server, result, taken_s)
@@ -104,7 +107,10 @@
                     request, record, known_losses, attempts.server_check
                 )
             return None
-        return self._handle_response(attempts, server, result, taken_s)
+        response = self._handle_response(attempts, server, result, taken_s)
+        if response is not None and response.status < MIN_SERVER_ERROR_STATUS:
+            backoffs.record_success(record.start, counted)
+        return response
 
     def _read_statement(self, request, record, status, headers):
         """Act on what a server says of itself at the head of a response."""
@@ -156,9 +162,6 @@
         if response.status >= MIN_SERVER_ERROR_STATUS:
             self._evidence.record_failure(server.record)
             return response
-        self._selector.backoffs.record_success(
-            server.record.start, steady_ms()
-        )
         self._record_served(server, result, metadata.load)
         return response
 
