Keep a retry for the next server if it was not sent

What callers would see: outcome_unknown for an idempotent request whose first server broke off, though a third one was ready: the second left while the connection was opened, and the retry that was not sent had spent the budget. Now a retry that the budget has allowed is kept until it is sent.

--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -95,7 +95,8 @@
             ip_address,
             relayed_for,
         )
-        return Relay(self.selector, PlainDialect()).read(request).caller
+        relay = Relay(self.selector, PlainDialect(), None)
+        return relay.read(request).caller
 
 
 @given('an isolated gateway with others near and far')
--- a/fuchsiacart/gateway/attempts.py
+++ b/fuchsiacart/gateway/attempts.py
@@ -13,6 +13,7 @@
 from fuchsiacart.exceptions import ErrorKind
 from fuchsiacart.exceptions import RequestError
 from fuchsiacart.exceptions import Run
+from fuchsiacart.failure_kinds import FailureKind
 from fuchsiacart.gateway.admissions import choose_retry_after_ms
 from fuchsiacart.gateway.admissions import longest_retry_after_ms
 from fuchsiacart.gateway.admissions import MAX_RETRY_AFTER_MS
@@ -85,7 +86,8 @@
     ``room``, ``believed_load`` and ``load_age_ms`` are the requests per slot
     that were allowed for the last placement, the load on which it was based
     and the age of that load, -1 if none was known.  ``version`` is that of
-    the configuration that the route is from.
+    the configuration that the route is from.  ``has_retry`` is True while a
+    retry that the budget allowed has not been made.
     """
 
     request: InboundRequest
@@ -103,6 +105,7 @@
     believed_load: float = 0.0
     load_age_ms: float = -1.0
     version: int = 0
+    has_retry: bool = False
 
     @property
     def deadline_s(self):
@@ -147,18 +150,29 @@
         using the retry budget.
 
         :param budget: the :class:`SharedRetryBudget` of the service; a
-            retry that is allowed takes one token from it.
+            retry that is allowed takes one token from it, unless the one
+            before was allowed and not made.
         """
         if self.sent == 0:
             return (
                 self.unreachable < MAX_UNREACHABLE_SERVERS
                 and self.failed_relays < MAX_FAILED_RELAYS
             )
-        if not self.may_run_again:
+        if not self.may_run_again or self.sent >= self.route.max_attempts:
             return False
-        return self.sent < self.route.max_attempts and budget.try_spend(
-            steady_ms(), retry_part(self.urgency)
-        )
+        if not self.has_retry:
+            self.has_retry = budget.try_spend(
+                steady_ms(), retry_part(self.urgency)
+            )
+        return self.has_retry
+
+    def record_result(self, result):
+        """Record that an attempt was made, if its request was sent.
+
+        :param result: its :class:`ExchangeResult`.
+        """
+        if result.failure is not FailureKind.NOT_SENT:
+            self.has_retry = False
 
     def make_error(self, room_ms, reason=''):
         """Return the error of a request that fails before its deadline.
--- a/fuchsiacart/gateway/relays.py
+++ b/fuchsiacart/gateway/relays.py
@@ -111,6 +111,7 @@
             )
         finally:
             self.selector.in_flight[host.name] -= 1
+        attempts.record_result(result)
         response = self._record(attempts, host, result)
         self._log(attempts, host, result, monotonic() - started_s)
         return response
--- a/fuchsiacart/gateway/server_attempts.py
+++ b/fuchsiacart/gateway/server_attempts.py
@@ -100,6 +100,7 @@
             server.in_flight -= 1
             backoffs.end(counted)
         taken_s = monotonic() - started_s
+        attempts.record_result(result)
         if result.failure is not None:
             self._record_failed_attempt(attempts, server, result, taken_s)
             if result.failure is FailureKind.BROKEN and not result.has_headers:
