--- a/fuchsiacart/gateway/connection_pools.py
+++ b/fuchsiacart/gateway/connection_pools.py
@@ -18,8 +18,8 @@
 class ConnectionPool:
     """Idle connections to all backend servers.
 
-    They are pooled by the start of the server rather than by its address, so
-    that no connection is used for another server or a later start.
+    They are pooled by the start of the server and its address, so that no
+    connection is used for another server, a later start or an earlier address.
 
     :param reachability: the :class:`ServerReachability` that is told which
         connections could be opened.
@@ -44,7 +44,7 @@
         connection = None
         # A response without an id could be that to an earlier request.
         if request.request_id:
-            connection = self._pop_idle(record.start)
+            connection = self._pop_idle(_key(record))
         is_reused = connection is not None
         if not is_reused:
             connection = ServerConnection(record.name, self._budget)
@@ -65,10 +65,10 @@
         if monotonic() >= deadline_s:
             # The connection took the rest of its time, or this process was
             # paused.
-            self._keep(record.start, connection)
+            self._keep(_key(record), connection)
             return ExchangeResult(failure=FailureKind.NOT_SENT)
         if request.may_send is not None and not request.may_send():
-            self._keep(record.start, connection)
+            self._keep(_key(record), connection)
             return ExchangeResult(
                 failure=FailureKind.NOT_SENT, detail='it takes no request now'
             )
@@ -82,7 +82,7 @@
         except BaseException:
             connection.close()
             raise
-        self._release(record.start, connection, result)
+        self._release(_key(record), connection, result)
         return result
 
     async def can_connect(self, record, timeout_s):
@@ -104,7 +104,7 @@
             self._record_unconnected(record, error)
             return False
         self._reachability.record_connected()
-        self._idle[record.start].append(connection)
+        self._idle[_key(record)].append(connection)
         return True
 
     def has_idle(self, record):
@@ -112,16 +112,16 @@
 
         :param record: the :class:`ServerRecord`.
         """
-        idle = self._idle.get(record.start, ())
+        idle = self._idle.get(_key(record), ())
         return any(connection.is_reusable for connection in idle)
 
-    def retain(self, starts):
+    def retain(self, records):
         """Close the connections to all other servers.
 
-        :param starts: each :class:`ServerStart` whose connections are kept.
+        :param records: each :class:`ServerRecord` whose connections are kept.
         """
-        for start in set(self._idle) - set(starts):
-            self._close_idle(start)
+        for key in set(self._idle) - set(map(_key, records)):
+            self._close_idle(key)
 
     def _record_unconnected(self, record, error):
         if isinstance(error, TimeoutError):
@@ -129,8 +129,8 @@
         else:
             self._reachability.record_refused(record.name)
 
-    def _pop_idle(self, start):
-        idle = self._idle[start]
+    def _pop_idle(self, key):
+        idle = self._idle[key]
         while idle:
             connection = idle.pop()
             if connection.is_reusable:
@@ -138,21 +138,26 @@
             connection.close()
         return None
 
-    def _release(self, start, connection, result):
+    def _release(self, key, connection, result):
         if result.failure is not None:
             connection.close()
             # The cause may have broken the other connections as well.
-            self._close_idle(start)
+            self._close_idle(key)
             return
-        self._keep(start, connection)
+        self._keep(key, connection)
 
-    def _keep(self, start, connection):
+    def _keep(self, key, connection):
         """Keep a connection for further requests if it can be reused."""
         if connection.is_reusable:
-            self._idle[start].append(connection)
+            self._idle[key].append(connection)
             return
         connection.close()
 
-    def _close_idle(self, start):
-        for connection in self._idle.pop(start, ()):
+    def _close_idle(self, key):
+        for connection in self._idle.pop(key, ()):
             connection.close()
+
+
+def _key(record):
+    """Return what the connections to a server are pooled by."""
+    return record.start, record.address
--- a/fuchsiacart/gateway/forwarding.py
+++ b/fuchsiacart/gateway/forwarding.py
@@ -99,7 +99,7 @@
             self.route_table = RouteTable(view.configuration)
         self._gateway_count = max(1, gateway_count)
         self.selector.apply_view(view, self.route_table, steady_ms())
-        self._pool.retain(record.start for record in view.servers.values())
+        self._pool.retain(view.servers.values())
         self.reachability.apply_view(len(view.servers))
         if self.version:
             self.freshness.record_use()
--- a/fuchsiacart/gateway/relays.py
+++ b/fuchsiacart/gateway/relays.py
@@ -67,7 +67,7 @@
         :param hosts: each :class:`Host` of the view.
         """
         self.selector.apply_view(hosts)
-        self._pool.retain(_start_of(host) for host in self.selector.hosts)
+        self._pool.retain(map(_target_of, self.selector.hosts))
 
     def read(self, request):
         """Return a request with the caller for whom it was relayed.
@@ -103,7 +103,7 @@
         self.selector.in_flight[host.name] += 1
         try:
             result = await self._pool.exchange(
-                RelayTarget(_start_of(host), host.http_address),
+                _target_of(host),
                 self._make_request(attempts.request, host.name),
                 ExchangeLimits(
                     min(CONNECT_TIMEOUT_S, left_s), attempts.deadline_s
@@ -213,6 +213,7 @@
         )
 
 
-def _start_of(host):
-    """Return the :class:`ServerStart` of a gateway, as of a server."""
-    return ServerStart(host.name, host.incarnation)
+def _target_of(host):
+    """Return the :class:`RelayTarget` of a gateway."""
+    start = ServerStart(host.name, host.incarnation)
+    return RelayTarget(start, host.http_address)
