Record departures at once, and no failure before leases expire

Now they are proposed together, a failure is a line of its own, and a record that a later call has overtaken is not told as recorded. departures.feature passes as before.

--- a/fuchsiacart/control/departures.py
+++ b/fuchsiacart/control/departures.py
@@ -1,9 +1,12 @@
 """Servers of which gateways report that they leave."""
 
+from asyncio import gather
+
 from msgspec.structs import replace
 
 from fuchsiacart.clocks import wall_ms
 from fuchsiacart.control.commands import RecordServer
+from fuchsiacart.exceptions import ChangeError
 from fuchsiacart.logs import log_event
 from fuchsiacart.servers import ServerState
 
@@ -58,15 +61,33 @@
 async def record_departures(replica, reports):
     """Store the records of the servers that are reported to leave.
 
+    What is not committed is reported again by the gateways.
+
     :param replica: the :class:`ReplicaTask` of the leader.
     :param reports: the :class:`DepartureReports`.
-    :raises ChangeError: if they cannot be committed.
     """
-    servers = replica.replicated_state.stored.routes.servers
-    for record in reports.take_records(servers):
+    records = reports.take_records(_servers(replica))
+    await gather(*(_record_departure(replica, record) for record in records))
+
+
+async def _record_departure(replica, record):
+    try:
         await replica.propose(RecordServer(record, wall_ms()))
+    except ChangeError as error:
+        log_event(
+            'server_departure_not_recorded',
+            server=record.name,
+            born_ms=record.born_ms,
+            detail=error.detail,
+        )
+        return
+    if _servers(replica).get(record.name) == record:
         log_event(
             'server_departure_recorded',
             server=record.name,
             born_ms=record.born_ms,
         )
+
+
+def _servers(replica):
+    return replica.replicated_state.stored.routes.servers
