Believe no caller that names itself a gateway; keep a 421's load apart

Two small findings of the review, each with a scenario. A caller that sent Fuchsiacart-Relayed-For was told the name and start of a server that leaves: now only gateways of the view are; a number of any length in that header is no start. The load in a 421 is that of another server at the address, and was taken for the load of the server that the request was meant for.

--- a/features/statements.feature
+++ b/features/statements.feature
@@ -88,7 +88,7 @@
 
   Scenario: a gateway names the server that leaves to the gateway that relays, and to no caller
     Given a gateway before 1 servers, of which the first says in an answer that it leaves
-    Then its answer to a relayed request names that start
+    Then its answer to a request that a gateway relays names that start
     And its answer to a caller names none
 
   Scenario: one change tells all gateways that a server leaves
@@ -216,3 +216,19 @@
       | 503    | inf                           | 0       |
       | 503    | soon                          | 0       |
       | 503    | Sun, 06 Dec 2026 16:00:00 GMT | 0       |
+
+  Scenario Outline: a malformed start in a relayed answer names no server
+    Then the text "<text>" names no start
+
+    Examples:
+      | text                    |
+      | server                  |
+      | 12                      |
+      | -1 server               |
+      | 1e3 server              |
+      | 99999999999999999999 server |
+
+  Scenario: the load that another server at the address reports is not that of the server
+    Given a gateway before 2 servers, of which the first is another server, with a load of 9
+    When the gateway serves a request
+    Then it knows no load of the first server
--- a/features/steps/statement_steps.py
+++ b/features/steps/statement_steps.py
@@ -22,6 +22,7 @@
 from fuchsiacart.gateway.callers import CallerServer
 from fuchsiacart.gateway.connection_pools import ConnectionPool
 from fuchsiacart.gateway.hop_headers import format_start
+from fuchsiacart.gateway.hop_headers import parse_start
 from fuchsiacart.gateway.hop_headers import RELAYED_FOR
 from fuchsiacart.gateway.hop_headers import RELAYED_ID
 from fuchsiacart.gateway.hop_headers import RELAYED_LEAVING
@@ -304,6 +305,19 @@
     assert fixture.first.name not in evidence, evidence
 
 
+@then('the text "{text}" names no start')
+def then_no_start(context, text):
+    assert parse_start(text) is None
+
+
+@then('it knows no load of the first server')
+def then_no_load(context):
+    fixture = context.statements
+    server = fixture.forwarder.selector.find(fixture.first.name)
+    assert fixture.first.served == 1, fixture.first.served
+    assert server.reported_ms == 0.0, server
+
+
 async def _answered_headers(fixture, *lines):
     """Return the head of an answer that a caller of the gateway gets."""
     callers = CallerServer(fixture.forwarder, fixture.dialect())
@@ -319,9 +333,13 @@
     return answered.decode()
 
 
-@then('its answer to a relayed request names that start')
+@then('its answer to a request that a gateway relays names that start')
 def then_names_start(context):
+    """Let the gateway that relays have the address of this process."""
     fixture = context.statements
+    address = '127.0.0.1:1'
+    host = Host('relaying', 1, 'cymru', 'cymru-a', address, address)
+    fixture.forwarder.relay.apply_view((host,))
     expected = f'{RELAYED_LEAVING}: {format_start(fixture.first_record.start)}'
     headers = fixture.run(
         _answered_headers(fixture, f'{RELAYED_FOR}: 10.1.1.1')
@@ -331,9 +349,15 @@
 
 @then('its answer to a caller names none')
 def then_names_none(context):
-    """Ask through a gateway that does not know yet that its server leaves."""
+    """Ask a gateway that does not know yet that its server leaves.
+
+    The caller claims to be a gateway.
+    """
     fixture = context.statements
+    fixture.forwarder.relay.apply_view(())
     fixture.put_record(born_ms=2)
-    headers = fixture.run(_answered_headers(fixture))
+    headers = fixture.run(
+        _answered_headers(fixture, f'{RELAYED_FOR}: 10.1.1.1')
+    )
     assert LEAVING_HEADER in headers, headers
     assert RELAYED_LEAVING not in headers, headers
--- a/features/steps/stating_servers.py
+++ b/features/steps/stating_servers.py
@@ -14,9 +14,12 @@
 from features.steps.forwarding_steps import PlainDialect
 from features.steps.forwarding_steps import PROOF_HEADER
 from features.steps.forwarding_steps import REQUEST_ID
+from fuchsiacart.gateway.dialects import ReportedLoad
 
 LEAVING_HEADER = 'Leaving'
 WAIT_HEADER = 'Wait-Ms'
+LOAD_HEADER = 'Load'
+MISDIRECTED = 421
 KIND = KINDS['an idempotent']
 # Within the time-out of the route, which is 2 s.
 FOREVER_S = 5.0
@@ -28,8 +31,11 @@
     def read_response(self, status, headers):
         """See :meth:`Dialect.read_response`."""
         metadata = super().read_response(status, headers)
+        load = headers.get(LOAD_HEADER)
         return replace(
             metadata,
+            is_misdirected=status == MISDIRECTED,
+            load=ReportedLoad(int(load), 0, 1) if load else None,
             is_leaving=LEAVING_HEADER in headers,
             retry_after_ms=float(headers.get(WAIT_HEADER, 0.0)),
         )
@@ -167,7 +173,14 @@
     await stream.write(_with_wait(OK, 1000.0))
 
 
+async def misdirect(server, stream):
+    """Answer as another server at the address, and tell its load."""
+    head = make_head('421 Misdirected', NOT_RUN_HEADER)
+    await stream.write(head[:-2] + f'{LOAD_HEADER}: 9\r\n\r\n'.encode())
+
+
 SCRIPTS = {
+    'is another server, with a load of 9': misdirect,
     'refuses without a time': refuse,
     'refuses for 1 s': refuse_for_1_s,
     'refuses once for 0.2 s': refuse_once,
--- a/fuchsiacart/gateway/callers.py
+++ b/fuchsiacart/gateway/callers.py
@@ -190,7 +190,9 @@
         exchange.answered_s = monotonic()
         headers = end_to_end_headers(response.headers)
         _name_request(headers, request)
-        if request.is_relayed and response.leaving is not None:
+        if response.leaving is not None and self._forwarder.relay.is_relayed(
+            request
+        ):
             headers[RELAYED_LEAVING] = format_start(response.leaving)
         await exchange.send(
             response.status, response.reason, headers, response.body
--- a/fuchsiacart/gateway/hop_headers.py
+++ b/fuchsiacart/gateway/hop_headers.py
@@ -1,5 +1,7 @@
 """Hop-by-hop headers (RFC 9110, section 7.6.1), and those between gateways."""
 
+from re import compile as compile_pattern
+
 from tornado.httputil import HTTPHeaders
 
 from fuchsiacart.servers import ServerStart
@@ -10,6 +12,7 @@
 RELAYED_ID = 'Fuchsiacart-Relayed-Id'
 # The start of the server whose relayed response says that it leaves.
 RELAYED_LEAVING = 'Fuchsiacart-Relayed-Leaving'
+BORN_MS = compile_pattern('[0-9]{1,18}')
 HOP_HEADERS = frozenset(
     (
         'connection',
@@ -41,7 +44,7 @@
     :param text: the value of ``RELAYED_LEAVING``.
     """
     born, _, name = text.partition(' ')
-    if not born.isdecimal() or not born.isascii() or not name:
+    if not BORN_MS.fullmatch(born) or not name:
         return None
     return ServerStart(name, int(born))
 
--- a/fuchsiacart/gateway/relays.py
+++ b/fuchsiacart/gateway/relays.py
@@ -76,10 +76,17 @@
 
         :param request: the :class:`InboundRequest`.
         """
-        if request.is_relayed and self.selector.is_gateway(request.caller):
+        if self.is_relayed(request):
             return replace(request, caller=request.relayed_for)
         return request
 
+    def is_relayed(self, request):
+        """Return True if another gateway relayed a request.
+
+        :param request: the :class:`InboundRequest` as it came.
+        """
+        return request.is_relayed and self.selector.is_gateway(request.caller)
+
     async def make_attempt(self, attempts):
         """Send a request to another gateway.
 
--- a/fuchsiacart/gateway/server_attempts.py
+++ b/fuchsiacart/gateway/server_attempts.py
@@ -131,7 +131,7 @@
         metadata = self._dialect.read_response(
             response.status, response.headers
         )
-        if metadata.load is not None:
+        if metadata.load is not None and not metadata.is_misdirected:
             server.record_report(metadata.load, steady_ms())
         if metadata.is_leaving:
             response = replace(response, leaving=server.record.start)
