--- a/tools/seeded_faults/gateway.py
+++ b/tools/seeded_faults/gateway.py
@@ -26,7 +26,7 @@
     ),
     Fault(
         'an answer counts as sent before it is written',
-        'gateway/caller_connections.py',
+        'gateway/caller_exchanges.py',
         'await shield(written)',
         'pass',
         'callers',
@@ -358,14 +358,14 @@
     ),
     Fault(
         'a kept connection holds the limit of heads of before',
-        'gateway/caller_connections.py',
+        'gateway/message_streams.py',
         'limit_bytes = self._parameters().max_header_size',
         'limit_bytes = max_bytes',
         'pipelining',
     ),
     Fault(
         'a kept connection holds the limit of bodies of before',
-        'gateway/caller_connections.py',
+        'gateway/caller_exchanges.py',
         'self._parser.set_max_body_size(self._parameters().max_body_size)',
         'pass',
         'pipelining',
