Tell callers of a head or body that is too large

A 400 was cut off if the caller still sent: nothing read what it sent. Cause: tornado closes a stream when a read exceeds its limit, and its parser answers all else with one bare line.

Now a head is read by a pattern that also matches at its limit, so the connection stays open; what the parser writes of itself is dropped, and the refusal is sent in its turn as a problem document: 431 (RFC 6585), 413 (RFC 9110, 15.5.14), 400 for what is malformed. While the caller sends on, its bytes are discarded until it is quiet for 1 s, 10 s at most (RFC 9112, 9.6). Nothing behind a refused request is read. A refusal is logged and counted. Pieces of a body go to one buffer, as reads of chunk sizes no longer let the parser join small ones.

Not covered: the control, directory and entry interfaces still answer as tornado does.

--- a/features/pipelining.feature
+++ b/features/pipelining.feature
@@ -84,6 +84,34 @@
       | heads  | 4096   | 100000 | 7000  | answered |
       | heads  | 100000 | 4096   | 7000  | refused  |
 
+  Scenario Outline: a caller that sends too much is told so instead of a bare close
+    Given a gateway that answers each request after its own time
+    And callers may send <part> of 4096 bytes
+    When a caller pipelines requests that take 200 and 20 ms
+    And the caller sends <part> of <sent> bytes <way>
+    Then 2 answers arrive whole and in order, then a problem <status> of kind <kind>
+    And 2 requests were started
+
+    Examples:
+      | part   | sent   | way                 | status | kind           |
+      | heads  | 4097   | in one piece        | 431    | head_too_large |
+      | heads  | 900000 | in one piece        | 431    | head_too_large |
+      | bodies | 4097   | in one piece        | 413    | body_too_large |
+      | bodies | 900000 | in one piece        | 413    | body_too_large |
+      | bodies | 4097   | in chunks           | 413    | body_too_large |
+      | bodies | 4097   | once told to go on  | 413    | body_too_large |
+
+  Scenario: a caller that sends a refused body to its end still reads the refusal
+    Given a gateway that answers each request after its own time
+    And callers may send bodies of 4096 bytes
+    When the caller sends a body of 40000000 bytes for 2500 ms before it reads
+    Then 0 answers arrive whole and in order, then a problem 413 of kind body_too_large
+
+  Scenario: a chunk without a size is refused with a reason
+    Given a gateway that answers each request after its own time
+    When the caller sends a body whose chunk has no size
+    Then 0 answers arrive whole and in order, then a problem 400 of kind bad_request
+
   Scenario Outline: a changed idle timeout holds for connections that are idle
     Given a gateway that answers each request after its own time
     And connections are closed after <before> ms without a request
--- a/features/steps/pipelining_steps.py
+++ b/features/steps/pipelining_steps.py
@@ -10,6 +10,7 @@
 from behave import given
 from behave import then
 from behave import when
+from msgspec.json import decode
 from prometheus_client import REGISTRY
 from tornado.httputil import HTTPHeaders
 from tornado.netutil import bind_sockets
@@ -179,6 +180,72 @@
         context.pipeline.add_request(QUICK_MS, f'X-Filler: {"a" * size}\r\n')
 
 
+@when('the caller sends heads of {size:d} bytes in one piece')
+def when_head_sent(context, size):
+    start = b'GET /20/big HTTP/1.1\r\nX-Filler: '
+    end = b'\r\n\r\n'
+    filler = b'a' * (size - len(start) - len(end))
+    context.pipeline.writer.write(start + filler + end)
+
+
+@when('the caller sends bodies of {size:d} bytes {way}')
+def when_body_sent(context, size, way):
+    body = bytes(size)
+    length = f'Content-Length: {size}\r\n'
+    if way == 'in chunks':
+        length = 'Transfer-Encoding: chunked\r\n'
+        body = b'%x\r\n%b\r\n0\r\n\r\n' % (size, body)
+    if way == 'once told to go on':
+        length += 'Expect: 100-continue\r\n'
+        body = b''
+    head = f'POST /20/big HTTP/1.1\r\nHost: shop.example\r\n{length}\r\n'
+    context.pipeline.writer.write(head.encode() + body)
+
+
+@when(
+    'the caller sends a body of {size:d} bytes for {duration_ms:d} ms before'
+    ' it reads'
+)
+def when_body_sent_slowly(context, size, duration_ms):
+    pipeline = context.pipeline
+    pieces = 50
+
+    async def send():
+        pipeline.writer.write(
+            b'POST /20/big HTTP/1.1\r\nContent-Length: %d\r\n\r\n' % size
+        )
+        for _ in range(pieces):
+            pipeline.writer.write(bytes(size // pieces))
+            await pipeline.writer.drain()
+            await sleep(duration_ms / 1000 / pieces)
+
+    pipeline.run(send())
+
+
+@when('the caller sends a body whose chunk has no size')
+def when_sizeless_sent(context):
+    context.pipeline.writer.write(
+        b'POST /20/big HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n'
+        b'many\r\nabcd\r\n0\r\n\r\n'
+    )
+
+
+@then(
+    '{count:d} answers arrive whole and in order, then a problem {status:d} of'
+    ' kind {kind}'
+)
+def then_problem(context, count, status, kind):
+    pipeline = context.pipeline
+    pipeline.run(pipeline.read_answers(count))
+    head, body = pipeline.run(pipeline.read_answer())
+    assert head.startswith(f'HTTP/1.1 {status} '), head
+    assert 'Content-Type: application/problem+json\r\n' in head, head
+    assert 'Connection: close\r\n' in head, head
+    problem = decode(body)
+    assert problem['kind'] == kind and problem['run'] == 'no', problem
+    assert pipeline.run(pipeline.ends())
+
+
 @then('it is answered')
 def then_answered(context):
     context.pipeline.run(context.pipeline.read_answers(1))
@@ -186,10 +253,10 @@
 
 @then('it is refused')
 def then_refused(context):
-    """Check that the connection ends, after an error or without one."""
+    """Check that the connection ends after an error that says why."""
     pipeline = context.pipeline
     answer = pipeline.run(pipeline.reader.read())
-    assert not answer or b' 400 ' in answer, answer
+    assert b' 413 ' in answer or b' 431 ' in answer, answer
     assert len(pipeline.forwarder.started_s) == 1
 
 
@@ -346,7 +413,7 @@
 def then_rejected(context, count):
     pipeline = context.pipeline
     pipeline.run(pipeline.read_answers(count))
-    head = pipeline.run(pipeline.read_head())
+    head, _ = pipeline.run(pipeline.read_answer())
     assert head.startswith('HTTP/1.1 400 '), head
     assert pipeline.run(pipeline.ends())
 
--- a/fuchsiacart/exceptions.py
+++ b/fuchsiacart/exceptions.py
@@ -12,6 +12,8 @@
 
     BAD_REQUEST = 'bad_request'
     BAD_KEY = 'bad_key'
+    HEAD_TOO_LARGE = 'head_too_large'
+    BODY_TOO_LARGE = 'body_too_large'
     UNAUTHORIZED = 'unauthorized'
     NO_CONTRACT = 'no_contract'
     NOT_FOUND = 'not_found'
@@ -60,6 +62,12 @@
     ErrorKind.BAD_KEY: Answer(
         400, 3, 'An Idempotency-Key holding a UUIDv7 is required'
     ),
+    ErrorKind.HEAD_TOO_LARGE: Answer(
+        431, 3, 'The head of the request is too large'
+    ),
+    ErrorKind.BODY_TOO_LARGE: Answer(
+        413, 3, 'The body of the request is too large'
+    ),
     ErrorKind.UNAUTHORIZED: Answer(401, 4, 'The bearer token is not known'),
     ErrorKind.NO_CONTRACT: Answer(403, 4, 'No contract covers this request'),
     ErrorKind.NOT_FOUND: Answer(404, 5, 'There is no such item'),
--- a/fuchsiacart/gateway/caller_connections.py
+++ b/fuchsiacart/gateway/caller_connections.py
@@ -29,6 +29,9 @@
 # Time in which a caller reads the last response.  Closing earlier, with
 # unread bytes of the caller, would reset the connection.
 LINGER_S = 1.0
+# Time for the rest of a refused request, which its caller may send to the end
+# before it reads the response.
+REFUSED_LINGER_S = 10.0
 DISCARD_BYTES = 65_536
 
 
@@ -54,6 +57,8 @@
         self._closed = Event()
         self._idle_timer = None
         self._idle_since_s = 0.0
+        self._linger_limit_s = LINGER_S
+        self._discarded_s = 0.0
         stream.set_close_callback(self._on_close)
 
     @property
@@ -164,11 +169,10 @@
         self._is_receiving = False
         if not self._is_closing:
             self._is_closing = True
+            self._linger_limit_s = REFUSED_LINGER_S
+            exchange.ahead = len(self._exchanges)
             self._append(exchange)
-            await exchange.turn.wait()
-            await self._stream.write(exchange.message.held)
-            self._end()
-            await self.wait_if_ended()
+            exchange.task = self._server.start_refusal(exchange)
         return False
 
     async def _wait_for_room(self):
@@ -189,19 +193,37 @@
         """Read what follows the last request, to notice the caller's close."""
         while True:
             await self._stream.read_bytes(DISCARD_BYTES, partial=True)
+            self._discarded_s = monotonic()
 
     def _end(self):
         """Send no more, and close once the caller has or after a time."""
         if self._is_ended or self._stream.closed():
             return
         self._is_ended = True
-        get_running_loop().call_later(LINGER_S, self.close)
+        get_running_loop().call_later(
+            LINGER_S, self._close_when_quiet, monotonic()
+        )
         try:
             self._stream.socket.shutdown(SHUT_WR)
         except OSError as error:
             log_event('caller_connection_lost', detail=repr(error))
             self.close()
 
+    def _close_when_quiet(self, ended_s):
+        """Close, unless the caller still sends and may not have read yet.
+
+        :param ended_s: when the last response was sent.
+        """
+        now_s = monotonic()
+        quiet_s = now_s - self._discarded_s
+        left_s = ended_s + self._linger_limit_s - now_s
+        if quiet_s >= LINGER_S or left_s <= 0:
+            self.close()
+            return
+        get_running_loop().call_later(
+            min(left_s, LINGER_S - quiet_s), self._close_when_quiet, ended_s
+        )
+
     def _append(self, exchange):
         self._exchanges.append(exchange)
         if self._exchanges[0] is exchange:
--- a/fuchsiacart/gateway/caller_exchanges.py
+++ b/fuchsiacart/gateway/caller_exchanges.py
@@ -9,10 +9,13 @@
 from tornado.httputil import ResponseStartLine
 
 from fuchsiacart.gateway.message_streams import MessageStream
+from fuchsiacart.problems import problem_document
+from fuchsiacart.problems import PROBLEM_TYPE
 
 NO_CONTENT = 204
 NOT_MODIFIED = 304
 BODILESS_STATUSES = (NO_CONTENT, NOT_MODIFIED)
+CONTINUE = '100-continue'
 
 
 class Exchange(HTTPMessageDelegate):
@@ -32,7 +35,7 @@
         self.start_line = None
         self.headers = None
         self.body = b''
-        self._chunks = []
+        self._received = bytearray()
         self.received_s = monotonic()
         self.turn = Event()
         self.task = None
@@ -41,6 +44,11 @@
         self.ahead = 0
         self.answered_s = self.received_s
 
+    @property
+    def refusal(self):
+        """The :class:`RequestError` that tells why it cannot be read."""
+        return self.message.refusal
+
     @property
     def is_last(self):
         """True if the caller sends nothing after this request."""
@@ -52,22 +60,27 @@
         """See :class:`HTTPMessageDelegate`."""
         self.received_s = monotonic()
         # The parser checks the length of the body after this call.
-        self._parser.set_max_body_size(self._parameters().max_body_size)
+        limit_bytes = self._parameters().max_body_size
+        self._parser.set_max_body_size(limit_bytes)
         self.start_line = start_line
         self.headers = headers
         self.connection.on_head()
-        if 'Expect' in headers:
+        size = _content_length(headers)
+        self.message.expect_body(size, limit_bytes)
+        if size > limit_bytes:
+            return None
+        if headers.get('Expect') == CONTINUE:
             return self._wait_until_first()
         return None
 
     def data_received(self, chunk):
         """See :class:`HTTPMessageDelegate`."""
-        self._chunks.append(chunk)
+        self._received += chunk
 
     def finish(self):
         """Release the parser and start to serve the request."""
-        self.body = b''.join(self._chunks)
-        self._chunks = []
+        self.body = bytes(self._received)
+        self._received = bytearray()
         self._parser.finish()
         self.connection.start(self)
 
@@ -88,7 +101,7 @@
         :param body: bytes of the body.
         """
         await self.turn.wait()
-        self.message.is_held = False
+        self.message.is_open = True
         has_body = status not in BODILESS_STATUSES
         if has_body:
             headers['Content-Length'] = str(len(body))
@@ -102,7 +115,31 @@
         # Cancellation by a caller that disconnects must not stop the write.
         await shield(written)
 
+    async def send_refusal(self):
+        """Tell in its turn why the request was not read."""
+        await self.turn.wait()
+        answer = self.refusal.answer
+        body = problem_document(self.refusal)
+        head = (
+            f'HTTP/1.1 {answer.status} {answer.title}\r\n'
+            f'Content-Type: {PROBLEM_TYPE}\r\n'
+            f'Content-Length: {len(body)}\r\n'
+            'Connection: close\r\n\r\n'
+        )
+        if self.start_line is not None and self.start_line.method == 'HEAD':
+            body = b''
+        self.message.is_open = True
+        await shield(self.message.write(head.encode() + body))
+
     async def _wait_until_first(self):
         """Wait until an interim response can belong to no other request."""
         await self.connection.wait_until_idle()
-        self.message.is_held = False
+        self.message.is_interim = True
+
+
+def _content_length(headers):
+    """Return the length that a head states, or 0 if the parser refuses it."""
+    try:
+        return int(headers.get('Content-Length', '0'))
+    except ValueError:
+        return 0
--- a/fuchsiacart/gateway/callers.py
+++ b/fuchsiacart/gateway/callers.py
@@ -138,7 +138,18 @@
         :param exchange: the :class:`Exchange`.
         :return: the task.
         """
-        task = create_task(self._run(exchange))
+        return self._start_task(self._run(exchange))
+
+    def start_refusal(self, exchange):
+        """Start to refuse a request that cannot be read.
+
+        :param exchange: the :class:`Exchange`.
+        :return: the task.
+        """
+        return self._start_task(self._refuse(exchange))
+
+    def _start_task(self, coroutine):
+        task = create_task(coroutine)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
         return task
@@ -168,6 +179,27 @@
         # The process goes on until the caller has read the last response.
         await exchange.connection.wait_if_ended()
 
+    async def _refuse(self, exchange):
+        outcome = exchange.refusal.kind.value
+        try:
+            await exchange.send_refusal()
+        except CancelledError:
+            outcome = 'caller_left'
+        except StreamClosedError:
+            outcome = 'caller_gone'
+        finally:
+            exchange.connection.complete(exchange)
+            GATEWAY_REQUESTS.labels(outcome).inc()
+            log_event(
+                'request_refused',
+                caller=exchange.connection.remote_ip,
+                outcome=outcome,
+                kind=exchange.refusal.kind.value,
+                detail=exchange.refusal.detail,
+                ahead=exchange.ahead,
+            )
+        await exchange.connection.wait_if_ended()
+
     async def _respond(self, exchange, request):
         try:
             response = await self._forwarder.serve(request)
--- a/fuchsiacart/gateway/message_streams.py
+++ b/fuchsiacart/gateway/message_streams.py
@@ -1,14 +1,24 @@
 """Bytes of one request, as the parser reads them from a connection."""
 
+from re import compile as compile_pattern
+
 from tornado.concurrent import Future
+from tornado.httputil import HTTPInputError
+
+from fuchsiacart.exceptions import ErrorKind
+from fuchsiacart.exceptions import RequestError
+
+# Matches a head, or one byte more than the limit if its end is not there.
+END_OF_HEAD = rb'(?s)\A(?:.{0,%d}?\r?\n\r?\n|.{%d})'
+CHUNK_SIZE = compile_pattern(rb'([0-9a-fA-F]+)\r\n')
 
 
 class MessageStream:
     """What the parser of one request sees of the connection.
 
-    The parser writes an answer of its own to a malformed request and closes
-    the stream.  While earlier requests are unanswered, such bytes are held
-    and the connection stays open.
+    The parser writes an answer without a reason to a request that it cannot
+    read, and closes the stream.  Neither reaches the caller, who gets
+    ``refusal`` in its turn.
 
     :param stream: tornado's stream.
     :param parameters: function that returns the
@@ -20,8 +30,13 @@
         self._parameters = parameters
         self.io_loop = stream.io_loop
         self.max_buffer_size = stream.max_buffer_size
-        self.is_held = True
-        self.held = b''
+        # True while the next write is the interim response.
+        self.is_interim = False
+        # True once the response may be written.
+        self.is_open = False
+        self.refusal = RequestError(kind=ErrorKind.BAD_REQUEST)
+        self._body_limit_bytes = 0
+        self._chunk_bytes = 0
 
     async def read_until_regex(self, regex, max_bytes=None):
         """Read the head of a request.
@@ -30,23 +45,44 @@
         connection may wait for that through changes of the limits.
         """
         first = await self._stream.read_bytes(1)
-        limit_bytes = self._parameters().max_header_size
-        rest = await self._stream.read_until_regex(regex, limit_bytes - 1)
+        left_bytes = self._parameters().max_header_size - len(first)
+        # Without a match at the limit, tornado would close the connection.
+        pattern = END_OF_HEAD % (left_bytes, left_bytes + 1)
+        rest = await self._stream.read_until_regex(pattern)
+        if len(rest) > left_bytes:
+            detail = f'over {left_bytes + len(first)} bytes'
+            self.refusal = RequestError(detail, ErrorKind.HEAD_TOO_LARGE)
+            raise HTTPInputError(detail)
         return first + rest
 
-    def read_until(self, delimiter, max_bytes=None):
-        """See :class:`BaseIOStream`."""
-        return self._stream.read_until(delimiter, max_bytes)
+    async def read_until(self, delimiter, max_bytes=None):
+        """Read the line with the size of a chunk."""
+        line = await self._stream.read_until(delimiter, max_bytes)
+        size = CHUNK_SIZE.fullmatch(line)
+        self._chunk_bytes += int(size.group(1), 16) if size else 0
+        if self._chunk_bytes > self._body_limit_bytes:
+            self._refuse_body()
+        return line
+
+    def expect_body(self, size, limit_bytes):
+        """Note the size of the body that the head states.
+
+        :param size: bytes of the body, 0 if the head states none.
+        :param limit_bytes: limit of the body.
+        """
+        self._body_limit_bytes = limit_bytes
+        if size > limit_bytes:
+            self._refuse_body()
 
     def read_bytes(self, num_bytes, partial=False):
         """See :class:`BaseIOStream`."""
         return self._stream.read_bytes(num_bytes, partial)
 
     def write(self, data):
-        """Write to the caller, or hold the data until it is its turn."""
-        if not self.is_held:
+        """Write a response, or drop what the parser writes before it."""
+        if self.is_open or self.is_interim:
+            self.is_interim = False
             return self._stream.write(data)
-        self.held += data
         written = Future()
         written.set_result(None)
         return written
@@ -64,3 +100,8 @@
 
     def close(self):
         """Ignore the parser's close; the connection decides."""
+
+    def _refuse_body(self):
+        """Set the reason for which the parser gives up."""
+        detail = f'over {self._body_limit_bytes} bytes'
+        self.refusal = RequestError(detail, ErrorKind.BODY_TOO_LARGE)
--- a/tools/seeded_faults/gateway.py
+++ b/tools/seeded_faults/gateway.py
@@ -359,15 +359,15 @@
     Fault(
         'a kept connection holds the limit of heads of before',
         'gateway/message_streams.py',
-        'limit_bytes = self._parameters().max_header_size',
-        'limit_bytes = max_bytes',
+        'self._parameters().max_header_size - len(first)',
+        'max_bytes - len(first)',
         'pipelining',
     ),
     Fault(
         'a kept connection holds the limit of bodies of before',
         'gateway/caller_exchanges.py',
-        'self._parser.set_max_body_size(self._parameters().max_body_size)',
-        'pass',
+        'limit_bytes = self._parameters().max_body_size',
+        'limit_bytes = self._parser.params.max_body_size',
         'pipelining',
     ),
     Fault(
@@ -396,4 +396,32 @@
         '',
         'pipelining',
     ),
+    Fault(
+        'a head that is too large gets a bare close',
+        'gateway/message_streams.py',
+        'read_until_regex(pattern)',
+        'read_until_regex(regex, left_bytes)',
+        'pipelining',
+    ),
+    Fault(
+        'a body that is too large is refused without its reason',
+        'gateway/message_streams.py',
+        'self.refusal = RequestError(detail, ErrorKind.BODY_TOO_LARGE)',
+        'pass',
+        'pipelining',
+    ),
+    Fault(
+        'a refused body is cut off while its caller sends',
+        'gateway/caller_connections.py',
+        'if quiet_s >= LINGER_S or left_s <= 0:',
+        'if True:',
+        'pipelining',
+    ),
+    Fault(
+        'a refusal overtakes the answers before it',
+        'gateway/caller_exchanges.py',
+        'await self.turn.wait()\n        answer = self.refusal.answer',
+        'answer = self.refusal.answer',
+        'pipelining',
+    ),
 )
