Hold SIGHUP until a process can take it

Cause: the handler is installed by a task of the event loop; until then the default action holds, through all imports, the reading of the settings and the opening of the disk. Processes without a settings watch (fuchsiacartd) were ended by it at any time.

Now the signal is blocked first, and let through once its handler is there: it stays pending, so the reload that it asks for is done, not lost. To be first, the entry point imports the rest only then, and the package imports its public names at their first use (PEP 562). fuchsiacartd has nothing to reload and holds the signal for good.

--- a/features/steps/process_steps.py
+++ b/features/steps/process_steps.py
@@ -1,6 +1,7 @@
 """Steps for one daemon as a separate process."""
 
 from pathlib import Path
+from signal import SIGHUP
 from signal import SIGTERM
 from subprocess import PIPE
 from subprocess import Popen
@@ -94,6 +95,13 @@
     start_process(context, SLOW_PROGRAM)
 
 
+@when('it is told to reload its settings, and to stop')
+def when_reloaded(context):
+    context.process.send_signal(SIGHUP)
+    sleep(POLL_S)
+    when_stopped(context)
+
+
 @when('it is told to stop')
 def when_stopped(context):
     """Send SIGTERM and wait for the end, with a limit."""
--- a/fuchsiacart/__init__.py
+++ b/fuchsiacart/__init__.py
@@ -1,27 +1,27 @@
 """Global traffic steering between callers and backend servers."""
 
-from fuchsiacart.client.api import get_status
-from fuchsiacart.client.api import lookup
-from fuchsiacart.client.api import put_contract
-from fuchsiacart.client.api import request
-from fuchsiacart.client.api import start_drain
-from fuchsiacart.client.sessions import CallerSession
-from fuchsiacart.client.sessions import OperatorSession
-from fuchsiacart.exceptions import ErrorKind
-from fuchsiacart.exceptions import FuchsiacartError
-from fuchsiacart.exceptions import Run
-from fuchsiacart.version import __version__
+from importlib import import_module
 
-__all__ = [
-    'CallerSession',
-    'ErrorKind',
-    'FuchsiacartError',
-    'OperatorSession',
-    'Run',
-    '__version__',
-    'get_status',
-    'lookup',
-    'put_contract',
-    'request',
-    'start_drain',
-]
+# Imported at their first use, so that a daemon holds its signals before its
+# imports take their time.
+MODULES = {
+    'CallerSession': 'fuchsiacart.client.sessions',
+    'ErrorKind': 'fuchsiacart.exceptions',
+    'FuchsiacartError': 'fuchsiacart.exceptions',
+    'OperatorSession': 'fuchsiacart.client.sessions',
+    'Run': 'fuchsiacart.exceptions',
+    '__version__': 'fuchsiacart.version',
+    'get_status': 'fuchsiacart.client.api',
+    'lookup': 'fuchsiacart.client.api',
+    'put_contract': 'fuchsiacart.client.api',
+    'request': 'fuchsiacart.client.api',
+    'start_drain': 'fuchsiacart.client.api',
+}
+__all__ = list(MODULES)
+
+
+def __getattr__(name):
+    """Import a name of the package (PEP 562)."""
+    if name not in MODULES:
+        raise AttributeError(f'module {__name__!r} has no attribute {name!r}')
+    return getattr(import_module(MODULES[name]), name)
--- a/fuchsiacart/daemon.py
+++ b/fuchsiacart/daemon.py
@@ -53,6 +53,7 @@
 from fuchsiacart.logs import start_logging
 from fuchsiacart.logs import stop_logging
 from fuchsiacart.metrics import MetricsHandler
+from fuchsiacart.reload_signals import hold_reloads
 from fuchsiacart.settings import DaemonRole
 from fuchsiacart.settings import load_settings
 from fuchsiacart.settings_watchers import SettingsWatcher
@@ -283,6 +284,7 @@
 
 def main(argv=None):
     """Run the daemon from the command line and exit with its code."""
+    hold_reloads()
     options = docopt(__doc__, argv, version=build_name())
     start_logging()
     try:
--- a/fuchsiacart/platform/__init__.py
+++ b/fuchsiacart/platform/__init__.py
@@ -3,8 +3,3 @@
 This package only translates: it holds no decisions, and no module outside
 uses the names of the platform.
 """
-
-from fuchsiacart.platform.edge import PlatformEdge
-from fuchsiacart.platform.headers import PlatformDialect
-
-__all__ = ['PlatformDialect', 'PlatformEdge']
--- a/fuchsiacart/settings_watchers.py
+++ b/fuchsiacart/settings_watchers.py
@@ -9,6 +9,7 @@
 from fuchsiacart.exceptions import SettingsError
 from fuchsiacart.logs import log_event
 from fuchsiacart.logs import log_warning
+from fuchsiacart.reload_signals import release_reloads
 from fuchsiacart.settings import load_settings
 
 POLL_S = 1.0
@@ -35,6 +36,7 @@
         get_running_loop().add_signal_handler(
             SIGHUP, self._reload_requested.set
         )
+        release_reloads()
         while True:
             by_signal = await self._wait_for_signal()
             stamp = self._read_stamp()
--- a/tools/seeded_faults/common.py
+++ b/tools/seeded_faults/common.py
@@ -194,4 +194,25 @@
         'if False:',
         'undecoded_messages',
     ),
+    Fault(
+        'a process is ended by a signal to reload that comes early',
+        'platform/__main__.py',
+        '    hold_reloads()\n',
+        '',
+        'processes',
+    ),
+    Fault(
+        'a signal to reload that comes early is lost',
+        'reload_signals.py',
+        'pthread_sigmask(SIG_UNBLOCK, (SIGHUP,))',
+        'pass',
+        'processes',
+    ),
+    Fault(
+        'a daemon without routes is ended by a signal to reload',
+        'daemon.py',
+        '    hold_reloads()\n',
+        '',
+        'processes',
+    ),
 )
