Refuse a route whose service is unknown beside a valid split

Cause: the adapter dropped the service once there was a split, so nothing looked it up.

Now such a service is a target of weight 0 of the route: it gets no request, and the check of targets asks for it, also when a later change deletes it. The rule that all replicas apply is unchanged, so replicas of the build in production come to the same verdict; a check beside it would have parted the two builds' states.

Tests: platform.feature, a new outline; its unknown service was accepted before.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -19,6 +19,18 @@
       | a route's kind is not known      |
       | a route has no host              |
 
+  Scenario Outline: a service that a route names beside its split has to be known
+    Given a configuration as an operator puts it
+    When a route names the service <service> beside its split
+    Then the configuration is <verdict>
+    And the service gets none of the requests of the route beside its share
+
+    Examples:
+      | service | verdict                     |
+      | stock   | valid                       |
+      | spare   | valid                       |
+      | missing | refused for its service     |
+
   Scenario: unknown fields are ignored
     Given a configuration as an operator puts it
     When a route has an unknown field
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -1,5 +1,7 @@
 """Steps for the adapter to the users' platform."""
 
+from collections import Counter
+
 from behave import given
 from behave import then
 from behave import when
@@ -9,8 +11,10 @@
 
 from fuchsiacart.configurations import apply_order
 from fuchsiacart.configurations import Configuration
+from fuchsiacart.configurations import find_validation_error
 from fuchsiacart.exceptions import ChangeError
 from fuchsiacart.exceptions import ErrorKind
+from fuchsiacart.gateway.route_tables import TargetSplitter
 from fuchsiacart.platform.calls import HTTP_UNAVAILABLE
 from fuchsiacart.platform.calls import STATUSES
 from fuchsiacart.platform.documents import read_put
@@ -123,6 +127,35 @@
     del context.document['resources'][0]['spec']['host']
 
 
+@when('a route names the service {service} beside its split')
+def when_service_beside(context, service):
+    resources = context.document['resources']
+    resources[0]['spec']['service'] = service
+    spare = {'type': 'services', 'metadata': {'name': 'spare'}}
+    resources.append(spare | {'spec': resources[1]['spec']})
+    order = read_put(encode(context.document))
+    context.configuration = apply_order(Configuration(), order)
+    context.error = find_validation_error(context.configuration)
+
+
+@then("the configuration is valid")
+def then_accepted(context):
+    assert context.error is None, context.error
+
+
+@then('the configuration is refused for its service')
+def then_unknown(context):
+    assert context.error == 'route r-1: service missing is not known'
+
+
+@then('the service gets none of the requests of the route beside its share')
+def then_shares_kept(context):
+    splitter = TargetSplitter()
+    route = context.configuration.routes[0]
+    chosen = Counter(splitter.choose(route) for _ in range(100))
+    assert chosen == {'stock': 90, 'new': 10}, chosen
+
+
 @when('a route has an unknown field')
 def when_field_added(context):
     context.document['resources'][0]['spec']['colour'] = 'red'
--- a/fuchsiacart/platform/documents.py
+++ b/fuchsiacart/platform/documents.py
@@ -219,9 +219,6 @@
 
 
 def _read_route(name, spec):
-    targets = [RouteTarget(each.service, each.weight) for each in spec.split]
-    if not targets and spec.service:
-        targets = [RouteTarget(spec.service)]
     return PathRoute(
         name,
         spec.host,
@@ -230,13 +227,28 @@
         spec.timeout_s * MILLISECONDS,
         spec.slo_s * MILLISECONDS,
         spec.priority,
-        tuple(targets),
+        _read_targets(spec),
         spec.max_attempts,
         spec.sticky,
         tuple(spec.home_regions),
     )
 
 
+def _read_targets(spec):
+    """Return each :class:`RouteTarget` of a route.
+
+    A service that is named beside the split gets no requests, but is among
+    them so that it has to be known.
+    """
+    targets = [RouteTarget(each.service, each.weight) for each in spec.split]
+    if not targets and spec.service:
+        return (RouteTarget(spec.service),)
+    named = {target.service for target in targets}
+    if spec.service and spec.service not in named:
+        targets.append(RouteTarget(spec.service, 0.0))
+    return tuple(targets)
+
+
 def _read_service(name, spec):
     return ServiceTerms(
         name,
--- a/tools/seeded_faults/common.py
+++ b/tools/seeded_faults/common.py
@@ -215,4 +215,18 @@
         '',
         'processes',
     ),
+    Fault(
+        'a service beside a split may be unknown',
+        'platform/documents.py',
+        'if spec.service and spec.service not in named:',
+        'if False:',
+        'platform',
+    ),
+    Fault(
+        'a service beside a split gets requests',
+        'platform/documents.py',
+        'RouteTarget(spec.service, 0.0)',
+        'RouteTarget(spec.service)',
+        'platform',
+    ),
 )
