Refuse bytes above 127 in a path instead of changing them

Cause: the parser reads a target as Latin-1, and the writer encodes it as UTF-8.

A URI has no such bytes (RFC 3986), and a request line that is invalid should be answered with 400 and not be mended (RFC 9112, 3.2). Now a gateway does so with a problem that says what to do, and reads on; so does an entry host, whose answer is `unknown` for work with a key, as an earlier send may have run. Percent-encoded targets are passed on as they are, also malformed ones.

--- a/features/steps/pipelining_steps.py
+++ b/features/steps/pipelining_steps.py
@@ -222,6 +222,33 @@
     pipeline.run(send())
 
 
+@when('the caller asks for a path with the bytes {text}')
+def when_raw_path_sent(context, text):
+    path = b'/20/' + bytes.fromhex(text)
+    context.pipeline.writer.write(
+        b'GET %b HTTP/1.1\r\nHost: shop.example\r\n\r\n' % path
+    )
+
+
+@when('a caller pipelines a request for {path}')
+def when_path_sent(context, path):
+    context.pipeline.sent.append(path)
+    context.pipeline.writer.write(
+        f'GET {path} HTTP/1.1\r\nHost: shop.example\r\n\r\n'.encode()
+    )
+
+
+@then(
+    'the answer is a problem {status:d} of kind {kind} and nothing is started'
+)
+def then_problem_alone(context, status, kind):
+    pipeline = context.pipeline
+    head, body = pipeline.run(pipeline.read_answer())
+    assert head.startswith(f'HTTP/1.1 {status} '), head
+    assert decode(body)['kind'] == kind, body
+    assert not pipeline.forwarder.started_s
+
+
 @when('the caller sends a body whose chunk has no size')
 def when_sizeless_sent(context):
     context.pipeline.writer.write(
--- a/fuchsiacart/bounds.py
+++ b/fuchsiacart/bounds.py
@@ -9,6 +9,10 @@
 
 from msgspec import Meta
 
+from fuchsiacart.exceptions import ErrorKind
+from fuchsiacart.exceptions import RequestError
+from fuchsiacart.exceptions import Run
+
 MAX_INTEGER = 2**63 - 1
 # Whole numbers up to this one are exact as floating point numbers.
 MAX_AMOUNT = 2.0**53
@@ -35,6 +39,24 @@
     return NAME.fullmatch(name) is not None
 
 
+def check_target(target, run=Run.NO):
+    """Refuse a target that is no URI (RFC 3986).
+
+    Such bytes would have to be encoded to be sent on, and so be changed.
+
+    :param target: path and query as a caller sent them.
+    :param run: the :class:`Run` to tell the caller.
+    :raises RequestError: if it holds other characters than ASCII.
+    """
+    if target.isascii():
+        return
+    raise RequestError(
+        'percent-encode the bytes above 127 of the path and query',
+        ErrorKind.BAD_REQUEST,
+        run,
+    )
+
+
 def parse_count(text):
     """Return the number that decimal digits stand for.
 
--- a/fuchsiacart/entry/callers.py
+++ b/fuchsiacart/entry/callers.py
@@ -7,6 +7,7 @@
 from msgspec.json import encode
 from tornado.web import RequestHandler
 
+from fuchsiacart.bounds import check_target
 from fuchsiacart.entry.admissions import CallerRequest
 from fuchsiacart.entry.backends import DEADLINE_HEADER
 from fuchsiacart.entry.backends import select_forwarded_headers
@@ -83,8 +84,11 @@
     async def _serve(self, service, path):
         started_s = monotonic()
         self._caller_request = self._make_request(service)
-        self._task = create_task(self.entry.handle(self._caller_request))
         try:
+            # An earlier send of work that has a key may have run.
+            run = Run.UNKNOWN if self._caller_request.key else Run.NO
+            check_target(self.request.uri, run)
+            self._task = create_task(self.entry.handle(self._caller_request))
             reply = await self._task
         except FuchsiacartError as error:
             self._record_outcome(error.kind.value, started_s)
--- a/fuchsiacart/gateway/callers.py
+++ b/fuchsiacart/gateway/callers.py
@@ -11,6 +11,7 @@
 from tornado.iostream import StreamClosedError
 from tornado.tcpserver import TCPServer
 
+from fuchsiacart.bounds import check_target
 from fuchsiacart.clocks import MILLISECONDS
 from fuchsiacart.exceptions import ANSWERS
 from fuchsiacart.exceptions import ErrorKind
@@ -202,6 +203,7 @@
 
     async def _respond(self, exchange, request):
         try:
+            check_target(request.target)
             response = await self._forwarder.serve(request)
         except FuchsiacartError as error:
             exchange.answered_s = monotonic()
--- a/tools/seeded_faults/common.py
+++ b/tools/seeded_faults/common.py
@@ -229,4 +229,25 @@
         'RouteTarget(spec.service)',
         'platform',
     ),
+    Fault(
+        'bytes above 127 of a path are encoded anew',
+        'bounds.py',
+        'if target.isascii():',
+        'if True:',
+        'targets',
+    ),
+    Fault(
+        'an entry host checks no path',
+        'entry/callers.py',
+        'check_target(self.request.uri, run)',
+        'pass',
+        'targets',
+    ),
+    Fault(
+        'a gateway checks no path',
+        'gateway/callers.py',
+        'check_target(request.target)',
+        'pass',
+        'targets',
+    ),
 )
