Read chunks with extensions and trailers

Cause: tornado's parser takes a chunk's line for its size alone and expects the end right behind the last chunk.

Extensions that are not known have to be ignored, and who decodes the chunks may drop trailers (RFC 9112, 7.1; RFC 9110, 6.5.1): a gateway sends a body on with its length, so it does both. The lines are read here now, and the parser gets the bare size. All extensions and trailers of a body are bounded by max_header_bytes in force at its head: 400 beyond for extensions, 431 for trailers. What is malformed, a line feed within an extension too, gets 400.

Not covered: chunked answers of servers are still read by tornado's parser.

--- a/features/pipelining.feature
+++ b/features/pipelining.feature
@@ -107,6 +107,38 @@
     When the caller sends a body of 40000000 bytes for 2500 ms before it reads
     Then 0 answers arrive whole and in order, then a problem 413 of kind body_too_large
 
+  Scenario Outline: chunks with extensions and trailers are read as RFC 9112 has it
+    Given a gateway that answers each request after its own time
+    When the caller sends the chunks <chunks> and one more request
+    Then the gateway serves a body of <body> and the request behind it
+
+    Examples:
+      | chunks                                         | body   |
+      | 3;a=b/abc/0//                                  | abc    |
+      | 3 ; a="b;c"/abc/3/def/0;last//                 | abcdef |
+      | 3/abc/0/X-Sum: 1/X-More: two//                 | abc    |
+      | 0/X-Sum: 1//                                   | -      |
+      | 003/abc/0//                                    | abc    |
+
+  Scenario Outline: chunks that are malformed or too long are refused with a reason
+    Given a gateway that answers each request after its own time
+    And callers may send heads of 4096 bytes
+    When the caller sends the chunks <chunks> and one more request
+    Then 0 answers arrive whole and in order, then a problem <status> of kind <kind>
+    And 0 requests were started
+
+    Examples:
+      | chunks                        | status | kind           |
+      | 3 a=b/abc/0//                 | 400    | bad_request    |
+      | -3/abc/0//                    | 400    | bad_request    |
+      | 0x3/abc/0//                   | 400    | bad_request    |
+      | 3;a\nb/abc/0//                | 400    | bad_request    |
+      | 3/abc/0/No trailer//          | 400    | bad_request    |
+      | 3/abc/0/X-Sum : 1//           | 400    | bad_request    |
+      | 3/abcd/0//                    | 400    | bad_request    |
+      | 3;FILLER/abc/0//              | 400    | bad_request    |
+      | 3/abc/0/X-Sum: FILLER//       | 431    | head_too_large |
+
   Scenario: a chunk without a size is refused with a reason
     Given a gateway that answers each request after its own time
     When the caller sends a body whose chunk has no size
--- a/features/steps/pipelining_steps.py
+++ b/features/steps/pipelining_steps.py
@@ -33,12 +33,14 @@
 
     def __init__(self):
         self.started_s = []
+        self.bodies = []
         self.running = 0
         self.most_running = 0
 
     async def serve(self, request):
         """Return the answer."""
         self.started_s.append(monotonic())
+        self.bodies.append(request.body)
         self.running += 1
         self.most_running = max(self.most_running, self.running)
         try:
@@ -249,6 +251,28 @@
     assert not pipeline.forwarder.started_s
 
 
+@when('the caller sends the chunks {chunks} and one more request')
+def when_chunks_sent(context, chunks):
+    """Send chunks, in which a slash ends a line."""
+    chunks = chunks.replace('/', '\r\n').replace('\\n', '\n')
+    chunks = chunks.replace('FILLER', 'a' * 5000)
+    pipeline = context.pipeline
+    pipeline.writer.write(
+        b'POST /20/body HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n'
+        + chunks.encode()
+    )
+    pipeline.add_request(QUICK_MS)
+
+
+@then('the gateway serves a body of {body} and the request behind it')
+def then_body_served(context, body):
+    pipeline = context.pipeline
+    pipeline.sent.insert(0, '/20/body')
+    pipeline.run(pipeline.read_answers(2))
+    expected = b'' if body == '-' else body.encode()
+    assert pipeline.forwarder.bodies == [expected, b'']
+
+
 @when('the caller sends a body whose chunk has no size')
 def when_sizeless_sent(context):
     context.pipeline.writer.write(
--- a/fuchsiacart/gateway/message_streams.py
+++ b/fuchsiacart/gateway/message_streams.py
@@ -1,16 +1,16 @@
 """Bytes of one request, as the parser reads them from a connection."""
 
-from re import compile as compile_pattern
-
 from tornado.concurrent import Future
 from tornado.httputil import HTTPInputError
 
 from fuchsiacart.exceptions import ErrorKind
 from fuchsiacart.exceptions import RequestError
+from fuchsiacart.gateway.chunk_readers import ChunkError
+from fuchsiacart.gateway.chunk_readers import ChunkReader
+from fuchsiacart.gateway.chunk_readers import LINE_END
 
 # Matches a head, or one byte more than the limit if its end is not there.
 END_OF_HEAD = rb'(?s)\A(?:.{0,%d}?\r?\n\r?\n|.{%d})'
-CHUNK_SIZE = compile_pattern(rb'([0-9a-fA-F]+)\r\n')
 
 
 class MessageStream:
@@ -36,7 +36,9 @@
         self.is_open = False
         self.refusal = RequestError(kind=ErrorKind.BAD_REQUEST)
         self._body_limit_bytes = 0
+        self._chunks = None
         self._chunk_bytes = 0
+        self._is_after_last_chunk = False
 
     async def read_until_regex(self, regex, max_bytes=None):
         """Read the head of a request.
@@ -56,13 +58,17 @@
         return first + rest
 
     async def read_until(self, delimiter, max_bytes=None):
-        """Read the line with the size of a chunk."""
-        line = await self._stream.read_until(delimiter, max_bytes)
-        size = CHUNK_SIZE.fullmatch(line)
-        self._chunk_bytes += int(size.group(1), 16) if size else 0
+        """Read the size of a chunk, without what may stand beside it."""
+        try:
+            size = await self._chunks.read_size()
+        except ChunkError as error:
+            self.refusal = RequestError(str(error), error.kind)
+            raise
+        self._chunk_bytes += size
         if self._chunk_bytes > self._body_limit_bytes:
             self._refuse_body()
-        return line
+        self._is_after_last_chunk = not size
+        return b'%x' % size + LINE_END
 
     def expect_body(self, size, limit_bytes):
         """Note the size of the body that the head states.
@@ -71,11 +77,17 @@
         :param limit_bytes: limit of the body.
         """
         self._body_limit_bytes = limit_bytes
+        self._chunks = ChunkReader(
+            self._stream, self._parameters().max_header_size
+        )
         if size > limit_bytes:
             self._refuse_body()
 
     def read_bytes(self, num_bytes, partial=False):
         """See :class:`BaseIOStream`."""
+        if self._is_after_last_chunk:
+            # Read with the trailers.
+            return _resolve(LINE_END)
         return self._stream.read_bytes(num_bytes, partial)
 
     def write(self, data):
@@ -83,9 +95,7 @@
         if self.is_open or self.is_interim:
             self.is_interim = False
             return self._stream.write(data)
-        written = Future()
-        written.set_result(None)
-        return written
+        return _resolve(None)
 
     def closed(self):
         """See :class:`BaseIOStream`."""
@@ -105,3 +115,10 @@
         """Set the reason for which the parser gives up."""
         detail = f'over {self._body_limit_bytes} bytes'
         self.refusal = RequestError(detail, ErrorKind.BODY_TOO_LARGE)
+
+
+def _resolve(value):
+    """Return a future that is done."""
+    future = Future()
+    future.set_result(value)
+    return future
--- a/tools/seeded_faults/gateway.py
+++ b/tools/seeded_faults/gateway.py
@@ -424,4 +424,25 @@
         'answer = self.refusal.answer',
         'pipelining',
     ),
+    Fault(
+        'an extension of a chunk is refused',
+        'gateway/chunk_readers.py',
+        '((?:[ \\t]*;[^\\r\\n]*)?)',
+        '()',
+        'pipelining',
+    ),
+    Fault(
+        'a trailer is taken for the next request',
+        'gateway/chunk_readers.py',
+        '            await self._read_trailers()\n',
+        '            await self._read_line(0, ErrorKind.HEAD_TOO_LARGE)\n',
+        'pipelining',
+    ),
+    Fault(
+        'extensions and trailers have no bound',
+        'gateway/chunk_readers.py',
+        'if len(line) > most_bytes:',
+        'if False:',
+        'pipelining',
+    ),
 )
