--- a/tools/seeded_faults/__init__.py
+++ b/tools/seeded_faults/__init__.py
@@ -6,8 +6,15 @@
 from tools.seeded_faults.faults import Edit
 from tools.seeded_faults.faults import Fault
 from tools.seeded_faults.gateway import GATEWAY_FAULTS
+from tools.seeded_faults.gateway_callers import GATEWAY_CALLER_FAULTS
 
-FAULTS = COMMON_FAULTS + CONTROL_FAULTS + ENTRY_FAULTS + GATEWAY_FAULTS
+FAULTS = (
+    COMMON_FAULTS
+    + CONTROL_FAULTS
+    + ENTRY_FAULTS
+    + GATEWAY_FAULTS
+    + GATEWAY_CALLER_FAULTS
+)
 
 __all__ = (
     'Edit',
