Test home regions with bodies, lost homes and servers that move

A body of a caller in iwerddon passes through gateways of the homes only, also if the gateways of the homes are gone; without a server in the home, or beside servers of unknown zones, callers are refused at once with Retry-After; a server whose zone changes under its id and start is used by the zone of its newest heartbeat.

--- /dev/null
+++ b/features/home_regions.feature
@@ -0,0 +1,47 @@
+Feature: requests reach servers in the home regions of their routes only
+
+  Scenario Outline: a body passes through a gateway outside the homes
+    Given gateways and servers in cymru, lloegr and iwerddon
+    And a route of <kind> requests with the homes <homes>
+    When the gateway of iwerddon reaches no server
+    And the gateway of cymru is gone
+    And a request with a body is sent to the gateway of iwerddon
+    Then <outcome>
+    And no request reached a server outside the homes in force
+    And no request reached the gateway of <outside>
+
+    Examples:
+      | kind             | homes            | outside | outcome                                           |
+      | idempotent       | cymru            | lloegr  | the caller is refused at once, with a time to return |
+      | non-idempotent   | cymru            | lloegr  | the caller is refused at once, with a time to return |
+      | non-idempotent   | cymru and lloegr | cymru   | the caller gets an answer from lloegr             |
+      | non-idempotent   | lloegr           | cymru   | the caller gets an answer from lloegr             |
+
+  Scenario Outline: a route has no server in its home
+    Given gateways and servers in cymru, lloegr and iwerddon
+    And a route of <kind> requests with the homes cymru
+    When all servers of cymru leave
+    And 3 servers of an unknown zone join
+    And a request is sent to the gateway of <gateway>
+    Then the caller is refused at once, with a time to return
+    And the request reached no server
+
+    Examples:
+      | kind             | gateway  |
+      | idempotent       | cymru    |
+      | non-idempotent   | lloegr   |
+      | non-idempotent   | iwerddon |
+
+  Scenario: a server that moved under its id is used as if it were where it was
+    Given gateways and servers in cymru, lloegr and iwerddon
+    And a route of idempotent requests with the homes cymru
+    When 3 requests are sent to each gateway
+    Then 9 requests reached servers in cymru
+    When the servers of cymru move to lloegr-a under their ids
+    And a request is sent to the gateway of cymru
+    Then the caller is refused at once, with a time to return
+    When the servers of lloegr move to cymru-a under their ids
+    And 3 requests are sent to each gateway
+    Then 18 requests reached servers in cymru
+    And no request reached a server outside the homes in force
+
