Show that a retry goes to a region that is no longer a home

The first attempt fails after the home has moved from cymru to lloegr; the second one reaches cymru.

--- a/features/home_regions.feature
+++ b/features/home_regions.feature
@@ -1,5 +1,23 @@
 Feature: requests reach servers in the home regions of their routes only
 
+  Scenario Outline: a retry goes to a region that is no longer a home
+    Given gateways and servers in cymru, lloegr and iwerddon
+    And a route of <kind> requests with the homes cymru
+    And each server of cymru <fails>
+    When the home moves to lloegr while a request at the gateway of <gateway> runs
+    Then no request reached a server outside the homes in force
+    And the caller gets an answer from lloegr
+
+    Examples:
+      | kind             | fails           | gateway  |
+      | idempotent       | breaks off      | cymru    |
+      | idempotent       | breaks off      | lloegr   |
+      | idempotent       | breaks off      | iwerddon |
+      | idempotent       | does not run it | cymru    |
+      | non-idempotent   | does not run it | cymru    |
+      | non-idempotent   | does not run it | lloegr   |
+      | non-idempotent   | does not run it | iwerddon |
+
   Scenario Outline: a body passes through a gateway outside the homes
     Given gateways and servers in cymru, lloegr and iwerddon
     And a route of <kind> requests with the homes <homes>
