Send a retry to the home regions in force, not to those on arrival

What callers saw: a request whose first attempt failed was run by a server of a region that was no longer a home, though the gateway had the configuration that moved the home; where the old home had no further server, they got 502 or 503 while the new one had room.

Cause: Attempts holds the route as it was on arrival, and each placement and relay took the home regions from there. Class: a decision that is made again by an answer from before.

Why it works: before each attempt the gateway looks the route up in the configuration in force and takes its home regions, so that the placement, the relay and the log line of the attempt use the same ones. The service stays; a route that no longer sends to it leaves the homes as they were. The other terms of the route stay as on arrival, as retry budgets and deadlines were promised by them.

--- a/fuchsiacart/configurations.py
+++ b/fuchsiacart/configurations.py
@@ -61,6 +61,13 @@
         """Return True if a request may run more than once."""
         return self.kind is RequestKind.IDEMPOTENT
 
+    def has_target(self, service):
+        """Return True if requests may go to a service.
+
+        :param service: name of the service.
+        """
+        return any(target.service == service for target in self.targets)
+
 
 class ServiceTerms(Struct, frozen=True, tag=True):
     """Health check path and limits for each backend server of a service.
--- a/fuchsiacart/gateway/attempts.py
+++ b/fuchsiacart/gateway/attempts.py
@@ -84,8 +84,8 @@
     ``server_check`` checks whether the server that broke off last is lost.
     ``room``, ``believed_load`` and ``load_age_ms`` are the requests per slot
     that were allowed for the last placement, the load on which it was based
-    and the age of that load, -1 if none was known.  ``version`` is that of
-    the configuration that the route is from.
+    and the age of that load, -1 if none was known.  ``route`` is the one on
+    arrival, with the home regions of the configuration ``version``.
     """
 
     request: InboundRequest
--- a/fuchsiacart/gateway/forwarding.py
+++ b/fuchsiacart/gateway/forwarding.py
@@ -2,6 +2,8 @@
 
 from time import monotonic
 
+from msgspec.structs import replace
+
 from fuchsiacart.clocks import MILLISECONDS
 from fuchsiacart.clocks import steady_ms
 from fuchsiacart.exceptions import ErrorKind
@@ -144,6 +146,7 @@
             raise attempts.make_error(self._time_to_room_ms(attempts))
 
     async def _make_attempt(self, attempts):
+        self._update_homes(attempts)
         if self.reachability.is_isolated:
             return await self.relay.make_attempt(attempts)
         server = self._choose_server(attempts)
@@ -201,6 +204,21 @@
             )
         raise RequestError(request.path, ErrorKind.NOT_FOUND)
 
+    def _update_homes(self, attempts):
+        """Apply the home regions in force, which may have moved meanwhile.
+
+        A route that no longer sends requests to the service says nothing
+        about where the service may run them.
+        """
+        if attempts.version == self.version:
+            return
+        route = self._look_up_route(attempts.request)
+        if route is not None and route.has_target(attempts.service):
+            attempts.route = replace(
+                attempts.route, home_regions=route.home_regions
+            )
+            attempts.version = self.version
+
     def _may_deny(self):
         return bool(self.version) and self.freshness.is_current(steady_ms())
 
--- a/tools/seeded_faults/gateway.py
+++ b/tools/seeded_faults/gateway.py
@@ -396,4 +396,32 @@
         '',
         'pipelining',
     ),
+    Fault(
+        'a retry goes by the home regions on arrival',
+        'gateway/forwarding.py',
+        'if attempts.version == self.version:',
+        'if True:',
+        'home_regions',
+    ),
+    Fault(
+        'servers outside the home regions are used',
+        'gateway/placements.py',
+        'return self._regions.get(domain, \'\') in placement.home_regions',
+        'return True',
+        'home_regions',
+    ),
+    Fault(
+        'bodies are relayed through gateways outside the home regions',
+        'gateway/gateway_selectors.py',
+        'and (not home_regions or host.region in home_regions)',
+        'and True',
+        'home_regions',
+    ),
+    Fault(
+        'a server that moved under its id is used by its first zone',
+        'gateway/placements.py',
+        '        server.record = record\n        return server',
+        '        return server',
+        'home_regions',
+    ),
 )
