Show that a request goes to a server that left its home meanwhile

While the gateway opens a connection to a server of cymru, the home moves, or the server says that its zone is in another region. The request is sent to it all the same.

--- a/features/home_regions.feature
+++ b/features/home_regions.feature
@@ -18,6 +18,20 @@
       | non-idempotent   | does not run it | lloegr   |
       | non-idempotent   | does not run it | iwerddon |
 
+  Scenario Outline: a request goes to a server that left its home while the connection was opened
+    Given gateways and servers in cymru, lloegr and iwerddon
+    And a route of <kind> requests with the homes cymru
+    When <change> while the gateway of iwerddon connects to a server
+    Then no request reached a server outside the homes in force
+    And <outcome>
+
+    Examples:
+      | kind             | change                                   | outcome                                               |
+      | idempotent       | the home moves to lloegr                 | the caller gets an answer from lloegr                 |
+      | non-idempotent   | the home moves to lloegr                 | the caller gets an answer from lloegr                 |
+      | idempotent       | the servers of cymru move to lloegr-a    | the caller is refused as not run, with a time to return |
+      | non-idempotent   | the servers of cymru move to iwerddon-a  | the caller is refused as not run, with a time to return |
+
   Scenario Outline: a body passes through a gateway outside the homes
     Given gateways and servers in cymru, lloegr and iwerddon
     And a route of <kind> requests with the homes <homes>
