Check the home regions again right before a request is sent

What callers saw: a request was sent to a server outside the home regions that its gateway knew, if the home had moved, or the server's zone had changed, while the connection was being opened (up to 0.3 s).

Cause: the server was chosen before the connection was opened, and only its draining was looked at again. Same class as the retries: an answer from before an await decides after it.

Why it works: the check that the pool asks once the connection is open belongs to the forwarder now. It takes the home regions in force and the zone in the newest record of the server; ServerSelector.accepts covers both, and evacuations too, and the choice asks the same function. A request that is not sent goes to another server, or is refused as not run with a time to return.

--- a/fuchsiacart/gateway/forwarding.py
+++ b/fuchsiacart/gateway/forwarding.py
@@ -76,7 +76,6 @@
             self.demands,
             self.evidence,
             self.suspects,
-            self.selector,
             self.statements,
         )
 
@@ -154,7 +153,14 @@
             server.record
         ):
             return await self.relay.make_attempt(attempts)
-        return await self._sender.make_attempt(attempts, server)
+        return await self._sender.make_attempt(
+            attempts, server, lambda: self._may_send(attempts, server)
+        )
+
+    def _may_send(self, attempts, server):
+        """Return False if a server chosen before is no choice any more."""
+        self._update_homes(attempts)
+        return self.selector.accepts(server, attempts.route.home_regions)
 
     async def can_connect(self, record, timeout_s):
         """See :meth:`ConnectionPool.can_connect`."""
--- a/fuchsiacart/gateway/placements.py
+++ b/fuchsiacart/gateway/placements.py
@@ -122,12 +122,15 @@
         }
         return self.departures.unconfirmed(records)
 
-    def accepts(self, server):
-        """Return False if a server leaves, and takes no new request.
+    def accepts(self, server, home_regions):
+        """Return False if a server leaves or may not serve a request.
 
         :param server: the :class:`TrackedServer`.
+        :param home_regions: see :class:`PlacementRequest`.
         """
         record = server.record
+        if not self._may_serve(record.failure_domain, home_regions):
+            return False
         if record.state is ServerState.DRAINING:
             return False
         return not self.departures.covers(record.start)
@@ -246,19 +249,16 @@
                 return region
         return self._region
 
-    def _may_serve(self, domain, placement):
+    def _may_serve(self, domain, home_regions):
         if domain in self._evacuated:
             return False
-        if not placement.home_regions:
+        if not home_regions:
             return True
-        return self._regions.get(domain, '') in placement.home_regions
+        return self._regions.get(domain, '') in home_regions
 
     def _usable_servers(self, domains, region, placement, now_ms):
         """Yield the usable servers of a region in order of preference."""
         for server in self._server_order(domains, region, placement):
-            domain = server.record.failure_domain
-            if not self._may_serve(domain, placement):
-                continue
             if self._is_usable(server, placement, now_ms):
                 yield server
 
@@ -284,7 +284,9 @@
 
     def _is_usable(self, server, placement, now_ms):
         record = server.record
-        if server.is_misdirected or not self.accepts(server):
+        if server.is_misdirected:
+            return False
+        if not self.accepts(server, placement.home_regions):
             return False
         if record.name in placement.excluded:
             return False
--- a/fuchsiacart/gateway/server_attempts.py
+++ b/fuchsiacart/gateway/server_attempts.py
@@ -33,7 +33,6 @@
     :param demands: the :class:`DemandMeter`.
     :param evidence: the :class:`EvidenceMeter`.
     :param suspects: the :class:`SuspectTracker`.
-    :param selector: the :class:`ServerSelector`.
     :param statements: the :class:`ServerStatements`.
     """
 
@@ -45,7 +44,6 @@
         demands,
         evidence,
         suspects,
-        selector,
         statements,
     ):
         self._dialect = dialect
@@ -54,12 +52,15 @@
         self._demands = demands
         self._evidence = evidence
         self._suspects = suspects
-        self._selector = selector
         self._statements = statements
 
-    async def make_attempt(self, attempts, server):
+    async def make_attempt(self, attempts, server, may_send):
         """Send a request to a server.
 
+        :param attempts: the :class:`Attempts` of the request.
+        :param server: the :class:`TrackedServer`.
+        :param may_send: asked once the connection is open; returns False if
+            the request must not be sent to the server any more.
         :return: the response, or None if the attempt failed.
         :raises RequestError: if the deadline has passed already.
         """
@@ -85,7 +86,7 @@
                     lambda status, headers: self._read_statement(
                         request, record, status, headers
                     ),
-                    lambda: self._selector.accepts(server),
+                    may_send,
                 ),
                 ExchangeLimits(
                     min(CONNECT_TIMEOUT_S, left_s), attempts.deadline_s
--- a/tools/seeded_faults/gateway.py
+++ b/tools/seeded_faults/gateway.py
@@ -406,7 +406,7 @@
     Fault(
         'servers outside the home regions are used',
         'gateway/placements.py',
-        'return self._regions.get(domain, \'\') in placement.home_regions',
+        'return self._regions.get(domain, \'\') in home_regions',
         'return True',
         'home_regions',
     ),
@@ -424,4 +424,18 @@
         '        return server',
         'home_regions',
     ),
+    Fault(
+        'a request is sent by the home regions of its placement',
+        'gateway/forwarding.py',
+        'self._update_homes(attempts)\n        return',
+        'return',
+        'home_regions',
+    ),
+    Fault(
+        'a server is not checked again before a request is sent',
+        'gateway/server_attempts.py',
+        '                    may_send,\n',
+        '                    None,\n',
+        'home_regions',
+    ),
 )
