Show that a body goes to a gateway that left its home meanwhile

An isolated gateway of a third region opens a connection to a gateway of cymru; meanwhile the home moves. The body is sent to cymru.

--- a/features/home_regions.feature
+++ b/features/home_regions.feature
@@ -32,6 +32,20 @@
       | idempotent       | the servers of cymru move to lloegr-a    | the caller is refused as not run, with a time to return |
       | non-idempotent   | the servers of cymru move to iwerddon-a  | the caller is refused as not run, with a time to return |
 
+  Scenario Outline: a body goes to a gateway that left its home while the connection was opened
+    Given gateways and servers in cymru, lloegr and iwerddon
+    And a route of <kind> requests with the homes cymru
+    When the gateway of iwerddon reaches no server
+    And the home moves to <homes> while the gateway of iwerddon connects to another
+    Then no request reached the gateway of cymru
+    And <outcome>
+
+    Examples:
+      | kind           | homes    | outcome                                                 |
+      | idempotent     | lloegr   | the caller gets an answer from lloegr                   |
+      | non-idempotent | lloegr   | the caller gets an answer from lloegr                   |
+      | non-idempotent | iwerddon | the caller is refused as not run, with a time to return |
+
   Scenario Outline: a body passes through a gateway outside the homes
     Given gateways and servers in cymru, lloegr and iwerddon
     And a route of <kind> requests with the homes <homes>
--- a/features/steps/home_region_steps.py
+++ b/features/steps/home_region_steps.py
@@ -77,6 +77,16 @@
     )
 
 
+@when(
+    'the home moves to {homes} while the gateway of {region} connects to'
+    ' another'
+)
+def when_moved_while_relaying(context, homes, region):
+    _send_on_slow_connection(
+        context, region, lambda: context.home.set_homes(_read_homes(homes))
+    )
+
+
 @when(
     'the servers of {region} move to {domain} while the gateway of {sender}'
     ' connects to a server'
