Check the home regions again right before a body is relayed

What callers saw: the body of a request went to a gateway of a region that was neither a home nor the caller's, if the home moved while an isolated gateway opened a connection to it.

Cause: as for requests to servers, the gateway was chosen before the connection was opened, and nothing was looked at again.

Why it works: the relay brings the home regions up to date once the connection is open, and sends nothing to a gateway outside them; the next attempt chooses anew, or the caller is refused as not run with a time to return. The seeded fault in the choice of gateways alone no longer lets a body through, so it is seeded in the rule that both checks use.

--- a/fuchsiacart/gateway/forwarding.py
+++ b/fuchsiacart/gateway/forwarding.py
@@ -147,12 +147,12 @@
     async def _make_attempt(self, attempts):
         self._update_homes(attempts)
         if self.reachability.is_isolated:
-            return await self.relay.make_attempt(attempts)
+            return await self.relay.make_attempt(attempts, self._update_homes)
         server = self._choose_server(attempts)
         if self.reachability.is_confined and not self._pool.has_idle(
             server.record
         ):
-            return await self.relay.make_attempt(attempts)
+            return await self.relay.make_attempt(attempts, self._update_homes)
         return await self._sender.make_attempt(
             attempts, server, lambda: self._may_send(attempts, server)
         )
--- a/fuchsiacart/gateway/gateway_selectors.py
+++ b/fuchsiacart/gateway/gateway_selectors.py
@@ -83,7 +83,7 @@
             host
             for host in self._hosts
             if host.name not in excluded
-            and (not home_regions or host.region in home_regions)
+            and may_see(host.region, home_regions)
             and now_ms >= self._avoided_until_ms.get(host.name, 0.0)
         ]
         near = [host for host in usable if host.region == self._region]
@@ -92,3 +92,12 @@
             return None
         drawn = self._random.sample(near, min(DRAWN_GATEWAYS, len(near)))
         return min(drawn, key=lambda host: self.in_flight[host.name])
+
+
+def may_see(region, home_regions):
+    """Return True if hosts of a region may see a request.
+
+    :param region: the region.
+    :param home_regions: regions that may see the request; empty means any.
+    """
+    return not home_regions or region in home_regions
--- a/fuchsiacart/gateway/relays.py
+++ b/fuchsiacart/gateway/relays.py
@@ -19,6 +19,7 @@
 from fuchsiacart.gateway.exchanges import ExchangeLimits
 from fuchsiacart.gateway.exchanges import OutboundRequest
 from fuchsiacart.gateway.exchanges import request_line
+from fuchsiacart.gateway.gateway_selectors import may_see
 from fuchsiacart.gateway.hop_headers import end_to_end_headers
 from fuchsiacart.gateway.hop_headers import parse_start
 from fuchsiacart.gateway.hop_headers import RELAYED_FOR
@@ -80,10 +81,12 @@
             return replace(request, caller=request.relayed_for)
         return request
 
-    async def make_attempt(self, attempts):
+    async def make_attempt(self, attempts, update_homes):
         """Send a request to another gateway.
 
         :param attempts: the :class:`Attempts` of the request.
+        :param update_homes: brings the home regions of the attempts up to
+            date; called once the connection is open.
         :return: the :class:`ServerResponse`, or None if the attempt failed.
         :raises RequestError: if no gateway is left, or the request was
             relayed already.
@@ -104,7 +107,11 @@
         try:
             result = await self._pool.exchange(
                 RelayTarget(_start_of(host), host.http_address),
-                self._make_request(attempts.request, host.name),
+                self._make_request(
+                    attempts.request,
+                    host.name,
+                    lambda: self._may_send(attempts, host, update_homes),
+                ),
                 ExchangeLimits(
                     min(CONNECT_TIMEOUT_S, left_s), attempts.deadline_s
                 ),
@@ -115,7 +122,11 @@
         self._log(attempts, host, result, monotonic() - started_s)
         return response
 
-    def _make_request(self, request, gateway):
+    def _may_send(self, attempts, host, update_homes):
+        update_homes(attempts)
+        return may_see(host.region, attempts.route.home_regions)
+
+    def _make_request(self, request, gateway, may_send):
         return OutboundRequest(
             request_line(request.method, request.target),
             lambda left_ms: self._make_headers(request, left_ms),
@@ -125,6 +136,7 @@
             lambda status, headers: self._read_statement(
                 request, gateway, headers
             ),
+            may_send,
         )
 
     def _read_statement(self, request, gateway, headers):
--- a/tools/seeded_faults/gateway.py
+++ b/tools/seeded_faults/gateway.py
@@ -271,7 +271,7 @@
     Fault(
         'requests are relayed to regions that may not see them',
         'gateway/gateway_selectors.py',
-        'and (not home_regions or host.region in home_regions)',
+        'and may_see(host.region, home_regions)',
         'and True',
         'gateway_selection',
     ),
@@ -413,8 +413,8 @@
     Fault(
         'bodies are relayed through gateways outside the home regions',
         'gateway/gateway_selectors.py',
-        'and (not home_regions or host.region in home_regions)',
-        'and True',
+        'return not home_regions or region in home_regions',
+        'return True',
         'home_regions',
     ),
     Fault(
@@ -438,4 +438,11 @@
         '                    None,\n',
         'home_regions',
     ),
+    Fault(
+        'a body is relayed by the home regions of its placement',
+        'gateway/relays.py',
+        '        update_homes(attempts)\n        return',
+        '        return',
+        'home_regions',
+    ),
 )
