Show that a relayed request runs by the older homes of the second gateway

The home has moved, or was set; the isolated gateway that the caller is connected to knows, and relays the request to a gateway of the new home that doesn't yet. That one sends it to a server of the old home, or of any region. Red in 4 of 4 examples, and with a further gateway that knows.

--- a/features/home_regions.feature
+++ b/features/home_regions.feature
@@ -46,6 +46,32 @@
       | non-idempotent | lloegr   | the caller gets an answer from lloegr                   |
       | non-idempotent | iwerddon | the caller is refused as not run, with a time to return |
 
+  Scenario Outline: a relayed request runs by the older homes of the second gateway
+    Given gateways and servers in cymru, lloegr and iwerddon
+    And a route of <kind> requests with the homes <before>
+    When the home moves to cymru at the gateway of <first> only
+    And the gateway of <first> reaches no server
+    And a request with a body is sent to the gateway of <first>
+    Then the caller is refused at once, with a time to return
+    And the request reached no server
+    And no request reached the gateway of lloegr
+
+    Examples:
+      | kind             | before     | first    |
+      | idempotent       | lloegr     | iwerddon |
+      | non-idempotent   | lloegr     | iwerddon |
+      | idempotent       | any region | iwerddon |
+      | non-idempotent   | iwerddon   | iwerddon |
+
+  Scenario: a relayed request is refused though another gateway has the newer homes
+    Given gateways and servers in cymru, lloegr and iwerddon
+    And a route of non-idempotent requests with the homes iwerddon
+    When the home moves to cymru and lloegr at the gateway of iwerddon and lloegr only
+    And the gateway of iwerddon reaches no server
+    And 20 requests with a body are sent to the gateway of iwerddon
+    Then no request reached a server outside the homes in force
+    And all callers get an answer from lloegr
+
   Scenario Outline: a body passes through a gateway outside the homes
     Given gateways and servers in cymru, lloegr and iwerddon
     And a route of <kind> requests with the homes <homes>
--- a/features/steps/home_region_steps.py
+++ b/features/steps/home_region_steps.py
@@ -104,7 +104,7 @@
 
 @when('the home moves to {homes} at the gateway of {region} only')
 def when_moved_at_one(context, homes, region):
-    context.home.set_homes(_read_homes(homes), (region,))
+    context.home.set_homes(_read_homes(homes), _read_homes(region))
 
 
 @when('the gateway of {region} reaches no server')
@@ -134,6 +134,22 @@
     context.home.run(context.home.send(region, 'POST', b'body'))
 
 
+@when('{count:d} requests with a body are sent to the gateway of {region}')
+def when_bodies_sent(context, count, region):
+    fixture = context.home
+    context.replies = []
+    for _ in range(count):
+        fixture.run(fixture.send(region, 'POST', b'body'))
+        context.replies.append(fixture.reply.code)
+
+
+@then('all callers get an answer from {region}')
+def then_all_answered(context, region):
+    assert set(context.replies) == {200}, context.replies
+    regions = {each.region for each in context.home.arrivals}
+    assert regions == {region}, context.home.arrivals
+
+
 @when('{count:d} servers of an unknown zone join')
 def when_unknown_join(context, count):
     for index in range(count):
