Serve a relayed request by no older configuration than its relay's

What callers saw: a request that an isolated gateway relayed was run outside the home regions that this gateway knew, with 200, since the second gateway looked the route up in an older configuration.

Cause: a relay carried the request but not the state by which the second gateway was chosen; two gateways decided by two versions.

Why it works: a relay names the version of the configuration, and a gateway whose own is older waits for the changes that it was told of, or refuses the request as not run. The first gateway then asks another one, as it does after one that reaches no server, and at last refuses with a time to return. Only other gateways are believed. A version that is malformed counts as none.

--- a/fuchsiacart/gateway/attempts.py
+++ b/fuchsiacart/gateway/attempts.py
@@ -32,7 +32,8 @@
 
     ``target`` is the path with the query, ``received_s`` a time of the
     monotonic clock and ``caller`` the IP address of the caller.
-    If another gateway relayed it, ``relayed_for`` is whom it names as caller.
+    If another gateway relayed it, ``relayed_for`` is whom it names as caller
+    and ``relayed_version`` the version of the configuration that it has.
     """
 
     method: str
@@ -44,6 +45,7 @@
     received_s: float
     caller: str = ''
     relayed_for: str = ''
+    relayed_version: int = 0
 
     @property
     def path(self):
--- a/fuchsiacart/gateway/callers.py
+++ b/fuchsiacart/gateway/callers.py
@@ -22,9 +22,11 @@
 from fuchsiacart.gateway.caller_connections import close_idle_connections
 from fuchsiacart.gateway.hop_headers import end_to_end_headers
 from fuchsiacart.gateway.hop_headers import format_start
+from fuchsiacart.gateway.hop_headers import parse_version
 from fuchsiacart.gateway.hop_headers import RELAYED_FOR
 from fuchsiacart.gateway.hop_headers import RELAYED_ID
 from fuchsiacart.gateway.hop_headers import RELAYED_LEAVING
+from fuchsiacart.gateway.hop_headers import RELAYED_VERSION
 from fuchsiacart.logs import log_error
 from fuchsiacart.logs import log_event
 from fuchsiacart.metrics import GATEWAY_LATENCY
@@ -154,6 +156,7 @@
             exchange.received_s,
             exchange.connection.remote_ip,
             exchange.headers.get(RELAYED_FOR, ''),
+            parse_version(exchange.headers.get(RELAYED_VERSION, '')),
         )
         outcome = 'failed'
         try:
--- a/fuchsiacart/gateway/forwarding.py
+++ b/fuchsiacart/gateway/forwarding.py
@@ -117,6 +117,7 @@
             await self.freshness.wait_for_first(request.retry_after_ms)
         elif self.freshness.needs_wait(steady_ms()):
             await self.freshness.wait(steady_ms())
+        await self._check_version(request)
         route = await self._find_route(request)
         attempts = self._start_attempts(self.relay.read(request), route)
         while True:
@@ -191,6 +192,18 @@
         self.demands.record_arrival(service)
         return attempts
 
+    async def _check_version(self, request):
+        """Act by no older configuration than the gateway that relayed it.
+
+        :raises RequestError: if the configuration does not come in time.
+        """
+        version = self.relay.needed_version(request)
+        if version <= self.version:
+            return
+        await self.freshness.wait_until_caught_up(request.retry_after_ms)
+        if version > self.version:
+            raise _make_stale_error(request)
+
     async def _find_route(self, request):
         """Return the route of a request.
 
@@ -203,11 +216,7 @@
         if route is not None:
             return route
         if not self._may_deny():
-            raise RequestError(
-                'the newest configuration is not known',
-                ErrorKind.STALE,
-                retry_after_ms=request.retry_after_ms,
-            )
+            raise _make_stale_error(request)
         raise RequestError(request.path, ErrorKind.NOT_FOUND)
 
     def _update_homes(self, attempts):
@@ -299,6 +308,15 @@
         )
 
 
+def _make_stale_error(request):
+    """Return the refusal of a request that needs a newer configuration."""
+    return RequestError(
+        'the newest configuration is not known',
+        ErrorKind.STALE,
+        retry_after_ms=request.retry_after_ms,
+    )
+
+
 def _make_stop_error(request):
     """Return the refusal of a request that another gateway can take."""
     return RequestError(
--- a/fuchsiacart/gateway/hop_headers.py
+++ b/fuchsiacart/gateway/hop_headers.py
@@ -8,8 +8,12 @@
 RELAYED_FOR = 'Fuchsiacart-Relayed-For'
 # The id of the relayed request that a response belongs to.
 RELAYED_ID = 'Fuchsiacart-Relayed-Id'
+# The version of the configuration by which a request is relayed.
+RELAYED_VERSION = 'Fuchsiacart-Relayed-Version'
 # The start of the server whose relayed response says that it leaves.
 RELAYED_LEAVING = 'Fuchsiacart-Relayed-Leaving'
+# Those of the largest version.
+MAX_VERSION_DIGITS = 19
 HOP_HEADERS = frozenset(
     (
         'connection',
@@ -18,6 +22,7 @@
         RELAYED_FOR.lower(),
         RELAYED_ID.lower(),
         RELAYED_LEAVING.lower(),
+        RELAYED_VERSION.lower(),
         'keep-alive',
         'proxy-authenticate',
         'proxy-authorization',
@@ -46,6 +51,16 @@
     return ServerStart(name, int(born))
 
 
+def parse_version(text):
+    """Return the version of a value, or 0 if absent or malformed.
+
+    :param text: the value of ``RELAYED_VERSION``.
+    """
+    if not text.isdecimal() or not text.isascii():
+        return 0
+    return int(text) if len(text) <= MAX_VERSION_DIGITS else 0
+
+
 def end_to_end_headers(headers):
     """Return a copy of the headers without the hop-by-hop headers.
 
--- a/fuchsiacart/gateway/relays.py
+++ b/fuchsiacart/gateway/relays.py
@@ -25,6 +25,7 @@
 from fuchsiacart.gateway.hop_headers import RELAYED_FOR
 from fuchsiacart.gateway.hop_headers import RELAYED_ID
 from fuchsiacart.gateway.hop_headers import RELAYED_LEAVING
+from fuchsiacart.gateway.hop_headers import RELAYED_VERSION
 from fuchsiacart.logs import log_event
 from fuchsiacart.metrics import GATEWAY_RELAYS
 from fuchsiacart.problems import Problem
@@ -34,6 +35,8 @@
 CONNECT_TIMEOUT_S = 0.3
 # Statuses by which callers know that a request has not run.
 NOT_RUN_STATUSES = (408, 421, 429, 503)
+# A gateway that reaches no server either, or whose configuration is older.
+UNABLE_KINDS = (ErrorKind.ISOLATED, ErrorKind.STALE)
 
 
 class RelayTarget(Struct, frozen=True):
@@ -81,6 +84,17 @@
             return replace(request, caller=request.relayed_for)
         return request
 
+    def needed_version(self, request):
+        """Return the version of the configuration that a request needs.
+
+        That of the gateway that relayed it, or 0 for any version.
+
+        :param request: the :class:`InboundRequest`, before :meth:`read`.
+        """
+        if request.is_relayed and self.selector.is_gateway(request.caller):
+            return request.relayed_version
+        return 0
+
     async def make_attempt(self, attempts, update_homes):
         """Send a request to another gateway.
 
@@ -108,7 +122,7 @@
             result = await self._pool.exchange(
                 RelayTarget(_start_of(host), host.http_address),
                 self._make_request(
-                    attempts.request,
+                    attempts,
                     host.name,
                     lambda: self._may_send(attempts, host, update_homes),
                 ),
@@ -126,10 +140,11 @@
         update_homes(attempts)
         return may_see(host.region, attempts.route.home_regions)
 
-    def _make_request(self, request, gateway, may_send):
+    def _make_request(self, attempts, gateway, may_send):
+        request = attempts.request
         return OutboundRequest(
             request_line(request.method, request.target),
-            lambda left_ms: self._make_headers(request, left_ms),
+            lambda left_ms: self._make_headers(attempts, left_ms),
             request.body or None,
             request.metadata.request_id,
             self._read_id,
@@ -145,10 +160,14 @@
         if start is not None:
             self._statements.record_departure(start, request, gateway)
 
-    def _make_headers(self, request, left_ms):
+    def _make_headers(self, attempts, left_ms):
+        request = attempts.request
         headers = end_to_end_headers(request.headers)
         self._dialect.write_deadline(headers, left_ms)
         headers[RELAYED_FOR] = request.caller
+        headers[RELAYED_VERSION] = str(attempts.version)
+        # A gateway that doesn't know the header drops what this one lists.
+        headers['Connection'] = RELAYED_VERSION
         if request.has_length:
             headers['Content-Length'] = str(len(request.body))
         return headers
@@ -159,8 +178,8 @@
     def _record(self, attempts, host, result):
         """Record a result and return its response, None if it has none."""
         response = result.response
-        if response is not None and self._is_isolated(response):
-            attempts.last_failure = f'{host.name} reaches no server either'
+        if response is not None and self._is_unable(response):
+            attempts.last_failure = f'{host.name} cannot serve it'
             attempts.failed_relays += 1
             self.selector.avoid(host.name, steady_ms())
             return None
@@ -191,8 +210,8 @@
         is_refusal = response.status in NOT_RUN_STATUSES
         return is_refusal and not metadata.is_authentic
 
-    def _is_isolated(self, response):
-        """Return True if the gateway refused since it is isolated too."""
+    def _is_unable(self, response):
+        """Return True if another gateway may serve what this one refused."""
         if response.headers.get('Content-Type') != PROBLEM_TYPE:
             return False
         metadata = self._dialect.read_response(
@@ -205,7 +224,7 @@
         except MsgspecError as error:
             log_event('problem_not_read', detail=str(error))
             return False
-        return problem.kind is ErrorKind.ISOLATED
+        return problem.kind in UNABLE_KINDS
 
     def _log(self, attempts, host, result, taken_s):
         outcome = (
--- a/tools/seeded_faults/gateway.py
+++ b/tools/seeded_faults/gateway.py
@@ -445,4 +445,18 @@
         '        return',
         'home_regions',
     ),
+    Fault(
+        'a relayed request is served by an older configuration',
+        'gateway/forwarding.py',
+        'if version <= self.version:',
+        'if True:',
+        'home_regions',
+    ),
+    Fault(
+        'the refusal of a gateway that is behind ends a relayed request',
+        'gateway/relays.py',
+        '(ErrorKind.ISOLATED, ErrorKind.STALE)',
+        '(ErrorKind.ISOLATED,)',
+        'home_regions',
+    ),
 )
