--- a/features/home_regions.feature
+++ b/features/home_regions.feature
@@ -117,3 +117,8 @@
     Then 18 requests reached servers in cymru
     And no request reached a server outside the homes in force
 
+  Scenario: a server that moved under its id counts as one of the region that it left
+    Given gateways and servers in cymru, lloegr and iwerddon
+    And a route of idempotent requests with the homes cymru
+    When the servers of lloegr move to cymru-a under their ids
+    Then each gateway has the servers in the region of cymru-a
