Keep the region of a server up to date with its zone

What was seen: a server whose zone changed under its id and start kept its first region at gateways that had known it before. Requests went by its zone, so none left its homes; but the attempt line named the wrong region, by which a request outside its homes is told, and gateways that started since chose another one to warm the server up.

Cause: TrackedServer holds a region beside the record that it follows from, and only the record was replaced.

The warm-up by two gateways is read, not run.

Why it works: both are replaced together.

--- a/fuchsiacart/gateway/placements.py
+++ b/fuchsiacart/gateway/placements.py
@@ -215,6 +215,7 @@
             if record.cold_ms:
                 server.cold_until_ms = now_ms + record.cold_ms
         server.record = record
+        server.region = region
         return server
 
     def _ordered_regions(self, placement, domains, hash_fraction):
--- a/tools/seeded_faults/gateway.py
+++ b/tools/seeded_faults/gateway.py
@@ -420,8 +420,8 @@
     Fault(
         'a server that moved under its id is used by its first zone',
         'gateway/placements.py',
-        '        server.record = record\n        return server',
-        '        return server',
+        '        server.record = record\n',
+        '',
         'home_regions',
     ),
     Fault(
@@ -459,4 +459,11 @@
         '(ErrorKind.ISOLATED,)',
         'home_regions',
     ),
+    Fault(
+        'a server that moved under its id keeps its first region',
+        'gateway/placements.py',
+        '        server.region = region\n',
+        '',
+        'home_regions',
+    ),
 )
