Test that the directory names gateways of the caller's region only

As long as one is left that is not lost or leaving, and those that reach no server if no other is left.

--- a/features/home_regions.feature
+++ b/features/home_regions.feature
@@ -122,3 +122,21 @@
     And a route of idempotent requests with the homes cymru
     When the servers of lloegr move to cymru-a under their ids
     Then each gateway has the servers in the region of cymru-a
+
+  Scenario Outline: the directory names a gateway of another region beside some of the caller's
+    Given the directory knows <count> gateways in each region
+    When all gateways of cymru but <left> are <state>
+    Then 200 callers of cymru are told gateways of cymru only
+
+    Examples:
+      | count | left | state    |
+      | 1     | 1    | lost     |
+      | 2     | 1    | lost     |
+      | 3     | 1    | lost     |
+      | 100   | 1    | lost     |
+      | 100   | 99   | lost     |
+      | 2     | 1    | isolated |
+      | 2     | 0    | isolated |
+      | 100   | 0    | isolated |
+      | 2     | 1    | leaving  |
+      | 100   | 1    | leaving  |
--- a/features/steps/home_region_steps.py
+++ b/features/steps/home_region_steps.py
@@ -9,7 +9,11 @@
 from features.steps.home_region_fixtures import HomeFixture
 from features.steps.home_region_fixtures import REGIONS
 from fuchsiacart.configurations import RequestKind
+from fuchsiacart.control.directory import find_gateways
 from fuchsiacart.gateway.exchanges import ServerConnection
+from fuchsiacart.models import Host
+from fuchsiacart.models import HostState
+from fuchsiacart.views import with_state
 
 # A refusal that waits for nothing.
 AT_ONCE_S = 0.3
@@ -243,3 +247,34 @@
         for server in gateway.forwarder.selector.servers.values():
             if server.record.failure_domain == domain:
                 assert server.region == REGIONS[domain], server
+
+
+@given('the directory knows {count:d} gateways in each region')
+def given_directory(context, count):
+    context.hosts = [
+        Host(f'{domain}-{index}', 1, region, domain, f'{domain}-{index}', '')
+        for domain, region in REGIONS.items()
+        for index in range(count)
+    ]
+
+
+@when('all gateways of {region} but {left:d} are {state}')
+def when_gateways_changed(context, region, left, state):
+    near = [host for host in context.hosts if host.region == region]
+    others = [host for host in context.hosts if host.region != region]
+    changed = []
+    if state != 'lost':
+        changed = [with_state(each, HostState(state)) for each in near[left:]]
+    context.hosts = others + near[:left] + changed
+
+
+@then('{count:d} callers of {region} are told gateways of {told} only')
+def then_told_region(context, count, region, told):
+    regions = {host.http_address: host.region for host in context.hosts}
+    for index in range(count):
+        for domain in (f'{region}-a', f'{region}-b'):
+            answer = find_gateways(
+                context.hosts, region, domain, f'10.1.0.{index}'
+            )
+            assert answer, 'no gateway is named'
+            assert {regions[each] for each in answer} == {told}, answer
--- a/tools/seeded_faults/control.py
+++ b/tools/seeded_faults/control.py
@@ -500,4 +500,11 @@
         'if False:',
         'replacements',
     ),
+    Fault(
+        'a caller is told gateways of other regions beside one of its own',
+        'control/directory.py',
+        '    if not near:\n',
+        '    if len(near) < MIN_GATEWAYS:\n',
+        'home_regions',
+    ),
 )
