--- a/features/steps/platform_path_steps.py
+++ b/features/steps/platform_path_steps.py
@@ -462,6 +462,8 @@
 
     async def served(ip):
         reply = await fixture.send_request(ip)
+        if reply is None:
+            return False
         return reply.code == 200 and reply.body and reply.headers
 
     for ip in fixture.gateways:
