Test gateways that start while homes move

Through real processes: one of two gateways is killed and started again 8 times, each time after the home has moved between two regions, with idempotent routes and others; requests go to it from its start on.

--- a/features/home_regions.feature
+++ b/features/home_regions.feature
@@ -140,3 +140,12 @@
       | 100   | 0    | isolated |
       | 2     | 1    | leaving  |
       | 100   | 1    | leaving  |
+
+  Scenario: a gateway that starts serves by the homes of before
+    Given 3 control hosts and 2 gateways started for the first time
+    And 2 instances in each of cymru and lloegr
+    When the operator puts a configuration
+    Then a request through each gateway gets a whole answer with its stamp
+    When a gateway is killed 8 times and started again after the home has moved
+    Then no request reached an instance outside the home of its round
+    And each request that it read was answered or refused as not run
--- a/features/steps/platform_path_steps.py
+++ b/features/steps/platform_path_steps.py
@@ -97,6 +97,7 @@
     """An instance that answers requests and sends heartbeats."""
 
     address = '127.0.0.1'
+    zone = 'cymru-a'
     handler = InstanceHandler
 
     def __init__(self, name, fixture):
@@ -131,7 +132,7 @@
         body = {
             'service': 'stock',
             'address': f'{self.address}:{self.port}',
-            'zone': 'cymru-a',
+            'zone': self.zone,
             'slots': 4,
             'state': self.state,
             'cold_left_s': 0,
