--- a/fuchsiacart/gateway/relays.py
+++ b/fuchsiacart/gateway/relays.py
@@ -80,7 +80,7 @@
 
         :param request: the :class:`InboundRequest`.
         """
-        if request.is_relayed and self.selector.is_gateway(request.caller):
+        if self._is_relay(request):
             return replace(request, caller=request.relayed_for)
         return request
 
@@ -91,9 +91,7 @@
 
         :param request: the :class:`InboundRequest`, before :meth:`read`.
         """
-        if request.is_relayed and self.selector.is_gateway(request.caller):
-            return request.relayed_version
-        return 0
+        return request.relayed_version if self._is_relay(request) else 0
 
     async def make_attempt(self, attempts, update_homes):
         """Send a request to another gateway.
@@ -136,6 +134,10 @@
         self._log(attempts, host, result, monotonic() - started_s)
         return response
 
+    def _is_relay(self, request):
+        """Return True if another gateway has sent a request."""
+        return request.is_relayed and self.selector.is_gateway(request.caller)
+
     def _may_send(self, attempts, host, update_homes):
         update_homes(attempts)
         return may_see(host.region, attempts.route.home_regions)
