--- a/fuchsiacart/gateway/attempts.py
+++ b/fuchsiacart/gateway/attempts.py
@@ -33,7 +33,8 @@
 
     ``target`` is the path with the query, ``received_s`` a time of the
     monotonic clock and ``caller`` the IP address of the caller.
-    If another gateway relayed it, ``relayed_for`` is whom it names as caller.
+    If another gateway relayed it, ``relayed_for`` is whom it names as caller
+    and ``relayed_version`` the version of the configuration that it has.
     """
 
     method: str
@@ -45,6 +46,7 @@
     received_s: float
     caller: str = ''
     relayed_for: str = ''
+    relayed_version: int = 0
 
     @property
     def path(self):
@@ -85,9 +87,10 @@
     ``server_check`` checks whether the server that broke off last is lost.
     ``room``, ``believed_load`` and ``load_age_ms`` are the requests per slot
     that were allowed for the last placement, the load on which it was based
-    and the age of that load, -1 if none was known.  ``version`` is that of
-    the configuration that the route is from.  ``has_retry`` is True while a
-    retry that the budget allowed has not been made.
+    and the age of that load, -1 if none was known.  ``route`` is the one on
+    arrival, with the home regions of the configuration ``version``.
+    ``has_retry`` is True while a retry that the budget allowed has not been
+    made.
     """
 
     request: InboundRequest
--- a/fuchsiacart/gateway/forwarding.py
+++ b/fuchsiacart/gateway/forwarding.py
@@ -2,6 +2,8 @@
 
 from time import monotonic
 
+from msgspec.structs import replace
+
 from fuchsiacart.clocks import MILLISECONDS
 from fuchsiacart.clocks import steady_ms
 from fuchsiacart.exceptions import ErrorKind
@@ -76,8 +78,8 @@
             self.demands,
             self.evidence,
             self.suspects,
-            self.selector,
             self.statements,
+            self.selector.backoffs,
         )
 
     @property
@@ -118,6 +120,7 @@
             await self.freshness.wait_for_first(request.retry_after_ms)
         elif self.freshness.needs_wait(steady_ms()):
             await self.freshness.wait(steady_ms())
+        await self._check_version(request)
         route = await self._find_route(request)
         attempts = self._start_attempts(self.relay.read(request), route)
         while True:
@@ -146,14 +149,22 @@
             raise attempts.make_error(self._time_to_room_ms(attempts))
 
     async def _make_attempt(self, attempts):
+        self._update_homes(attempts)
         if self.reachability.is_isolated:
-            return await self.relay.make_attempt(attempts)
+            return await self.relay.make_attempt(attempts, self._update_homes)
         server = self._choose_server(attempts)
         if self.reachability.is_confined and not self._pool.has_idle(
             server.record
         ):
-            return await self.relay.make_attempt(attempts)
-        return await self._sender.make_attempt(attempts, server)
+            return await self.relay.make_attempt(attempts, self._update_homes)
+        return await self._sender.make_attempt(
+            attempts, server, lambda: self._may_send(attempts, server)
+        )
+
+    def _may_send(self, attempts, server):
+        """Return False if a server chosen before is no choice any more."""
+        self._update_homes(attempts)
+        return self.selector.accepts(server, attempts.route.home_regions)
 
     async def can_connect(self, record, timeout_s):
         """See :meth:`ConnectionPool.can_connect`."""
@@ -184,6 +195,18 @@
         self.demands.record_arrival(service)
         return attempts
 
+    async def _check_version(self, request):
+        """Act by no older configuration than the gateway that relayed it.
+
+        :raises RequestError: if the configuration does not come in time.
+        """
+        version = self.relay.needed_version(request)
+        if version <= self.version:
+            return
+        await self.freshness.wait_until_caught_up(request.retry_after_ms)
+        if version > self.version:
+            raise _make_stale_error(request)
+
     async def _find_route(self, request):
         """Return the route of a request.
 
@@ -196,13 +219,24 @@
         if route is not None:
             return route
         if not self._may_deny():
-            raise RequestError(
-                'the newest configuration is not known',
-                ErrorKind.STALE,
-                retry_after_ms=request.retry_after_ms,
-            )
+            raise _make_stale_error(request)
         raise RequestError(request.path, ErrorKind.NOT_FOUND)
 
+    def _update_homes(self, attempts):
+        """Apply the home regions in force, which may have moved meanwhile.
+
+        A route that no longer sends requests to the service says nothing
+        about where the service may run them.
+        """
+        if attempts.version == self.version:
+            return
+        route = self._look_up_route(attempts.request)
+        if route is not None and route.has_target(attempts.service):
+            attempts.route = replace(
+                attempts.route, home_regions=route.home_regions
+            )
+            attempts.version = self.version
+
     def _may_deny(self):
         return bool(self.version) and self.freshness.is_current(steady_ms())
 
@@ -277,6 +311,15 @@
         )
 
 
+def _make_stale_error(request):
+    """Return the refusal of a request that needs a newer configuration."""
+    return RequestError(
+        'the newest configuration is not known',
+        ErrorKind.STALE,
+        retry_after_ms=request.retry_after_ms,
+    )
+
+
 def _make_stop_error(request):
     """Return the refusal of a request that another gateway can take."""
     return RequestError(
--- a/fuchsiacart/gateway/placements.py
+++ b/fuchsiacart/gateway/placements.py
@@ -126,17 +126,15 @@
         }
         return self.departures.unconfirmed(records)
 
-    def may_send(self, server, counted, now_ms):
-        """Return True unless a server leaves, or wants no request now.
+    def accepts(self, server, home_regions):
+        """Return False if a server leaves or may not serve a request.
 
-        :param server: the :class:`TrackedServer` that was chosen.
-        :param counted: the :class:`Backoff` that counts the request, or None.
-        :param now_ms: the current time.
+        :param server: the :class:`TrackedServer`.
+        :param home_regions: see :class:`PlacementRequest`.
         """
-        start = server.record.start
-        return not self._leaves(server) and self.backoffs.may_send(
-            start, counted, now_ms
-        )
+        domain = server.record.failure_domain
+        may_serve = self._may_serve(domain, home_regions)
+        return may_serve and not self._leaves(server)
 
     def end_suspensions(self):
         """Use all servers again, whatever has failed so far."""
@@ -214,7 +212,7 @@
         waits_ms = [
             self.backoffs.wait_ms(server.record.start, now_ms)
             for domain, servers in domains.items()
-            if self._may_serve(domain, placement)
+            if self._may_serve(domain, placement.home_regions)
             for server in servers
             if not self._leaves(server)
         ]
@@ -240,6 +238,7 @@
             if record.cold_ms:
                 server.cold_until_ms = now_ms + record.cold_ms
         server.record = record
+        server.region = region
         return server
 
     def _ordered_regions(self, placement, domains, hash_fraction):
@@ -274,19 +273,16 @@
                 return region
         return self._region
 
-    def _may_serve(self, domain, placement):
+    def _may_serve(self, domain, home_regions):
         if domain in self._evacuated:
             return False
-        if not placement.home_regions:
+        if not home_regions:
             return True
-        return self._regions.get(domain, '') in placement.home_regions
+        return self._regions.get(domain, '') in home_regions
 
     def _usable_servers(self, domains, region, placement, now_ms):
         """Yield the usable servers of a region in order of preference."""
         for server in self._server_order(domains, region, placement):
-            domain = server.record.failure_domain
-            if not self._may_serve(domain, placement):
-                continue
             if self._is_usable(server, placement, now_ms):
                 yield server
 
@@ -312,7 +308,9 @@
 
     def _is_usable(self, server, placement, now_ms):
         record = server.record
-        if server.is_misdirected or self._leaves(server):
+        if server.is_misdirected:
+            return False
+        if not self.accepts(server, placement.home_regions):
             return False
         if not self.backoffs.accepts(record.start, now_ms):
             return False
--- a/fuchsiacart/gateway/relays.py
+++ b/fuchsiacart/gateway/relays.py
@@ -19,11 +19,13 @@
 from fuchsiacart.gateway.exchanges import ExchangeLimits
 from fuchsiacart.gateway.exchanges import OutboundRequest
 from fuchsiacart.gateway.exchanges import request_line
+from fuchsiacart.gateway.gateway_selectors import may_see
 from fuchsiacart.gateway.hop_headers import end_to_end_headers
 from fuchsiacart.gateway.hop_headers import parse_start
 from fuchsiacart.gateway.hop_headers import RELAYED_FOR
 from fuchsiacart.gateway.hop_headers import RELAYED_ID
 from fuchsiacart.gateway.hop_headers import RELAYED_LEAVING
+from fuchsiacart.gateway.hop_headers import RELAYED_VERSION
 from fuchsiacart.logs import log_event
 from fuchsiacart.metrics import GATEWAY_RELAYS
 from fuchsiacart.problems import Problem
@@ -33,6 +35,8 @@
 CONNECT_TIMEOUT_S = 0.3
 # Statuses by which callers know that a request has not run.
 NOT_RUN_STATUSES = (408, 421, 429, 503)
+# A gateway that reaches no server either, or whose configuration is older.
+UNABLE_KINDS = (ErrorKind.ISOLATED, ErrorKind.STALE)
 
 
 class RelayTarget(Struct, frozen=True):
@@ -83,14 +87,25 @@
     def is_relayed(self, request):
         """Return True if another gateway relayed a request.
 
-        :param request: the :class:`InboundRequest` as it came.
+        :param request: the :class:`InboundRequest`, before :meth:`read`.
         """
         return request.is_relayed and self.selector.is_gateway(request.caller)
 
-    async def make_attempt(self, attempts):
+    def needed_version(self, request):
+        """Return the version of the configuration that a request needs.
+
+        That of the gateway that relayed it, or 0 for any version.
+
+        :param request: the :class:`InboundRequest`, before :meth:`read`.
+        """
+        return request.relayed_version if self.is_relayed(request) else 0
+
+    async def make_attempt(self, attempts, update_homes):
         """Send a request to another gateway.
 
         :param attempts: the :class:`Attempts` of the request.
+        :param update_homes: brings the home regions of the attempts up to
+            date; called once the connection is open.
         :return: the :class:`ServerResponse`, or None if the attempt failed.
         :raises RequestError: if no gateway is left, or the request was
             relayed already.
@@ -111,7 +126,11 @@
         try:
             result = await self._pool.exchange(
                 _target_of(host),
-                self._make_request(attempts.request, host.name),
+                self._make_request(
+                    attempts,
+                    host.name,
+                    lambda: self._may_send(attempts, host, update_homes),
+                ),
                 ExchangeLimits(
                     min(CONNECT_TIMEOUT_S, left_s), attempts.deadline_s
                 ),
@@ -123,16 +142,22 @@
         self._log(attempts, host, result, monotonic() - started_s)
         return response
 
-    def _make_request(self, request, gateway):
+    def _may_send(self, attempts, host, update_homes):
+        update_homes(attempts)
+        return may_see(host.region, attempts.route.home_regions)
+
+    def _make_request(self, attempts, gateway, may_send):
+        request = attempts.request
         return OutboundRequest(
             request_line(request.method, request.target),
-            lambda left_ms: self._make_headers(request, left_ms),
+            lambda left_ms: self._make_headers(attempts, left_ms),
             request.body or None,
             request.metadata.request_id,
             self._read_id,
             lambda status, headers: self._read_statement(
                 request, gateway, headers
             ),
+            may_send,
         )
 
     def _read_statement(self, request, gateway, headers):
@@ -141,10 +166,14 @@
         if start is not None:
             self._statements.record_departure(start, request, gateway)
 
-    def _make_headers(self, request, left_ms):
+    def _make_headers(self, attempts, left_ms):
+        request = attempts.request
         headers = end_to_end_headers(request.headers)
         self._dialect.write_deadline(headers, left_ms)
         headers[RELAYED_FOR] = request.caller
+        headers[RELAYED_VERSION] = str(attempts.version)
+        # A gateway that doesn't know the header drops what this one lists.
+        headers['Connection'] = RELAYED_VERSION
         if request.has_length:
             headers['Content-Length'] = str(len(request.body))
         return headers
@@ -155,8 +184,8 @@
     def _record(self, attempts, host, result):
         """Record a result and return its response, None if it has none."""
         response = result.response
-        if response is not None and self._is_isolated(response):
-            attempts.last_failure = f'{host.name} reaches no server either'
+        if response is not None and self._is_unable(response):
+            attempts.last_failure = f'{host.name} cannot serve it'
             attempts.failed_relays += 1
             self.selector.avoid(host.name, steady_ms())
             return None
@@ -187,8 +216,8 @@
         is_refusal = response.status in NOT_RUN_STATUSES
         return is_refusal and not metadata.is_authentic
 
-    def _is_isolated(self, response):
-        """Return True if the gateway refused since it is isolated too."""
+    def _is_unable(self, response):
+        """Return True if another gateway may serve what this one refused."""
         if response.headers.get('Content-Type') != PROBLEM_TYPE:
             return False
         metadata = self._dialect.read_response(
@@ -201,7 +230,7 @@
         except MsgspecError as error:
             log_event('problem_not_read', detail=str(error))
             return False
-        return problem.kind is ErrorKind.ISOLATED
+        return problem.kind in UNABLE_KINDS
 
     def _log(self, attempts, host, result, taken_s):
         outcome = (
--- a/fuchsiacart/gateway/server_attempts.py
+++ b/fuchsiacart/gateway/server_attempts.py
@@ -34,8 +34,8 @@
     :param demands: the :class:`DemandMeter`.
     :param evidence: the :class:`EvidenceMeter`.
     :param suspects: the :class:`SuspectTracker`.
-    :param selector: the :class:`ServerSelector`.
     :param statements: the :class:`ServerStatements`.
+    :param backoffs: the :class:`BackoffLedger`.
     """
 
     def __init__(
@@ -46,8 +46,8 @@
         demands,
         evidence,
         suspects,
-        selector,
         statements,
+        backoffs,
     ):
         self._dialect = dialect
         self._pool = pool
@@ -55,12 +55,16 @@
         self._demands = demands
         self._evidence = evidence
         self._suspects = suspects
-        self._selector = selector
         self._statements = statements
+        self._backoffs = backoffs
 
-    async def make_attempt(self, attempts, server):
+    async def make_attempt(self, attempts, server, may_send):
         """Send a request to a server.
 
+        :param attempts: the :class:`Attempts` of the request.
+        :param server: the :class:`TrackedServer`.
+        :param may_send: asked once the connection is open; returns False if
+            the request must not be sent to the server any more.
         :return: the response, or None if the attempt failed.
         :raises RequestError: if the deadline has passed already.
         """
@@ -70,8 +74,7 @@
         if left_s <= 0:
             raise attempts.make_deadline_error()
         known_losses = self._suspects.losses_in_row(request)
-        backoffs = self._selector.backoffs
-        counted = backoffs.begin(record.start)
+        counted = self._backoffs.begin(record.start)
         server.in_flight += 1
         started_s = monotonic()
         try:
@@ -88,8 +91,9 @@
                     lambda status, headers: self._read_statement(
                         request, record, status, headers
                     ),
-                    lambda: self._selector.may_send(
-                        server, counted, steady_ms()
+                    lambda: may_send()
+                    and self._backoffs.may_send(
+                        record.start, counted, steady_ms()
                     ),
                 ),
                 ExchangeLimits(
@@ -98,7 +102,7 @@
             )
         finally:
             server.in_flight -= 1
-            backoffs.end(counted)
+            self._backoffs.end(counted)
         taken_s = monotonic() - started_s
         attempts.record_result(result)
         if result.failure is not None:
@@ -110,7 +114,7 @@
             return None
         response = self._handle_response(attempts, server, result, taken_s)
         if response is not None and response.status < MIN_SERVER_ERROR_STATUS:
-            backoffs.record_success(record.start, counted)
+            self._backoffs.record_success(record.start, counted)
         return response
 
     def _read_statement(self, request, record, status, headers):
