Wait for a candidate that a voter has voted for in the term before

Timeline, slow disk on c1, which led term 2 and lost power at 1.43 s: elected again for term 3 at 2.88 s; c2, which had voted for it at 2.85 s, started an election at 2.88 s and won a pre-vote of c3, so term 4 ended that leader at 3.14 s, before its replacement began; the next leader stood at 4.80 s.

Cause: a voter restarted its election timer only if the candidate was another one than in its earlier vote, whatever the term of that vote. Class: two values of different terms compared without their terms. Now the term counts.

Evidence: the new scenario failed before and passes.

--- a/features/elections.feature
+++ b/features/elections.feature
@@ -59,6 +59,12 @@
     When the deciding vote and late ticks come in one batch
     Then it goes on to lead
 
+  Scenario: a voter waits for its candidate, also if it voted for the same one before
+    Given a voter that has voted for "b" and whose election is nearly due
+    When "b" asks for its vote in the next term
+    Then it starts no election within an election timeout
+    But it starts one within two election timeouts
+
   Scenario Outline: hosts with slow disks get a leader
     Given <running> of <voters> voters that run, whose writes take <write> ms
     When they start after a loss of power
--- a/fuchsiacart/control/timed_consensus.py
+++ b/fuchsiacart/control/timed_consensus.py
@@ -67,8 +67,7 @@
         if is_from_leader and message.term == step.state.term:
             self._timer.on_leader_message(now_ms)
             self._adopt_silences(step.state, message, now_ms)
-        has_voted = step.state.voted_for not in (state.voted_for, None)
-        if has_voted and step.state.voted_for != state.replica:
+        if _has_granted_vote(state, step.state):
             self._timer.restart(now_ms)
         if step.state.role is Role.LEADER:
             confirmed = self.rules.confirmed_round(step.state)
@@ -242,6 +241,13 @@
             self._contacts.adopt(state.group.members, message.silences, now_ms)
 
 
+def _has_granted_vote(before, after):
+    """Return True if a step gave the vote of its term to another replica."""
+    if after.voted_for in (None, after.replica):
+        return False
+    return (before.term, before.voted_for) != (after.term, after.voted_for)
+
+
 def _find_end(before, after):
     """Return why a candidate has become a follower."""
     if after.leader is not None:
--- a/tools/seeded_faults/control.py
+++ b/tools/seeded_faults/control.py
@@ -82,6 +82,13 @@
             ),
         ),
     ),
+    Fault(
+        'a vote for the candidate of the term before restarts no timer',
+        'control/timed_consensus.py',
+        '(before.term, before.voted_for) != (after.term, after.voted_for)',
+        'before.voted_for != after.voted_for',
+        'elections',
+    ),
     Fault(
         'a host with a lost disk keeps its identity and votes',
         'control/journals.py',
