Repeat a candidate's requests for votes until its election ends

Cause: a candidate asked once in a term, though messages are lost and a call is dropped with its connection; a leader repeats its entries. Class: a message that is sent once and waited for. Now it asks those that have not granted their vote again each heartbeat interval.

Evidence: the scenario failed before and passes.

--- a/features/elections.feature
+++ b/features/elections.feature
@@ -65,6 +65,21 @@
     Then it starts no election within an election timeout
     But it starts one within two election timeouts
 
+  Scenario: a candidate whose requests for votes are lost asks again in the same term
+    Given a voter of five that asks for votes, of which one answer has come
+    When no other answer comes for a heartbeat interval
+    Then it has asked the 3 others for votes in the same term again
+
+  Scenario: a voter that hears nothing does not keep slow ones from being elected
+    Given groups of 5 control hosts in simulated time, seeds 1 to 40
+    When the leader is lost, the first host hears nothing and the last one is 100 ms further away
+    Then each group has a new leader within 15000 ms
+
+  Scenario: a voter that leads or follows asks for no votes again
+    Given a voter of five that asks for votes, of which one answer has come
+    When it is elected, or hears of a newer term
+    Then it sends no request for votes for a heartbeat interval
+
   Scenario Outline: hosts with slow disks get a leader
     Given <running> of <voters> voters that run, whose writes take <write> ms
     When they start after a loss of power
--- a/fuchsiacart/control/election_rules.py
+++ b/fuchsiacart/control/election_rules.py
@@ -62,13 +62,28 @@
         )
         if state.group.is_quorum(state.granted):
             return self._become_candidate(state)
-        request = PreVoteRequest(
-            state.replica,
-            state.term + 1,
-            state.last_index,
-            state.last_term,
+        return self.request_votes(state)
+
+    def request_votes(self, state):
+        """Ask the voters that have not granted their vote or pre-vote.
+
+        :param state: the state of any replica.
+        :return: the step; unchanged unless it is a candidate or
+            pre-candidate.
+        """
+        if state.role is Role.PRE_CANDIDATE:
+            kind, term = PreVoteRequest, state.term + 1
+        elif state.role is Role.CANDIDATE:
+            kind, term = VoteRequest, state.term
+        else:
+            return Step(state)
+        request = kind(state.replica, term, state.last_index, state.last_term)
+        outbound = tuple(
+            OutboundMessage(voter, request)
+            for voter in state.group.voters
+            if voter not in state.granted
         )
-        return Step(state, self._messages_to_voters(state, request))
+        return Step(state, outbound)
 
     def find_refusal(self, state, request, leader_is_fresh=False):
         """Return why a replica refuses to vote for a candidate.
@@ -108,13 +123,6 @@
         :return: the :class:`Step`.
         """
 
-    def _messages_to_voters(self, state, message):
-        return tuple(
-            OutboundMessage(voter, message)
-            for voter in state.group.voters
-            if voter != state.replica
-        )
-
     def _adopt_term(self, state, term):
         return replace(
             state,
@@ -170,10 +178,7 @@
         )
         if state.group.is_quorum(state.granted):
             return self._become_leader(state)
-        request = VoteRequest(
-            state.replica, state.term, state.last_index, state.last_term
-        )
-        return Step(state, self._messages_to_voters(state, request))
+        return self.request_votes(state)
 
     def _on_vote(self, state, message, leader_is_fresh):
         if leader_is_fresh and message.term > state.term:
--- a/fuchsiacart/control/timed_consensus.py
+++ b/fuchsiacart/control/timed_consensus.py
@@ -43,6 +43,7 @@
         )
         self._contacts = ContactLog(now_ms)
         self._last_heartbeat_ms = 0.0
+        self._last_request_ms = 0.0
         self._elected_ms = now_ms
         self._report = ElectionReport()
         self._commits = CommitTimes()
@@ -84,7 +85,7 @@
         if state.role is Role.LEADER:
             return self._tick_leader(state, now_ms)
         if not self._timer.is_due(now_ms):
-            return Step(state)
+            return self._repeat_requests(state, now_ms)
         self._timer.restart_as_candidate(now_ms)
         if is_candidate(state):
             self._log_lost_election(state, 'timeout')
@@ -196,6 +197,20 @@
         self._commits.record(now_ms, state.commit_index)
         return self.rules.heartbeat(state)
 
+    def _repeat_requests(self, state, now_ms):
+        """Ask for votes again, as requests or responses may be lost.
+
+        Pre-candidates do not: others leave the election to them, and would
+        do so for ever if their responses never arrive.
+        """
+        if state.role is not Role.CANDIDATE:
+            return Step(state)
+        interval_ms = self._settings.heartbeat_ms
+        if now_ms - self._last_request_ms < interval_ms:
+            return Step(state)
+        self._last_request_ms = now_ms
+        return self.rules.request_votes(state)
+
     def _log_refusal(self, state, request, has_contact):
         refusal = self.rules.find_refusal(state, request, has_contact)
         if refusal is None:
@@ -221,6 +236,7 @@
             self._elected_ms = now_ms
             self._commits = CommitTimes()
         elif after.role is Role.CANDIDATE:
+            self._last_request_ms = now_ms
             # The votes take another round and the writes of all voters.
             self._timer.restart_as_candidate(now_ms)
         elif is_candidate(before):
--- a/tools/seeded_faults/control.py
+++ b/tools/seeded_faults/control.py
@@ -89,6 +89,27 @@
         'before.voted_for != after.voted_for',
         'elections',
     ),
+    Fault(
+        'a candidate asks for votes once',
+        'control/timed_consensus.py',
+        'if state.role is not Role.CANDIDATE:',
+        'if True:',
+        'elections',
+    ),
+    Fault(
+        'a pre-candidate asks again and keeps others from being elected',
+        'control/timed_consensus.py',
+        'if state.role is not Role.CANDIDATE:',
+        'if not is_candidate(state):',
+        'elections',
+    ),
+    Fault(
+        'a candidate asks those again that have granted their votes',
+        'control/election_rules.py',
+        'if voter not in state.granted',
+        'if voter != state.replica',
+        'elections',
+    ),
     Fault(
         'a host with a lost disk keeps its identity and votes',
         'control/journals.py',
