Let a candidate wait until a slow voter can have answered

Timeline without the repeated requests, like with them: c3 asks for votes at 2.44 s and begins a new election at 2.66 s, though nobody had refused; the answer of c4, 260 ms away with its slow disk and needed by the three voters left, came too late, in the next term too; it led at 3.78 s.

Cause: the shortest wait of a candidate, a quarter of the election timeout, is taken to cover the write of the voters, but only this replica's own writes are added. Each try in a new term makes all voters write again.

--- a/fuchsiacart/control/elections.py
+++ b/fuchsiacart/control/elections.py
@@ -31,11 +31,12 @@
     def restart_as_candidate(self, now_ms):
         """Restart the timeout before this replica's next try.
 
-        There is no leader to wait for; the random time covers a round trip
-        and keeps candidates that split the votes apart.  The voters write
-        too, and are taken to need as long for it as this replica does.
+        There is no leader to wait for.  The shortest time covers a round trip
+        and the write of a slow voter, as each try in a new term makes all
+        voters write; the random part keeps candidates that split the votes
+        apart.  Voters are taken to need as long as this replica at least.
         """
-        wait_ms = self._random.uniform(self._timeout_ms / 4, self._timeout_ms)
+        wait_ms = self._random.uniform(self._timeout_ms / 2, self._timeout_ms)
         self._election_due_ms = now_ms + wait_ms + self._write_ms
 
     def on_leader_message(self, now_ms):
--- a/tools/seeded_faults/control.py
+++ b/tools/seeded_faults/control.py
@@ -110,6 +110,13 @@
         'if voter != state.replica',
         'elections',
     ),
+    Fault(
+        'a candidate gives up before a slow voter answers',
+        'control/elections.py',
+        'self._random.uniform(self._timeout_ms / 2, self._timeout_ms)',
+        'self._random.uniform(self._timeout_ms / 4, self._timeout_ms)',
+        'replacement_times',
+    ),
     Fault(
         'a host with a lost disk keeps its identity and votes',
         'control/journals.py',
