--- a/features/replacement_times.feature
+++ b/features/replacement_times.feature
@@ -25,3 +25,8 @@
     Given groups of 5 voters in simulated time that lose and delay messages, one with a slow disk, seeds 1 to 60
     When two disks are lost at once and the hosts come back
     Then each new replica is a voter within the time to catch up
+
+  Scenario: a disk lost with the power of all hosts is replaced within the time to catch up
+    Given groups of 5 voters in simulated time that lose and delay messages, one with a slow disk, seeds 1 to 60
+    When all hosts lose power and one of them its disk
+    Then each new replica is a voter within the time to catch up
