--- a/fuchsiacart/control/timed_consensus.py
+++ b/fuchsiacart/control/timed_consensus.py
@@ -43,6 +43,7 @@
         )
         self._contacts = ContactLog(now_ms)
         self._last_heartbeat_ms = 0.0
+        self._last_request_ms = 0.0
         self._elected_ms = now_ms
         self._report = ElectionReport()
         self._commits = CommitTimes()
@@ -67,8 +68,7 @@
         if is_from_leader and message.term == step.state.term:
             self._timer.on_leader_message(now_ms)
             self._adopt_silences(step.state, message, now_ms)
-        has_voted = step.state.voted_for not in (state.voted_for, None)
-        if has_voted and step.state.voted_for != state.replica:
+        if _has_granted_vote(state, step.state):
             self._timer.restart(now_ms)
         if step.state.role is Role.LEADER:
             confirmed = self.rules.confirmed_round(step.state)
@@ -85,7 +85,7 @@
         if state.role is Role.LEADER:
             return self._tick_leader(state, now_ms)
         if not self._timer.is_due(now_ms):
-            return Step(state)
+            return self._repeat_requests(state, now_ms)
         self._timer.restart_as_candidate(now_ms)
         if is_candidate(state):
             self._log_lost_election(state, 'timeout')
@@ -197,6 +197,20 @@
         self._commits.record(now_ms, state.commit_index)
         return self.rules.heartbeat(state)
 
+    def _repeat_requests(self, state, now_ms):
+        """Ask for votes again, as requests or responses may be lost.
+
+        Pre-candidates do not: others leave the election to them, and would
+        do so for ever if their responses never arrive.
+        """
+        if state.role is not Role.CANDIDATE:
+            return Step(state)
+        interval_ms = self._settings.heartbeat_ms
+        if now_ms - self._last_request_ms < interval_ms:
+            return Step(state)
+        self._last_request_ms = now_ms
+        return self.rules.request_votes(state)
+
     def _log_refusal(self, state, request, has_contact):
         refusal = self.rules.find_refusal(state, request, has_contact)
         if refusal is None:
@@ -222,6 +236,7 @@
             self._elected_ms = now_ms
             self._commits = CommitTimes()
         elif after.role is Role.CANDIDATE:
+            self._last_request_ms = now_ms
             # The votes take another round and the writes of all voters.
             self._timer.restart_as_candidate(now_ms)
         elif is_candidate(before):
@@ -242,6 +257,13 @@
             self._contacts.adopt(state.group.members, message.silences, now_ms)
 
 
+def _has_granted_vote(before, after):
+    """Return True if a step gave the vote of its term to another replica."""
+    if after.voted_for in (None, after.replica):
+        return False
+    return (before.term, before.voted_for) != (after.term, after.voted_for)
+
+
 def _find_end(before, after):
     """Return why a candidate has become a follower."""
     if after.leader is not None:
