Let the soak's servers leave by their answers, and say for how long they are full

Servers that leave say so in all answers, 0 to 4 s before their heartbeats, at once, or with no heartbeat at all; half of the refusals of a full server name 0.3 to 3 s. Gateways connect to servers from their own address, so a server knows which one asks.

The ledger checks, from what servers and callers saw, that no request which was sent 2.5 s after a gateway had passed on a departure reaches that server from that gateway, or from the one that asked it on its behalf, and that at most two requests come between 0.5 s after a refusal and the end of its time. Only a start or a freeze of the gateway excuses the first; the second also a cut from all servers. An acknowledged removal binds as an acknowledged drain.

--- a/features/soak_ledger.feature
+++ b/features/soak_ledger.feature
@@ -60,3 +60,50 @@
       | 4       | 6      | is not   |
       | 6       | 4      | is not   |
       | 6       | 6      | is       |
+
+  Scenario Outline: requests at a server that has said that it leaves
+    Given a gateway that passes on at 10 s that a server leaves
+    And that gateway <event>
+    And a request that is sent at <sent_s> s and reaches <server> from <gateway>
+    Then the ledger reports <count> broken promises
+
+    Examples:
+      | event                   | sent_s | server         | gateway         | count |
+      | runs on                 | 12.4   | that server    | that gateway    | 0     |
+      | runs on                 | 12.6   | that server    | that gateway    | 1     |
+      | runs on                 | 12.6   | another server | that gateway    | 0     |
+      | runs on                 | 12.6   | that server    | another gateway | 0     |
+      | starts again at 12 s    | 13     | that server    | that gateway    | 0     |
+      | starts again at 9 s     | 13     | that server    | that gateway    | 1     |
+      | had another gateway ask | 12.6   | that server    | that gateway    | 1     |
+      | had another gateway ask | 12.6   | that server    | another gateway | 1     |
+
+  Scenario Outline: a gateway that knew of a departure before it started again learns of it again
+    Given a gateway that passes on at 10 s that a server leaves
+    And that gateway starts again at 11 s
+    And that gateway passes on so again at 12 s
+    And a request that is sent at <sent_s> s and reaches that server from that gateway
+    Then the ledger reports <count> broken promises
+
+    Examples:
+      | sent_s | count |
+      | 14     | 0     |
+      | 15     | 1     |
+
+  Scenario Outline: requests at a server that wants none for a while
+    Given a refusal to a gateway at 10 s, by a server that wants none for 2 s
+    And that gateway <event>
+    And <requests> requests that reach it from that gateway from <first_s> s on
+    Then the ledger reports <count> broken promises
+
+    Examples:
+      | event                                          | requests | first_s | count |
+      | runs on                                        | 2        | 11      | 0     |
+      | runs on                                        | 3        | 11      | 1     |
+      | runs on                                        | 9        | 10.1    | 0     |
+      | runs on                                        | 9        | 12.1    | 0     |
+      | starts again at 11 s                           | 3        | 11      | 0     |
+      | starts again at 9 s                            | 3        | 11      | 1     |
+      | is cut off from all servers from 9 to 10.5 s   | 3        | 11      | 0     |
+      | is cut off from all servers from 5 to 9 s      | 3        | 11      | 1     |
+      | meets a loop that is blocked from 10.1 to 11 s | 3        | 11      | 0     |
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -23,6 +23,7 @@
 OBJECT_COUNT = 40
 # In the refusal of a request that crashes servers.
 QUARANTINED = b'no_backend'
+SERVER_LEAVING = 'Server-Leaving'
 PATH_PREFIXES = ('/stock/', '/orders/', '/move/')
 
 
@@ -99,6 +100,8 @@
             self._soak.ledger.record_response(sent, 0, result.detail)
             self._close_connection()
             return
+        if SERVER_LEAVING in response.headers:
+            self._record_departure(sent, response)
         if response.status == 200:
             self._check_body(sent, response)
         if QUARANTINED in response.body and not sent.crashes_servers:
@@ -107,6 +110,15 @@
         if self._fixed_addresses or not self._connection.is_reusable:
             self._close_connection()
 
+    def _record_departure(self, sent, response):
+        """Record that the gateway passed on that a server leaves."""
+        statements = self._soak.ledger.statements
+        server = response.headers.get('X-Server-Stamp', '')
+        arrival = statements.find_arrival(sent.request_id, server)
+        if arrival is not None:
+            gateway = sent.gateway.partition(':')[0]
+            statements.record_departure(arrival, gateway, monotonic())
+
     def _check_body(self, sent, response):
         stamp = response.headers.get('X-Server-Stamp', '')
         expected = f'{sent.request_id} by {stamp}'.encode()
--- a/soak/ledger.py
+++ b/soak/ledger.py
@@ -11,10 +11,11 @@
 from soak.body_limits import is_large
 from soak.records import NEVER_S
 from soak.records import Order
+from soak.statements import DRAIN_LIMIT_S
+from soak.statements import StatementLedger
 
 # Time limits and retry budget of the users' deployments.
 CONFIG_APPLY_LIMIT_S = 2.5
-DRAIN_LIMIT_S = 2.5
 EVACUATION_LIMIT_S = 5.0
 RECONNECT_LIMIT_S = 4.0
 RESPONSE_SLACK_S = 0.5
@@ -56,6 +57,7 @@
         self.stalls = []
         self.drains_acked_s = {}
         self.crashes_s = {}
+        self.statements = StatementLedger()
         self.proper_quarantined = 0
         self.violations = []
 
@@ -134,6 +136,7 @@
                 self._check_request(sent)
             self._check_retry_budget()
             self._check_crashing_request()
+            self._check_statements()
             for cut in self.cuts:
                 self._check_cut(cut)
         for stop in self.stops:
@@ -187,6 +190,33 @@
         for run in sent.runs:
             self._check_run(sent, run)
 
+    def _check_statements(self):
+        """Check that gateways heeded what servers said in their answers."""
+        for arrival in self.statements.find_late_requests():
+            self.record_violation(
+                'DRAIN',
+                f'{arrival.request_id} at {arrival.server}, which leaves, from'
+                f' {arrival.gateway}',
+            )
+        for refusal in self.statements.find_unheeded_refusals(self._stalled_s):
+            if not self._was_cut(refusal):
+                self.record_violation(
+                    'BUDGET',
+                    f'{refusal.server} refused {refusal.gateway} for'
+                    f' {refusal.retry_after_s} s at {refusal.at_s:.3f}',
+                )
+
+    def _was_cut(self, refusal):
+        """Return True if a gateway was cut off while a server refused it."""
+        return any(
+            cut.start_s < refusal.ends_s
+            and cut.end_s > refusal.at_s
+            and any(
+                each.startswith(f'{refusal.gateway}:') for each in cut.gateways
+            )
+            for cut in self.cuts
+        )
+
     def _stalled_s(self, start_s, end_s):
         """Return the seconds of a span in which the loop was blocked."""
         return sum(
--- a/soak/processes.py
+++ b/soak/processes.py
@@ -232,6 +232,7 @@
                 stderr=log,
             )
         self._should_run = True
+        self._record_halt()
 
     def set_conditions(self, conditions):
         """Set the faults of the clock and the disk of the process."""
@@ -239,6 +240,7 @@
             conditions,
             server_prefix=self._soak.network.server_prefix,
             server_cut=self._server_cut,
+            source_address=self.public_address,
         )
         draft = self.folder / 'conditions.draft'
         draft.write_bytes(encode(conditions))
@@ -266,10 +268,12 @@
 
     def pause(self):
         """Suspend the process with SIGSTOP."""
+        self._record_halt()
         self.send_signal(SIGSTOP)
 
     def resume(self):
         """Resume the process with SIGCONT."""
+        self._record_halt()
         self.send_signal(SIGCONT)
 
     def reload(self):
@@ -327,6 +331,9 @@
             for since, until in self.disturbances
         )
 
+    def _record_halt(self):
+        self._soak.ledger.statements.record_halt(self.public_address)
+
     def _render_settings(self, bootstrap):
         private = self._soak.network.private_address(self.index)
         listeners = '\n'.join(
--- a/soak/runs.py
+++ b/soak/runs.py
@@ -25,8 +25,9 @@
 from soak.builds import BuildPlan
 from soak.callers import Caller
 from soak.crashing_callers import CrashingCaller
-from soak.faults import draw_plan
-from soak.faults import draw_server_cuts
+from soak.fault_plans import draw_plan
+from soak.fault_plans import draw_server_cuts
+from soak.fault_plans import draw_statements
 from soak.faults import FaultInjector
 from soak.large_callers import LargeCaller
 from soak.ledger import Ledger
@@ -76,7 +77,8 @@
         self.random = Random(f'traffic {seed}')
         self.plan = sorted(
             draw_plan(Random(seed))
-            + draw_server_cuts(Random(f'server cuts {seed}')),
+            + draw_server_cuts(Random(f'server cuts {seed}'))
+            + draw_statements(Random(f'statements {seed}')),
             key=lambda fault: fault.at_s,
         )
         self.member_plan = draw_member_plan(Random(f'group losses {seed}'))
@@ -332,6 +334,10 @@
         f' {soak.ledger.proper_quarantined} proper requests quarantined,'
         f' {len(violations)} broken'
     )
+    print(
+        f'  {soak.ledger.statements.departures} servers left by their answers,'
+        f' {len(soak.ledger.statements.refusals)} refusals with a time'
+    )
     for build, count in soak.builds.starts.items():
         print(f'  {count} starts of {build}')
     members = soak.member_injector
--- a/soak/servers.py
+++ b/soak/servers.py
@@ -15,6 +15,8 @@
 from soak.calls import fetch
 from soak.records import CRASHING_OBJECT
 from soak.records import RequestRun
+from soak.statements import ServerArrival
+from soak.statements import TimedRefusal
 
 HEARTBEAT_INTERVAL_S = 0.5
 WORK_RANGE_S = (0.01, 0.08)
@@ -25,6 +27,11 @@
 CLOSE_SHARE = 0.1
 # Time for which a leaving server still serves after its drain is acknowledged.
 LEAVE_DELAY_S = 3.5
+# Time for which a server says in its answers only that it leaves.
+NOTICE_RANGE_S = (0.0, 4.0)
+# Share of the refusals of a full server that say for how long.
+RETRY_AFTER_SHARE = 0.5
+RETRY_AFTER_RANGE_S = (0.3, 3.0)
 
 
 @unique
@@ -43,6 +50,19 @@
     FULL = 'full'
 
 
+@unique
+class LeaveForm(Enum):
+    """How a server that leaves announces it, besides in all its answers.
+
+    ``DRAINING`` says so in its heartbeats at once, ``NOTICE`` later.
+    ``UNREGISTERED`` only removes its registration.
+    """
+
+    DRAINING = 'draining'
+    NOTICE = 'notice'
+    UNREGISTERED = 'unregistered'
+
+
 class ServerHandler(RequestHandler):
     """Handles a request according to the mode of the server."""
 
@@ -54,13 +74,20 @@
         headers = self.request.headers
         request_id = headers.get('X-Attempt-Id', '')
         self.set_header('X-Attempt-Id', request_id)
+        if server.is_leaving:
+            self.set_header('Server-Leaving', '1')
         if headers.get('X-Expect-Instance') != server.name:
             self.set_status(421)
             self.set_header('X-Not-Run', '1')
             self.finish()
             return
+        self.set_header('X-Server-Stamp', server.name)
+        server.record_arrival(request_id, self.request)
         if server.mode is ServerMode.FULL:
             self.set_status(503)
+            retry_after_s = server.choose_retry_after_s(self.request)
+            if retry_after_s:
+                self.set_header('Retry-After', str(retry_after_s))
             self.set_header('X-Not-Run', '1')
             self.finish()
             return
@@ -74,7 +101,6 @@
             return
         if server.closes_connection():
             self.set_header('Connection', 'close')
-        self.set_header('X-Server-Stamp', server.name)
         if server.mode is ServerMode.FAILING:
             self.set_status(500)
         self.finish(f'{request_id} by {server.name}')
@@ -97,11 +123,13 @@
         self.domain = domain
         self.mode = ServerMode.HEALTHY
         self.state = 'ready'
+        self.is_leaving = False
         self.acked_s = 0.0
         self._soak = soak
         self._born_ms = int(time() * 1000)
         self._sequence = 0
         self._is_stopped = False
+        self._is_registered = True
         application = Application(
             [('.*', ServerHandler)], server=self, log_function=lambda _: None
         )
@@ -116,6 +144,35 @@
         """True once the server is gone."""
         return self._is_stopped
 
+    def record_arrival(self, request_id, request):
+        """Record in the ledger that a request has reached the server."""
+        sent = self._soak.ledger.requests.get(request_id)
+        if sent is None:
+            return
+        self._soak.ledger.statements.record_arrival(
+            ServerArrival(
+                request_id,
+                self.name,
+                request.remote_ip,
+                sent.sent_s,
+                monotonic(),
+            )
+        )
+
+    def choose_retry_after_s(self, request):
+        """Return for how long a refusal asks for no request, 0.0 if not."""
+        if self._soak.random.random() >= RETRY_AFTER_SHARE:
+            return 0.0
+        retry_after_s = round(
+            self._soak.random.uniform(*RETRY_AFTER_RANGE_S), 2
+        )
+        self._soak.ledger.statements.refusals.append(
+            TimedRefusal(
+                self.name, request.remote_ip, monotonic(), retry_after_s
+            )
+        )
+        return retry_after_s
+
     def record_run(self, request_id, request):
         """Record in the ledger that a request starts to run."""
         run = RequestRun(
@@ -142,17 +199,27 @@
         await sleep(work_s)
 
     async def send_heartbeats(self):
-        """Send heartbeats until the server has ended."""
-        while not self._is_stopped:
+        """Send heartbeats until the server has ended or says no more."""
+        while self._is_registered and not self._is_stopped:
             await self._send_heartbeat()
             await sleep(HEARTBEAT_INTERVAL_S)
 
-    async def leave(self):
+    async def leave(self, form):
         """Announce a drain and leave.
 
         The server still serves until ``LEAVE_DELAY_S`` after the
-        acknowledgement of the drain.
+        acknowledgement of the drain, or the removal of its registration.
+
+        :param form: the :class:`LeaveForm`.
         """
+        self.is_leaving = True
+        if form is not LeaveForm.DRAINING:
+            await sleep(self._soak.random.uniform(*NOTICE_RANGE_S))
+        if form is LeaveForm.UNREGISTERED:
+            await self._unregister()
+            await sleep(LEAVE_DELAY_S)
+            await self.crash()
+            return
         self.state = 'draining'
         while not self._soak.ledger.drains_acked_s.get(self.name):
             if self._is_stopped:
@@ -163,6 +230,14 @@
         await self._call('DELETE', {'born': self._born_ms})
         await self.crash()
 
+    async def _unregister(self):
+        """Remove the registration, unless the server has crashed."""
+        if self._is_stopped:
+            return
+        self._is_registered = False
+        if await self._call('DELETE', {'born': self._born_ms}):
+            self._soak.ledger.drains_acked_s.setdefault(self.name, monotonic())
+
     async def crash_under_request(self):
         """Crash, and come back later as another server."""
         self._soak.ledger.crashes_s.setdefault(self.name, monotonic())
