--- a/features/statements.feature
+++ b/features/statements.feature
@@ -193,6 +193,11 @@
     When 4 requests are answered 3.3 s later
     Then it sends any number of requests 3.3 s later
 
+  Scenario: an answer to a request from before a refusal says nothing about the server after it
+    Given a gateway that was told by a server to wait 1 s
+    When a request that was sent before is answered 1.6 s later
+    Then it sends 1 requests at once 1.6 s later
+
   Scenario: gateways do not return to a server that was full at the same moment
     Given 60 gateways that were told by a server to wait 2 s
     Then none returns within 2 s
--- a/features/steps/backoff_steps.py
+++ b/features/steps/backoff_steps.py
@@ -46,6 +46,12 @@
     context.ledger.record_success(START, counted)
 
 
+@when('a request that was sent before is answered {after_s:g} s later')
+def when_earlier_answered(context, after_s):
+    assert context.ledger.accepts(START, after_s * 1000)
+    context.ledger.record_success(START, None)
+
+
 @when('{count:d} requests are answered {after_s:g} s later')
 def when_many_answered(context, count, after_s):
     for _ in range(count):
--- a/tools/seeded_faults/__init__.py
+++ b/tools/seeded_faults/__init__.py
@@ -7,6 +7,7 @@
 from tools.seeded_faults.faults import Fault
 from tools.seeded_faults.gateway import GATEWAY_FAULTS
 from tools.seeded_faults.gateway_callers import GATEWAY_CALLER_FAULTS
+from tools.seeded_faults.statements import STATEMENT_FAULTS
 
 FAULTS = (
     COMMON_FAULTS
@@ -14,6 +15,7 @@
     + ENTRY_FAULTS
     + GATEWAY_FAULTS
     + GATEWAY_CALLER_FAULTS
+    + STATEMENT_FAULTS
 )
 
 __all__ = (
