--- a/features/steps/build_status_steps.py
+++ b/features/steps/build_status_steps.py
@@ -165,6 +165,15 @@
     context.expected = build_name(), 1
 
 
+@then('the status has a line for it with the build in production and format 1')
+def then_production(context):
+    """Check that it names a build, and not this one."""
+    cells = find_line(context.report, context.host.address)
+    assert cells[-1] == '1', context.report
+    assert cells[-2] not in ('-', build_name()), context.report
+    context.expected = cells[-2], 1
+
+
 @then('the status has a line for it without build and format')
 def then_no_build(context):
     cells = find_line(context.report, context.host.address)
