Emulate servers that leave by their answers and servers that are full

Emulated servers start anew one after the other and say so in answers only, or refuse all requests and say for how long.

--- a/features/emulation.feature
+++ b/features/emulation.feature
@@ -87,3 +87,57 @@
       | few servers         | 0.5   | 4     |
       | few servers         | 0.75  | 4     |
       | hundreds of servers | 0.6   | 1     |
+
+  Scenario Outline: servers that say in their answers only that they leave start anew
+    Given the emulated deployment "<deployment>"
+    And half of the servers leave by their answers one after the other, from 4 to 20 s
+    When seeds 1 to <seeds> are played with and without departures
+    Then no request is sent to a server that had told its gateway not to
+    And without departures some are
+    And fewer requests are broken off by servers that end than without
+    And one change for each of them tells all gateways that it leaves
+
+    Examples:
+      | deployment          | seeds |
+      | few servers         | 4     |
+      | hundreds of servers | 1     |
+
+  Scenario Outline: servers that are full at times say for how long
+    Given the emulated deployment "<deployment>"
+    And half of the servers are full for 1.5 s at a time, from 8 to 20 s
+    When seeds 1 to <seeds> are played with and without back-offs
+    Then no request is sent to a server that had told its gateway not to
+    And without back-offs some are
+    And more refusals come without a try at a server than without
+    And fewer requests end refused than without
+    And each kind is served at a quarter of the common rate or more
+    And the retries keep to their budget
+
+    Examples:
+      | deployment          | seeds |
+      | few servers         | 4     |
+      | hundreds of servers | 1     |
+
+  Scenario: callers are refused at once while all servers are full
+    Given the emulated deployment "few servers"
+    And all of the servers are full for 1.5 s at a time, from 8 to 20 s
+    When seeds 1 to 4 are played with and without back-offs
+    Then no request is sent to a server that had told its gateway not to
+    And without back-offs some are
+    And more refusals come without a try at a server than without
+    And each kind is served at a quarter of the common rate or more
+    And the retries keep to their budget
+
+  Scenario: callers are served no worse where half of the servers say for how long they are full
+    Given the emulated deployment "few servers"
+    And half of the servers are full for 1.5 s at a time, from 8 to 20 s
+    When seeds 1 to 4 are played with and without back-offs
+    Then fewer requests end refused than without
+    And all kinds together earn no less than without
+
+  Scenario: callers are served no worse where all servers say for how long they are full
+    Given the emulated deployment "few servers"
+    And all of the servers are full for 1.5 s at a time, from 8 to 20 s
+    When seeds 1 to 4 are played with and without back-offs
+    Then fewer requests end refused than without
+    And all kinds together earn no less than without
--- a/features/steps/emulation_steps.py
+++ b/features/steps/emulation_steps.py
@@ -6,12 +6,14 @@
 from msgspec.structs import replace
 
 from standins.emulation import BASELINES
+from standins.emulation.callers import ISOLATION_LIMIT_S
 from standins.emulation.deployments import MILLISECONDS
 from standins.emulation import Emulator
-from standins.emulation.emulator import ISOLATION_LIMIT_S
 from standins.emulation import Evacuation
 from standins.emulation import EXAMPLES
+from standins.emulation import Fullness
 from standins.emulation import Isolation
+from standins.emulation import Replacement
 from standins.emulation import Span
 from standins.emulation.tallies import WINDOW_MS
 
@@ -61,6 +63,26 @@
     context.plan = replace(context.plan, blind=(Span(start, end, 1.0),))
 
 
+@given(
+    'half of the servers leave by their answers one after the other, from'
+    ' {start:g} to {end:g} s'
+)
+def step_replacements(context, start, end):
+    context.plan = replace(
+        context.plan, replacements=(Replacement(0.5, start, end),)
+    )
+
+
+@given(
+    '{part} of the servers are full for {wait:g} s at a time, from {start:g}'
+    ' to {end:g} s'
+)
+def step_fullness(context, part, wait, start, end):
+    is_all = part == 'all'
+    fullness = Fullness(1.0 if is_all else 0.5, start, end, wait, is_all)
+    context.plan = replace(context.plan, fullness=(fullness,))
+
+
 @when('seeds {first:d} to {last:d} are played with and without {part}')
 def step_play(context, first, last, part):
     context.present, context.without = [], []
--- a/standins/emulation/__init__.py
+++ b/standins/emulation/__init__.py
@@ -2,10 +2,12 @@
 
 from standins.emulation.deployments import Deployment
 from standins.emulation.deployments import Evacuation
+from standins.emulation.deployments import Fullness
 from standins.emulation.deployments import Isolation
 from standins.emulation.deployments import Kind
 from standins.emulation.deployments import Noise
 from standins.emulation.deployments import Region
+from standins.emulation.deployments import Replacement
 from standins.emulation.deployments import Span
 from standins.emulation.deployments import Wave
 from standins.emulation.emulator import Emulator
@@ -20,11 +22,13 @@
     'Emulator',
     'EXAMPLES',
     'Evacuation',
+    'Fullness',
     'Isolation',
     'Kind',
     'Noise',
     'PRESENT',
     'Region',
+    'Replacement',
     'Span',
     'Tally',
     'Wave',
--- a/standins/emulation/__main__.py
+++ b/standins/emulation/__main__.py
@@ -8,7 +8,8 @@
 
   --example=NAME   "few servers" or "hundreds of servers"
                    [default: few servers]
-  --trouble=NAME   burst, shed, blind, isolation or evacuation
+  --trouble=NAME   burst, shed, blind, isolation, evacuation, replacements,
+                   full or "all full"
   --loads=LIST     factors of the load, by commas [default: 1]
   --policies=LIST  numbers of policies, by commas; 0 is the present one, the
                    others lack a part of it [default: 0,1,2,3,4,5]
@@ -30,7 +31,7 @@
 
 HEADER = (
     'policy                          load seed credit region window '
-    'refused failed sends isolated  windows'
+    'refused failed sends isolated after_no at_once  windows'
 )
 BAR = '▁▂▃▄▅▆▇█'
 
@@ -72,7 +73,8 @@
         f'{result.credit:6.3f} {result.worst_region:6.3f} '
         f'{result.worst_windows:6.3f} {result.refused:7.3f} '
         f'{result.failed:6.3f} {result.sends:5.2f} '
-        f'{result.isolated:8.3f}  {windows}',
+        f'{result.isolated:8.3f} {result.sends_after_no:8} '
+        f'{result.at_once:7.3f}  {windows}',
         flush=True,
     )
     for name, credit in sorted(result.by_kind.items()):
--- a/standins/emulation/deployments.py
+++ b/standins/emulation/deployments.py
@@ -71,6 +71,52 @@
     end_s: float
 
 
+class Replacement(Struct, frozen=True):
+    """A share of the servers of each region that start anew in turn.
+
+    From its turn, between ``start_s`` and ``end_s``, each says in all answers
+    that it leaves, but not in its heartbeats.  It ends ``serves_s`` later and
+    is back after another ``absent_s``.
+    """
+
+    share: float
+    start_s: float
+    end_s: float
+    serves_s: float = 3.5
+    absent_s: float = 2.0
+
+
+class Fullness(Struct, frozen=True):
+    """A share of the servers of each region that are full at times.
+
+    Half of the time, from ``start_s`` to ``end_s``, each refuses all requests
+    for ``wait_s``, and says for how long; all at the same time if they are
+    ``in_step``.
+    """
+
+    share: float
+    start_s: float
+    end_s: float
+    wait_s: float
+    in_step: bool = False
+
+    def wait_ms(self, now_ms, phase):
+        """Return for how long a server wants no request, 0 if it wants some.
+
+        :param now_ms: the current time.
+        :param phase: position of the server, 0 to 1.
+        """
+        now_s = now_ms / MILLISECONDS
+        if not self.start_s <= now_s < self.end_s:
+            return 0.0
+        period_s = 2 * self.wait_s
+        passed_s = now_s - self.start_s
+        if not self.in_step:
+            passed_s += phase * period_s
+        passed_s %= period_s
+        return max(0.0, self.wait_s - passed_s) * MILLISECONDS
+
+
 class Noise(Struct, frozen=True):
     """Work on a server takes ``factor`` times as long in some periods.
 
@@ -124,6 +170,8 @@
     blind: tuple[Span, ...] = ()
     evacuations: tuple[Evacuation, ...] = ()
     isolations: tuple[Isolation, ...] = ()
+    replacements: tuple[Replacement, ...] = ()
+    fullness: tuple[Fullness, ...] = ()
     seed: int = 1
 
     @property
--- a/standins/emulation/emulator.py
+++ b/standins/emulation/emulator.py
@@ -5,10 +5,8 @@
 :class:`SharedRetryBudget`, and for the leader :class:`ShareBalancer`.
 """
 
-from bisect import bisect
 from heapq import heappop
 from heapq import heappush
-from itertools import accumulate
 from itertools import count
 from random import Random
 
@@ -30,28 +28,23 @@
 from fuchsiacart.models import Host
 from fuchsiacart.models import HostId
 from fuchsiacart.servers import ServerRecord
+from standins.emulation.callers import EmulatedCallers
 from standins.emulation.deployments import MILLISECONDS
 from standins.emulation.gateways import SERVICE
 from standins.emulation.policies import PRESENT
+from standins.emulation.replacements import choose_servers
+from standins.emulation.replacements import ServerReplacements
 from standins.emulation.servers import EmulatedServer
 from standins.emulation.servers import Visit
-from standins.emulation.tallies import Ending
-from standins.emulation.tallies import Request
+from standins.emulation.statements import HeardStatements
 from standins.emulation.tallies import Tallies
 
 IN_REGION_MS = 2.0
-CALLER_MS = 5.0
 SHARE_STEP_MS = 1000.0
 RENEWAL_MS = 500.0
 SHARE_STEP_CAP = 0.03
-# Tries of a caller, of which all but the first follow a refusal.
-CALLER_TRIES = 2
-# Popularity of the objects of a kind by rank.
-SKEW = 0.2
 # Requests that are still in flight at the end get this time.
 CLOSING_S = 15.0
-# First tries count this long after gateways were cut off.
-ISOLATION_LIMIT_S = 3.0
 
 
 class Emulator:
@@ -69,8 +62,10 @@
         self.first_sends = 0
         self.largest_message = 0
         self.sends_between_regions = 0
+        self.broken_off = 0
+        self.heard = HeardStatements()
         self._board = LoadBoard()
-        self._random = Random(plan.seed)
+        self.random = Random(plan.seed)
         self._events = []
         self._order = count()
         self._demands = RegionDemands()
@@ -80,8 +75,15 @@
         terms = ServiceTerms(SERVICE, '/', 1000, 0.0, 0.0)
         item = Item(ItemId('services', SERVICE), terms, b'')
         self._view.configuration = Configuration(1, (item,))
+        self._full = [
+            (each, frozenset(choose_servers(plan, each.share)))
+            for each in plan.fullness
+        ]
         for region in plan.regions:
             self._add_servers(region)
+        self.replacements = ServerReplacements(
+            self, self._servers, self._view.servers
+        )
         self._gateways = {
             region.name: [
                 policy.make_gateway(self, _make_host(region.name, index))
@@ -96,25 +98,17 @@
         }
         self._apply_reach()
         self._view.shares = self._initial_shares()
-        self._index = ServerIndex(
-            self._view.servers.values(), plan.domains(), ''
-        )
-        self._apply_view()
-        self._weights = {
-            kind.name: list(
-                accumulate((rank + 1) ** -SKEW for rank in range(kind.objects))
-            )
-            for kind in plan.kinds
-        }
+        self.apply_view()
+        self.callers = EmulatedCallers(self, self._gateways)
 
     def play(self):
         """Play the whole duration and return the :class:`Tallies`."""
-        for index, region in enumerate(self.plan.regions):
-            for kind in self.plan.kinds:
-                self._schedule_arrival(index, region.name, kind)
+        self.callers.start()
         self.after(SHARE_STEP_MS, self._update_view)
         self._start_renewals()
-        end_ms = self._end_ms + CLOSING_S * MILLISECONDS
+        for replacement in self.plan.replacements:
+            self.replacements.schedule(replacement)
+        end_ms = self.end_ms + CLOSING_S * MILLISECONDS
         while self._events and self._events[0][0] <= end_ms:
             self.now_ms, _, action = heappop(self._events)
             action()
@@ -125,9 +119,11 @@
         entry = (self.now_ms + delay_ms, next(self._order), action)
         heappush(self._events, entry)
 
-    def send(self, request, gateway, tracked):
+    def send(self, request, gateway, tracked, counted):
         """Send a request from a gateway to a server."""
         server = self._servers[tracked.name]
+        start = tracked.record.start
+        self.heard.count_send(gateway.host.name, start, self.now_ms)
         delay_ms = IN_REGION_MS
         self.sends += 1
         self.first_sends += request.sends == 1
@@ -139,6 +135,7 @@
             request,
             gateway,
             tracked,
+            counted,
             delay_ms,
             self.now_ms,
             deadline_ms - delay_ms,
@@ -150,35 +147,33 @@
         if self.is_cut(visit.gateway.host):
             visit.gateway.on_lost_reply(visit)
             return
-        load = self._servers[visit.tracked.name].load()
-        self.after(
-            visit.delay_ms, lambda: visit.gateway.on_reply(visit, result, load)
-        )
+        server = self._servers[visit.tracked.name]
+        load, statement = server.load(), server.statement(result)
 
-    def refuse(self, request, retry_after_ms):
-        """Refuse a request; its caller may return after some time."""
-        if request.tries >= CALLER_TRIES:
-            self.tallies.add(request, Ending.REFUSED)
-            return
-        delay_ms = retry_after_ms + 2 * CALLER_MS
-        self.after(delay_ms, lambda: self._try(request))
-
-    def answer(self, request, is_success):
-        """Bring the final answer to the caller."""
-        taken_ms = self.now_ms + request.relay_ms + CALLER_MS
-        taken_ms -= request.sent_ms
-        if not is_success and self._may_repeat(request, taken_ms):
-            self.after(2 * CALLER_MS, lambda: self._try(request))
-            return
-        if not is_success or taken_ms > request.kind.deadline_ms:
-            self.tallies.add(request, Ending.FAILED)
-            return
-        if request.tries == 1 and self._counts_first(request.sent_ms):
-            self.tallies.first_served[request.is_isolated] += 1
-        is_in_time = taken_ms <= request.kind.objective_ms
-        self.tallies.add(
-            request, Ending.IN_TIME if is_in_time else Ending.LATE
-        )
+        def arrive():
+            name = visit.gateway.host.name
+            self.heard.record(name, server.start, statement, self.now_ms)
+            visit.gateway.on_reply(visit, result, load, statement)
+
+        self.after(visit.delay_ms, arrive)
+
+    def break_off(self, visit):
+        """Close the connection of a visit without an answer."""
+        self.broken_off += 1
+        self.after(visit.delay_ms, lambda: visit.gateway.on_broken(visit))
+
+    def refuse_connection(self, visit):
+        """Refuse the connection of a visit."""
+        self.after(visit.delay_ms, lambda: visit.gateway.on_refused(visit))
+
+    def report_departures(self, gateway):
+        """Tell the leader which servers leave by what a gateway was told."""
+        starts = gateway.selector.unconfirmed_departures()
+        if starts:
+            self.after(
+                self.plan.between_regions_ms,
+                lambda: self.replacements.take_report(starts),
+            )
 
     def is_cut(self, host):
         """Return True if a gateway is cut off from all servers now."""
@@ -213,20 +208,11 @@
         for gateway in self._by_name.values():
             gateway.reach.relays.apply_view(hosts)
 
-    def _counts_first(self, sent_ms):
-        """Return True if some gateways have been cut off for a while."""
-        return any(
-            each.start_s + ISOLATION_LIMIT_S
-            <= sent_ms / MILLISECONDS
-            < each.end_s
-            for each in self.plan.isolations
-        )
-
     def _start_renewals(self):
         for members in self._gateways.values():
             for gateway in members:
                 self._schedule_renewal(
-                    self._random.uniform(0, RENEWAL_MS), gateway
+                    self.random.uniform(0, RENEWAL_MS), gateway
                 )
 
     def _schedule_renewal(self, delay_ms, gateway):
@@ -234,6 +220,7 @@
 
     def _renew(self, gateway):
         """Tell the leader what is in flight; its reply holds the sums."""
+        self.report_departures(gateway)
         sent = count_in_flight(gateway.selector.servers)
         delay_ms = self.plan.between_regions_ms
         name = gateway.host.name
@@ -246,7 +233,7 @@
             self.after(delay_ms, lambda: gateway.take_loads(loads, sent_ms))
 
         self.after(delay_ms, answer)
-        if self.now_ms < self._end_ms:
+        if self.now_ms < self.end_ms:
             self._schedule_renewal(RENEWAL_MS, gateway)
 
     def busiest(self):
@@ -255,7 +242,8 @@
         return max(arrivals) * len(arrivals) / max(1, sum(arrivals))
 
     @property
-    def _end_ms(self):
+    def end_ms(self):
+        """The time until which callers send requests."""
         return self.plan.duration_s * MILLISECONDS
 
     def _add_servers(self, region):
@@ -265,38 +253,20 @@
             record = ServerRecord(
                 name, 1, 1, SERVICE, name, domain, self.plan.slots
             )
-            self._view.servers[name] = record
-            seed = f'{self.plan.seed}/{name}'
-            self._servers[name] = EmulatedServer(
-                self, self.plan, region.name, seed
-            )
-
-    def _schedule_arrival(self, index, region, kind):
-        rate = self.plan.arrival_rate(kind, index, self.now_ms)
-        delay_ms = self._random.expovariate(rate) * MILLISECONDS
-        if self.now_ms + delay_ms < self._end_ms:
-            self.after(delay_ms, lambda: self._arrive(index, region, kind))
-
-    def _arrive(self, index, region, kind):
-        self._schedule_arrival(index, region, kind)
-        weights = self._weights[kind.name]
-        rank = bisect(weights, self._random.random() * weights[-1])
-        key = f'{region}/{kind.name}/{rank}'
-        self._try(Request(kind, key, region, self.now_ms))
-
-    def _try(self, request):
-        request.tries += 1
-        gateway = self._random.choice(self._gateways[request.region])
-        if request.tries == 1 and self._counts_first(request.sent_ms):
-            request.is_isolated = self.is_cut(gateway.host)
-            self.tallies.first_tries[request.is_isolated] += 1
-        self.after(CALLER_MS, lambda: gateway.serve(request))
-
-    def _may_repeat(self, request, taken_ms):
-        return (
-            request.kind.is_idempotent
-            and request.tries < CALLER_TRIES
-            and taken_ms < request.kind.deadline_ms
+            self.add_server(record)
+
+    def add_server(self, record):
+        """Start a server, for the first time or anew.
+
+        :param record: its :class:`ServerRecord`.
+        """
+        self._view.servers[record.name] = record
+        self._servers[record.name] = EmulatedServer(
+            self,
+            self.plan,
+            self.plan.domains()[record.failure_domain],
+            record,
+            [each for each, names in self._full if record.name in names],
         )
 
     def _initial_shares(self):
@@ -333,8 +303,8 @@
             SERVICE, loads, self._view.shares, evacuated
         )
         self._view.evacuated = evacuated
-        self._apply_view()
-        if self.now_ms < self._end_ms:
+        self.apply_view()
+        if self.now_ms < self.end_ms:
             self.after(SHARE_STEP_MS, self._update_view)
 
     def _read_demands(self):
@@ -349,8 +319,12 @@
             }
         )
 
-    def _apply_view(self):
+    def apply_view(self):
+        """Bring the view of the leader to all gateways."""
         table = RouteTable(self._view.configuration)
+        self._index = ServerIndex(
+            self._view.servers.values(), self.plan.domains(), ''
+        )
         for gateways in self._gateways.values():
             for gateway in gateways:
                 gateway.selector.apply_view(self._view, table, self.now_ms)
--- a/standins/emulation/examples.py
+++ b/standins/emulation/examples.py
@@ -2,10 +2,12 @@
 
 from standins.emulation.deployments import Deployment
 from standins.emulation.deployments import Evacuation
+from standins.emulation.deployments import Fullness
 from standins.emulation.deployments import Isolation
 from standins.emulation.deployments import Kind
 from standins.emulation.deployments import Noise
 from standins.emulation.deployments import Region
+from standins.emulation.deployments import Replacement
 from standins.emulation.deployments import Span
 from standins.emulation.deployments import Wave
 
@@ -100,4 +102,7 @@
     'blind': {'blind': (Span(15.0, 16.8, 1.0),)},
     'isolation': {'isolations': (Isolation(0.5, 8.0, 18.0),)},
     'evacuation': {'evacuations': (Evacuation('noa-a', 8.0, 20.0),)},
+    'replacements': {'replacements': (Replacement(0.5, 4.0, 20.0),)},
+    'full': {'fullness': (Fullness(0.5, 8.0, 20.0, 1.5),)},
+    'all full': {'fullness': (Fullness(1.0, 8.0, 20.0, 1.5, True),)},
 }
--- a/standins/emulation/experiments.py
+++ b/standins/emulation/experiments.py
@@ -38,6 +38,9 @@
     ``refused`` and ``failed`` are shares of the requests.  ``sends`` counts
     those to servers, per request.  ``isolated`` is the share of first tries
     served at gateways that reach no server, relative to the others.
+    ``sends_after_no`` counts those to servers that had told the gateway that
+    they leave or are full.  ``at_once`` is the share of the refusals that came
+    without a try at a server.
     """
 
     policy: str
@@ -50,6 +53,8 @@
     failed: float
     sends: float
     isolated: float
+    sends_after_no: int
+    at_once: float
     by_kind: dict[str, float]
     by_window: tuple[float, ...]
 
@@ -97,6 +102,8 @@
         total.failed / total.count,
         emulator.sends / total.count,
         tallies.isolated_ratio(),
+        emulator.heard.sends_to_leaving + emulator.heard.sends_to_full,
+        emulator.callers.refusals_at_once / max(1, emulator.callers.refusals),
         {name: tally.credit for name, tally in tallies.by_kind.items()},
         tuple(tally.credit for _, tally in sorted(tallies.by_window.items())),
     )
--- a/standins/emulation/gateways.py
+++ b/standins/emulation/gateways.py
@@ -1,5 +1,7 @@
 """Emulated gateways: the decision classes of one gateway each."""
 
+from random import Random
+
 from fuchsiacart.gateway.admissions import choose_retry_after_ms
 from fuchsiacart.gateway.admissions import longest_retry_after_ms
 from fuchsiacart.gateway.admissions import RankedAdmission
@@ -37,7 +39,11 @@
         self._emulator = emulator
         self.host = host
         self.region = host.region
-        self.selector = ServerSelector(host.region, emulator.plan.domains())
+        self.selector = ServerSelector(
+            host.region,
+            emulator.plan.domains(),
+            Random(f'{emulator.plan.seed}/{host.name}'),
+        )
         self.admission = RankedAdmission()
         self.demands = DemandMeter()
         self.budget = SharedRetryBudget(settings, 0.0)
@@ -75,21 +81,52 @@
     def refuse_blind(self, request):
         """Refuse a request for want of a view."""
         left_ms = self._left_ms(request)
-        self._emulator.refuse(request, longest_retry_after_ms(left_ms))
+        self._emulator.callers.refuse(request, longest_retry_after_ms(left_ms))
 
-    def on_reply(self, visit, result, load):
+    def on_reply(self, visit, result, load, statement):
         """Take a server's response."""
         now_ms = self._emulator.now_ms
         request = visit.request
-        visit.tracked.in_flight -= 1
+        start = visit.tracked.record.start
+        self._release(visit.tracked, visit.counted)
         visit.tracked.record_report(load, now_ms)
         self.reach.record_response()
+        if statement.is_leaving:
+            self.record_departure(start)
+        if statement.wait_ms:
+            self.record_backoff(start, statement.wait_ms)
         if result is Result.NOT_RUN:
             self._retry(request)
             return
+        if result is Result.ANSWERED:
+            self.selector.backoffs.record_success(start, visit.counted)
         taken_s = (now_ms - visit.sent_ms) / MILLISECONDS
         self.demands.record_service_time(SERVICE, taken_s, load)
-        self._emulator.answer(request, result is Result.ANSWERED)
+        self._emulator.callers.answer(request, result is Result.ANSWERED)
+
+    def record_departure(self, start):
+        """Record that a server leaves, and report it."""
+        if self.selector.departures.add(start):
+            self._emulator.report_departures(self)
+
+    def record_backoff(self, start, wait_ms):
+        """Record that a server wants no request for some time."""
+        self.selector.backoffs.record(start, wait_ms, self._emulator.now_ms)
+
+    def on_broken(self, visit):
+        """Take a connection that its server has broken off."""
+        self._release(visit.tracked, visit.counted)
+        visit.tracked.record_failure(self._emulator.now_ms)
+        request = visit.request
+        if request.kind.is_idempotent and self._may_retry(request):
+            self._place(request)
+            return
+        self._emulator.callers.answer(request, False)
+
+    def on_refused(self, visit):
+        """Take a connection that a server has refused."""
+        visit.request.sends -= 1
+        self._fail_to_connect(visit.request, visit.tracked, visit.counted)
 
     def take_loads(self, load_map, counted_ms):
         """Take what other gateways have in flight at each server."""
@@ -97,12 +134,12 @@
 
     def on_lost_reply(self, visit):
         """Fail a request whose response does not arrive."""
-        visit.tracked.in_flight -= 1
+        self._release(visit.tracked, visit.counted)
         request = visit.request
         timeout_ms = request.received_ms + request.kind.timeout_ms
         self._emulator.after(
             max(0.0, timeout_ms - self._emulator.now_ms),
-            lambda: self._emulator.answer(request, False),
+            lambda: self._emulator.callers.answer(request, False),
         )
 
     def relay(self, request):
@@ -111,7 +148,9 @@
         host = self.reach.relays.choose((), request.excluded, now_ms)
         if host is None or request.relay_ms:
             left_ms = self._left_ms(request)
-            self._emulator.refuse(request, longest_retry_after_ms(left_ms))
+            self._emulator.callers.refuse(
+                request, longest_retry_after_ms(left_ms)
+            )
             return
         request.excluded |= {host.name}
         self._emulator.relay(request, self, host)
@@ -130,8 +169,12 @@
         request.relay_ms = delay_ms
         return True
 
-    def _fail_to_connect(self, request, tracked):
+    def _release(self, tracked, counted):
         tracked.in_flight -= 1
+        self.selector.backoffs.end(counted)
+
+    def _fail_to_connect(self, request, tracked, counted):
+        self._release(tracked, counted)
         tracked.record_failure(self._emulator.now_ms)
         self.reach.record_silent(tracked.name)
         request.unreachable += 1
@@ -141,13 +184,17 @@
         self._refuse(request)
 
     def _retry(self, request):
-        if request.sends < self._emulator.plan.max_attempts:
-            part = retry_part(self.urgency(request))
-            if self.budget.try_spend(self._emulator.now_ms, part):
-                self._place(request)
-                return
+        if self._may_retry(request):
+            self._place(request)
+            return
         self._refuse(request)
 
+    def _may_retry(self, request):
+        if request.sends >= self._emulator.plan.max_attempts:
+            return False
+        part = retry_part(self.urgency(request))
+        return self.budget.try_spend(self._emulator.now_ms, part)
+
     def urgency(self, request):
         """Return the urgency of a request; see :class:`RankedAdmission`."""
         return self.admission.urgency(
@@ -164,16 +211,16 @@
             self._refuse(request)
             return
         request.excluded |= {tracked.name}
+        tracked.in_flight += 1
+        counted = self.selector.backoffs.begin(tracked.record.start)
         if self.reach.is_cut:
-            tracked.in_flight += 1
             self._emulator.after(
                 CONNECT_TIMEOUT_MS,
-                lambda: self._fail_to_connect(request, tracked),
+                lambda: self._fail_to_connect(request, tracked, counted),
             )
             return
         request.sends += 1
-        tracked.in_flight += 1
-        self._emulator.send(request, self, tracked)
+        self._emulator.send(request, self, tracked, counted)
 
     def _make_placement(self, request):
         spent_ms = self._emulator.now_ms - request.received_ms
@@ -201,4 +248,4 @@
         wait_ms = choose_retry_after_ms(
             room_ms, longest_retry_after_ms(self._left_ms(request))
         )
-        self._emulator.refuse(request, wait_ms)
+        self._emulator.callers.refuse(request, wait_ms)
--- a/standins/emulation/policies.py
+++ b/standins/emulation/policies.py
@@ -39,6 +39,20 @@
         self.refuse_blind(request)
 
 
+class DepartureIgnoringGateway(EmulatedGateway):
+    """A gateway that goes by what servers say to the control group only."""
+
+    def record_departure(self, start):
+        """Ignore it."""
+
+
+class BackoffIgnoringGateway(EmulatedGateway):
+    """A gateway that ignores for how long servers want no request."""
+
+    def record_backoff(self, start, wait_ms):
+        """Ignore it."""
+
+
 class EvenBalancer(ShareBalancer):
     """A balancer that moves the shares in capped steps only."""
 
@@ -65,4 +79,6 @@
     'a wait for the view': Policy(ImpatientGateway),
     'a step for evacuations': Policy(make_balancer=EvenBalancer),
     'relays': Policy(UnrelayingGateway),
+    'departures': Policy(DepartureIgnoringGateway),
+    'back-offs': Policy(BackoffIgnoringGateway),
 }
--- a/standins/emulation/servers.py
+++ b/standins/emulation/servers.py
@@ -9,6 +9,7 @@
 from msgspec import Struct
 
 from fuchsiacart.gateway.dialects import ReportedLoad
+from standins.emulation.statements import Statement
 from standins.emulation.tallies import Request
 
 
@@ -24,13 +25,15 @@
 class Visit(Struct, eq=False):
     """One try of a request at one server.
 
-    ``tracked`` is the server as the gateway sees it, ``delay_ms`` the way
-    between the two.
+    ``tracked`` is the server as the gateway sees it, ``counted`` the
+    :class:`Backoff` that counts the visit, ``delay_ms`` the way between the
+    two.
     """
 
     request: Request
     gateway: object
     tracked: object
+    counted: object
     delay_ms: float
     sent_ms: float
     deadline_ms: float
@@ -42,35 +45,71 @@
     :param clock: the :class:`Emulator`.
     :param plan: the :class:`Deployment`.
     :param region: name of the region.
-    :param seed: seed of its random numbers.
+    :param record: the :class:`ServerRecord` of this start.
+    :param fullness: each :class:`Fullness` that it takes part in.
     """
 
-    def __init__(self, clock, plan, region, seed):
+    def __init__(self, clock, plan, region, record, fullness):
         self._clock = clock
         self._plan = plan
-        self._random = Random(seed)
+        self._random = Random(f'{plan.seed}/{record.name}')
+        self._fullness = fullness
+        self._phase = self._random.random() if fullness else 0.0
+        self._visits = set()
         self._running = 0
         self._waiting = deque()
         self._objects = OrderedDict()
         self._factor = 1.0
         self._factor_until_ms = 0.0
         self.region = region
+        self.start = record.start
+        self.is_leaving = False
+        self.has_ended = False
         self.arrivals = 0
 
     def receive(self, visit):
         """Run, queue or reject a visit."""
+        if self.has_ended or visit.tracked.record.start != self.start:
+            self._clock.refuse_connection(visit)
+            return
         self.arrivals += 1
+        if self.wait_ms():
+            self._clock.reply(visit, Result.NOT_RUN)
+            return
+        self._visits.add(visit)
         sheds = self._random.random() < self._plan.shed_share(
             self._clock.now_ms
         )
         if sheds or len(self._waiting) >= self._plan.queue:
-            self._clock.reply(visit, Result.NOT_RUN)
+            self._reply(visit, Result.NOT_RUN)
             return
         if self._running < self._plan.slots:
             self._run(visit)
             return
         self._waiting.append(visit)
 
+    def end(self):
+        """End, and break off all visits."""
+        self.has_ended = True
+        for visit in sorted(self._visits, key=lambda each: each.sent_ms):
+            self._clock.break_off(visit)
+
+    def wait_ms(self):
+        """Return for how long the server wants no request."""
+        now_ms = self._clock.now_ms
+        return max(
+            (each.wait_ms(now_ms, self._phase) for each in self._fullness),
+            default=0.0,
+        )
+
+    def statement(self, result):
+        """Return the :class:`Statement` of an answer.
+
+        :param result: the :class:`Result`.
+        """
+        is_refused = result is Result.NOT_RUN
+        return Statement(self.is_leaving, self.wait_ms() if is_refused else 0)
+
     def load(self):
         """Return the :class:`ReportedLoad`."""
         return ReportedLoad(
@@ -112,12 +151,18 @@
             self._objects.popitem(last=False)
         return work_ms * self._slowdown()
 
+    def _reply(self, visit, result):
+        self._visits.discard(visit)
+        self._clock.reply(visit, result)
+
     def _finish(self, visit, result):
+        if self.has_ended:
+            return
         self._running -= 1
-        self._clock.reply(visit, result)
+        self._reply(visit, result)
         while self._waiting and self._running < self._plan.slots:
             following = self._waiting.popleft()
             if following.deadline_ms <= self._clock.now_ms:
-                self._clock.reply(following, Result.NOT_RUN)
+                self._reply(following, Result.NOT_RUN)
                 continue
             self._run(following)
