Log when the view of a gateway names a later start of a server

With the lines attempt and server_leaving, which name the start that the view had, server_restarted tells whether a server's word was recorded for an earlier start than the one that requests go to next. No logic is changed.

--- a/fuchsiacart/gateway/forwarding.py
+++ b/fuchsiacart/gateway/forwarding.py
@@ -31,6 +31,7 @@
 from fuchsiacart.gateway.suspects import SuspectTracker
 from fuchsiacart.gateway.trials import TrialSchedule
 from fuchsiacart.gateway.view_freshness import ViewFreshness
+from fuchsiacart.logs import log_event
 from fuchsiacart.randomness import make_random
 
 
@@ -100,7 +101,9 @@
         ):
             self.route_table = RouteTable(view.configuration)
         self._gateway_count = max(1, gateway_count)
+        earlier = self.selector.servers
         self.selector.apply_view(view, self.route_table, steady_ms())
+        _log_restarts(earlier, view.servers)
         self._pool.retain(view.servers.values())
         self.reachability.apply_view(len(view.servers))
         if self.version:
@@ -311,6 +314,21 @@
         )
 
 
+def _log_restarts(earlier, records):
+    """Log the servers of which the view now has a later start."""
+    for name, record in records.items():
+        server = earlier.get(name)
+        if server is not None and server.record.born_ms < record.born_ms:
+            log_event(
+                'server_restarted',
+                server=name,
+                born_ms=record.born_ms,
+                earlier_born_ms=server.record.born_ms,
+                address=record.address,
+                state=record.state.value,
+            )
+
+
 def _make_stale_error(request):
     """Return the refusal of a request that needs a newer configuration."""
     return RequestError(
