Show that a server that starts again without a leader gets requests as it leaves

Through real processes: the control group has lost its leader, an instance starts again under its name and address and says in each answer that it leaves. The gateways stop using it.

--- a/features/steps/departure_steps.py
+++ b/features/steps/departure_steps.py
@@ -46,6 +46,14 @@
         self.sent_s = []
         self.said_s = None
 
+    async def start_again(self):
+        """Start again under its name and address, and leave from then on."""
+        self.restart()
+        await self.end_connections()
+        self.leaves = True
+        self.sent_s = []
+        self.said_s = None
+
     @property
     def late_count(self):
         """Number of requests that reached it and were sent too late."""
@@ -144,6 +152,53 @@
     fixture.run(send_for(context, (ip,), AFTER_S))
 
 
+@when('all but one control host are killed')
+def when_control_killed(context):
+    """Kill them, and wait until the last one refuses heartbeats."""
+    fixture = context.platform
+    for ip in fixture.seeds[1:]:
+        fixture.processes[ip].kill()
+        fixture.processes[ip].wait()
+    url = f'http://{fixture.seeds[0]}:{fixture.ports["control"]}/api/config'
+
+    async def has_no_leader():
+        reply = await fixture.fetch('GET', url)
+        return reply is not None and reply.code == 503
+
+    fixture.run(fixture.wait_until(has_no_leader))
+
+
+@when(
+    'the instance starts again, says in each answer that it leaves, and'
+    ' requests go on'
+)
+def when_starts_again(context):
+    """Send requests to each gateway until the new start has said so."""
+    fixture = context.platform
+    instance = fixture.instances[0]
+    context.statuses = []
+    fixture.run(instance.start_again())
+    fixture.run(send_for(context, fixture.gateways, DRAIN_S))
+    assert instance.said_s is not None, 'it got no request at all'
+
+
+@when('the control hosts start again, and requests go on')
+def when_control_restarted(context):
+    """Send requests until well after the new start has registered."""
+    fixture = context.platform
+    instance = fixture.instances[0]
+    instance.acknowledged_s = 0.0
+    for ip, domain in zip(fixture.seeds[1:], DOMAINS[1:]):
+        fixture.start('control', ip, domain)
+
+    async def is_registered():
+        await send_for(context, fixture.gateways, SEND_INTERVAL_S)
+        return instance.acknowledged_s
+
+    fixture.run(fixture.wait_until(is_registered))
+    fixture.run(send_for(context, fixture.gateways, AFTER_S))
+
+
 @then('it gets no request that was sent 2.5 s after it had said so')
 def then_no_late_arrival(context):
     instance = context.platform.instances[0]
--- a/features/steps/platform_path_steps.py
+++ b/features/steps/platform_path_steps.py
@@ -120,6 +120,15 @@
         self.is_down = True
         self._server.stop()
 
+    def restart(self):
+        """Start again under the same name and address."""
+        self._born_ms = int(time() * 1000)
+        self._sequence = 0
+
+    async def end_connections(self):
+        """Close all connections of callers."""
+        await self._server.close_all_connections()
+
     async def send_heartbeats(self):
         """Send heartbeats until the instance is down."""
         while not self.is_down:
