Check a start of a server before use if an earlier one has said that it leaves

Callers got answers from a server that had said, more than 2.5 s before they sent, that it leaves: one request of each gateway and more in flight beside it.

Cause: a gateway records what an answer says for the start that its view has. A server that starts again under its name and address answers before the view names its new start; while no leader is heard, that lasts. The earlier start was charged, and the new one was used as soon as it had registered. The same holds for the time that a 503 names.

Now a later start at the address that such an answer came from is in doubt, also if the answer comes after the view. It gets no request until a health check, sent since the view has it, shows what holds for it. Ruled out: times of start (clocks jump), and keeping the word for all starts of the name.

--- a/features/steps/departure_steps.py
+++ b/features/steps/departure_steps.py
@@ -10,6 +10,7 @@
 from behave import when
 
 from features.steps.platform_path_steps import DOMAINS
+from features.steps.platform_path_steps import HEALTH_PATH
 from features.steps.platform_path_steps import Instance
 from features.steps.platform_path_steps import InstanceHandler
 
@@ -27,6 +28,9 @@
     async def get(self):
         """See :class:`InstanceHandler`."""
         instance = self.application.settings['instance']
+        if self.request.path == HEALTH_PATH:
+            await super().get()
+            return
         sent_s = float(self.request.headers['X-Attempt-Id'].split('-')[1])
         instance.sent_s.append(sent_s)
         if instance.leaves:
@@ -34,6 +38,13 @@
             instance.said_s = instance.said_s or monotonic()
         await super().get()
 
+    def answer_check(self, instance):
+        """See :class:`InstanceHandler`."""
+        super().answer_check(instance)
+        if instance.leaves:
+            self.set_status(503)
+            self.set_header('Server-Leaving', '1')
+
 
 class LeavingInstance(Instance):
     """An instance whose heartbeats say that it is ready to the end."""
--- a/features/steps/forwarding_steps.py
+++ b/features/steps/forwarding_steps.py
@@ -175,6 +175,7 @@
         self.error = None
         self.servers = []
         self.services = ('stock',)
+        self.health_path = '/'
         self.run(self._open(count, fault))
 
     def run(self, coroutine):
@@ -234,7 +235,7 @@
         )
         items = [Item(ItemId('routes', 'route'), route, b'')]
         for service in self.services:
-            terms = ServiceTerms(service, '/', 100, 0.0, 0.0)
+            terms = ServiceTerms(service, self.health_path, 100, 0.0, 0.0)
             items.append(Item(ItemId('services', service), terms, b''))
         version = self.view.configuration.version + 1
         self.view.configuration = Configuration(version, tuple(items))
--- a/features/steps/platform_path_steps.py
+++ b/features/steps/platform_path_steps.py
@@ -38,6 +38,7 @@
 # Each instance that runs this path crashes.
 POISON_PATH = '/stock/poison'
 FIRST_CALLER_HOST = 40
+HEALTH_PATH = '/'
 # A suspect reaches all gateways with two lease renewals.
 SUSPECT_WAIT_S = 1.5
 TEMPLATE = """
@@ -81,6 +82,9 @@
     async def get(self):
         """Answer; a path with /slow takes ``SLOW_S``."""
         instance = self.application.settings['instance']
+        if self.request.path == HEALTH_PATH:
+            self.answer_check(instance)
+            return
         instance.served.append(monotonic())
         if self.request.path == POISON_PATH:
             instance.crash()
@@ -92,6 +96,10 @@
         self.set_header('X-Server-Stamp', f'stamp-of-{instance.name}')
         self.finish(f'{self.request.headers["X-Expect-Instance"]}')
 
+    def answer_check(self, instance):
+        """Answer a health check."""
+        self.set_header('X-Instance-Id', instance.name)
+
 
 class Instance:
     """An instance that answers requests and sends heartbeats."""
@@ -339,7 +347,7 @@
         service = {
             'type': 'services',
             'metadata': {'name': 'stock'},
-            'spec': {'health_path': '/', 'cold_per_s': 5},
+            'spec': {'health_path': HEALTH_PATH, 'cold_per_s': 5},
         }
         self.body = {
             'version': f'r{self.version}',
--- a/features/steps/statement_steps.py
+++ b/features/steps/statement_steps.py
@@ -14,6 +14,7 @@
 
 from features.steps.forwarding_steps import REQUEST_ID
 from features.steps.stating_servers import answer
+from features.steps.stating_servers import HEALTHY
 from features.steps.stating_servers import KIND
 from features.steps.stating_servers import LEAVING_HEADER
 from features.steps.stating_servers import StatementFixture
@@ -112,6 +113,7 @@
     """Register a later start, which says nothing of itself."""
     fixture = context.statements
     fixture.first.respond = answer
+    fixture.first.health = HEALTHY
     fixture.put_record(born_ms=2)
 
 
@@ -289,13 +291,20 @@
 
 @then('one line tells that the first server is full, for {wait_ms:d} ms')
 def then_full_logged(context, wait_ms):
-    fixture = context.statements
+    check_full_lines(context.statements, REQUEST_ID, wait_ms)
+
+
+def check_full_lines(fixture, request_id, wait_ms):
+    """Check that one line tells that the first server is full.
+
+    :param request_id: the request that was refused, '' for a check.
+    """
     lines = [
         (fields['server'], fields['request'], fields['wait_ms'])
         for event, fields in fixture.lines
         if event == 'server_full'
     ]
-    assert lines == [(fixture.first.name, REQUEST_ID, wait_ms)], lines
+    assert lines == [(fixture.first.name, request_id, wait_ms)], lines
 
 
 @then('it has no evidence against the first server')
@@ -355,7 +364,9 @@
     """
     fixture = context.statements
     fixture.forwarder.relay.apply_view(())
+    fixture.first.health = HEALTHY
     fixture.put_record(born_ms=2)
+    fixture.run(fixture.finish_checks())
     headers = fixture.run(
         _answered_headers(fixture, f'{RELAYED_FOR}: 10.1.1.1')
     )
--- a/features/steps/stating_servers.py
+++ b/features/steps/stating_servers.py
@@ -1,5 +1,6 @@
 """Backend servers that say of themselves that they leave or are full."""
 
+from asyncio import gather
 from asyncio import sleep
 
 from msgspec.structs import replace
@@ -19,10 +20,12 @@
 LEAVING_HEADER = 'Leaving'
 WAIT_HEADER = 'Wait-Ms'
 LOAD_HEADER = 'Load'
+NAME_HEADER = 'Server-Name'
 MISDIRECTED = 421
 KIND = KINDS['an idempotent']
 # Within the time-out of the route, which is 2 s.
 FOREVER_S = 5.0
+POLL_S = 0.01
 
 
 class StatingDialect(PlainDialect):
@@ -38,6 +41,7 @@
             load=ReportedLoad(int(load), 0, 1) if load else None,
             is_leaving=LEAVING_HEADER in headers,
             retry_after_ms=float(headers.get(WAIT_HEADER, 0.0)),
+            server_name=headers.get(NAME_HEADER, ''),
         )
 
 
@@ -179,6 +183,32 @@
     await stream.write(head[:-2] + f'{LOAD_HEADER}: 9\r\n\r\n'.encode())
 
 
+def make_health(status, *headers):
+    """Return an answer to a health check as bytes.
+
+    :param status: status code and reason.
+    :param headers: lines of further headers.
+    """
+    lines = (f'HTTP/1.1 {status}', 'Content-Length: 0', *headers, '', '')
+    return '\r\n'.join(lines).encode()
+
+
+HEALTHY = make_health('200 OK')
+UNHEALTHY = make_health('503 Failing')
+LEAVING_HEALTH = make_health('503 Draining', f'{LEAVING_HEADER}: 1')
+FULL_HEALTH = make_health('503 Full', f'{WAIT_HEADER}: 1000')
+HEALTH_OF_ANOTHER = make_health('200 OK', f'{NAME_HEADER}: another')
+CHECKS = {
+    'nothing against it': HEALTHY,
+    'that it leaves': LEAVING_HEALTH,
+    'that it is full for 1 s': FULL_HEALTH,
+    'that it fails': UNHEALTHY,
+    'another server': HEALTH_OF_ANOTHER,
+    'nothing, as it does not answer': None,
+    'nothing, as it breaks off': b'HTTP/1.1 200 OK\r\n',
+}
+# By the script for requests.
+HEALTH = {answer_leaving: LEAVING_HEALTH, refuse_for_1_s: FULL_HEALTH}
 SCRIPTS = {
     'is another server, with a load of 9': misdirect,
     'refuses without a time': refuse,
@@ -208,7 +238,10 @@
         super().__init__()
         self.name = name
         self.served = 0
+        self.checked = 0
         self.respond = SCRIPTS[script]
+        self.health = HEALTH.get(self.respond, HEALTHY)
+        self.health_delay_s = 0.0
         self._streams = set()
         sockets = bind_sockets(0, '127.0.0.1')
         self.port = sockets[0].getsockname()[1]
@@ -219,12 +252,26 @@
         self._streams.add(stream)
         try:
             while True:
-                await stream.read_until(b'\r\n\r\n')
+                head = await stream.read_until(b'\r\n\r\n')
+                if head.startswith(b'GET / '):
+                    await self._answer_check(stream)
+                    continue
                 self.served += 1
                 await self.respond(self, stream)
         except StreamClosedError:
             self._streams.discard(stream)
 
+    async def _answer_check(self, stream):
+        self.checked += 1
+        if self.health is None:
+            await sleep(FOREVER_S)
+            return
+        health = self.health
+        await sleep(self.health_delay_s)
+        await stream.write(health)
+        if not health.endswith(b'\r\n\r\n'):
+            stream.close()
+
     async def close(self):
         """Stop listening and close all connections."""
         self.stop()
@@ -241,6 +288,9 @@
     def __init__(self, count, script):
         self.lines = []
         super().__init__(count, script)
+        self._checks = self.loop.create_task(
+            self.forwarder.start_checker.run()
+        )
 
     @property
     def first(self):
@@ -258,6 +308,17 @@
         self.view.servers[record.name] = record
         self.forwarder.apply_view(self.view, 1)
 
+    async def finish_checks(self):
+        """Wait until no start is in doubt."""
+        while self.forwarder.selector.doubted_servers():
+            await sleep(POLL_S)
+
+    def close(self):
+        """See :class:`ForwardingFixture`."""
+        self._checks.cancel()
+        self.run(gather(self._checks, return_exceptions=True))
+        super().close()
+
     async def serve_objects(self, count):
         """Serve requests for several objects one after the other."""
         outcomes = []
--- a/fuchsiacart/gateway/dialects.py
+++ b/fuchsiacart/gateway/dialects.py
@@ -9,6 +9,8 @@
 
 from msgspec import Struct
 
+STATUS_SERVICE_UNAVAILABLE = 503
+
 
 class RequestMetadata(Struct, frozen=True):
     """Metadata that a caller sends with its request.
@@ -43,6 +45,7 @@
     False if the response carries no proof that the server sent it.
     ``is_leaving`` says that the server is about to end, ``retry_after_ms``
     for how long it wants no request if it refuses this one; 0 if not told.
+    ``server_name`` is what the server calls itself, '' if not told.
     """
 
     not_run: bool
@@ -51,6 +54,18 @@
     load: ReportedLoad | None
     is_leaving: bool = False
     retry_after_ms: float = 0.0
+    server_name: str = ''
+
+    def names_wait(self, status):
+        """Return True if the server says for how long it wants no request.
+
+        :param status: HTTP status of the response.
+        """
+        return (
+            status == STATUS_SERVICE_UNAVAILABLE
+            and self.retry_after_ms > 0
+            and not self.is_misdirected
+        )
 
 
 class Dialect(ABC):
--- a/fuchsiacart/gateway/forwarding.py
+++ b/fuchsiacart/gateway/forwarding.py
@@ -28,6 +28,7 @@
 from fuchsiacart.gateway.route_tables import TargetSplitter
 from fuchsiacart.gateway.server_attempts import ServerSender
 from fuchsiacart.gateway.server_statements import ServerStatements
+from fuchsiacart.gateway.start_checks import StartChecker
 from fuchsiacart.gateway.suspects import SuspectTracker
 from fuchsiacart.gateway.trials import TrialSchedule
 from fuchsiacart.gateway.view_freshness import ViewFreshness
@@ -56,8 +57,14 @@
             settings.host.region, settings.routes.regions, random
         )
         self.statements = ServerStatements(
-            self.selector.departures, self.selector.backoffs
+            self.selector.departures,
+            self.selector.backoffs,
+            self.selector.doubtful,
+        )
+        self.start_checker = StartChecker(
+            self.selector, dialect, self._pool, self.statements
         )
+        self.statements.on_statement(self.start_checker.check_soon)
         self.relay = Relay(
             GatewaySelector(settings.host, random), dialect, self.statements
         )
@@ -104,6 +111,7 @@
         earlier = self.selector.servers
         self.selector.apply_view(view, self.route_table, steady_ms())
         _log_restarts(earlier, view.servers)
+        self.start_checker.apply_view(self.route_table)
         self._pool.retain(view.servers.values())
         self.reachability.apply_view(len(view.servers))
         if self.version:
--- a/fuchsiacart/gateway/hosts.py
+++ b/fuchsiacart/gateway/hosts.py
@@ -120,6 +120,7 @@
         tree.add('lease', self._lease.run)
         tree.add('view', self._run_view)
         tree.add('prober', self._prober.run)
+        tree.add('start_checker', self.forwarder.start_checker.run)
         return tree
 
     def loads(self):
--- a/fuchsiacart/gateway/placements.py
+++ b/fuchsiacart/gateway/placements.py
@@ -17,6 +17,7 @@
 from fuchsiacart.control.region_shares import order_regions
 from fuchsiacart.gateway.backoffs import BackoffLedger
 from fuchsiacart.gateway.departures import DepartureLedger
+from fuchsiacart.gateway.doubtful_starts import DoubtfulStarts
 from fuchsiacart.gateway.tracked_servers import TrackedServer
 from fuchsiacart.load_boards import ServerIndex
 from fuchsiacart.ownership import rendezvous_order
@@ -73,6 +74,7 @@
         self._cold_rates = {}
         self.is_warmup_owner = lambda server: True
         self.departures = DepartureLedger()
+        self.doubtful = DoubtfulStarts()
         self.backoffs = BackoffLedger(random or Random())
 
     def apply_view(self, view, table, now_ms):
@@ -126,15 +128,26 @@
         }
         return self.departures.unconfirmed(records)
 
+    def doubted_servers(self):
+        """Return each :class:`TrackedServer` whose start is in doubt."""
+        known = map(self.find, self.doubtful.names)
+        return [
+            server
+            for server in known
+            if server is not None
+            and not self._leaves(server)
+            and self.doubtful.find(server.record)
+        ]
+
     def accepts(self, server, home_regions):
-        """Return False if a server leaves or may not serve a request.
+        """Return False if a server may leave or may not serve a request.
 
         :param server: the :class:`TrackedServer`.
         :param home_regions: see :class:`PlacementRequest`.
         """
-        domain = server.record.failure_domain
-        may_serve = self._may_serve(domain, home_regions)
-        return may_serve and not self._leaves(server)
+        if not self._may_serve(server.record.failure_domain, home_regions):
+            return False
+        return not (self._leaves(server) or self.doubtful.find(server.record))
 
     def end_suspensions(self):
         """Use all servers again, whatever has failed so far."""
--- a/fuchsiacart/gateway/relays.py
+++ b/fuchsiacart/gateway/relays.py
@@ -164,7 +164,9 @@
         """Note that the server of a relayed response leaves."""
         start = parse_start(headers.get(RELAYED_LEAVING, ''))
         if start is not None:
-            self._statements.record_departure(start, request, gateway)
+            self._statements.record_departure(
+                start, '', request.metadata.request_id, gateway
+            )
 
     def _make_headers(self, attempts, left_ms):
         request = attempts.request
--- a/fuchsiacart/gateway/server_attempts.py
+++ b/fuchsiacart/gateway/server_attempts.py
@@ -20,7 +20,6 @@
 CONNECT_TIMEOUT_S = 0.3
 SUCCESS_STATUSES = range(200, 300)
 MIN_SERVER_ERROR_STATUS = 500
-STATUS_SERVICE_UNAVAILABLE = 503
 # Status of a server that reaches the deadline that it was given.
 STATUS_GATEWAY_TIMEOUT = 504
 
@@ -120,11 +119,17 @@
     def _read_statement(self, request, record, status, headers):
         """Act on what a server says of itself at the head of a response."""
         metadata = self._dialect.read_response(status, headers)
+        request_id = request.metadata.request_id
         if metadata.is_leaving and not metadata.is_misdirected:
-            self._statements.record_departure(record.start, request)
-        if _is_full(status, metadata):
+            self._statements.record_departure(
+                record.start, record.address, request_id
+            )
+        if metadata.names_wait(status):
             self._statements.record_backoff(
-                record.start, request, metadata.retry_after_ms
+                record.start,
+                record.address,
+                metadata.retry_after_ms,
+                request_id,
             )
 
     def _handle_response(self, attempts, server, result, taken_s):
@@ -154,7 +159,7 @@
             self._log_attempt(attempts, server, 'foreign_answer')
             return None
         self._log_attempt(attempts, server, response.status, taken_s=taken_s)
-        if _is_full(response.status, metadata):
+        if metadata.names_wait(response.status):
             return response
         self._demands.record_service_time(
             attempts.service, taken_s, metadata.load
@@ -232,15 +237,6 @@
         )
 
 
-def _is_full(status, metadata):
-    """Return True if a server says for how long it wants no request."""
-    return (
-        status == STATUS_SERVICE_UNAVAILABLE
-        and metadata.retry_after_ms > 0
-        and not metadata.is_misdirected
-    )
-
-
 def _is_foreign(response, metadata):
     """Return True if a response does not come from the backend server.
 
--- a/fuchsiacart/metrics.py
+++ b/fuchsiacart/metrics.py
@@ -62,6 +62,11 @@
     'fuchsiacart_server_backoffs_total',
     'Times at which a backend server began to want no request for a while',
 )
+SERVER_CHECKS = Counter(
+    'fuchsiacart_server_checks_total',
+    'Health checks of servers whose start was in doubt, by outcome',
+    ['outcome'],
+)
 LOOKUPS = Counter('fuchsiacart_lookups_total', 'Look-ups answered')
 REVISION = Gauge('fuchsiacart_revision', 'Revision in force at this process')
 LEASE_LEFT = Gauge(
--- a/fuchsiacart/platform/headers.py
+++ b/fuchsiacart/platform/headers.py
@@ -16,6 +16,8 @@
 AFFINITY_COOKIE = 'X-Affinity-Key'
 EXPECTED_INSTANCE = 'X-Expect-Instance'
 SERVER_STAMP = 'X-Server-Stamp'
+# Names the instance in its answers to health checks.
+INSTANCE_ID = 'X-Instance-Id'
 SERVER_LOAD = 'X-Server-Load'
 NOT_RUN = 'X-Not-Run'
 SERVER_LEAVING = 'Server-Leaving'
@@ -62,6 +64,7 @@
             _read_load(headers.get(SERVER_LOAD)),
             headers.get(SERVER_LEAVING, '').strip() == '1',
             (_read_number(headers.get(RETRY_AFTER_S)) or 0.0) * MILLISECONDS,
+            headers.get(INSTANCE_ID, ''),
         )
 
 
--- a/tools/seeded_faults/statements.py
+++ b/tools/seeded_faults/statements.py
@@ -30,7 +30,7 @@
                 '        if metadata.is_leaving:\n',
                 '        if metadata.is_leaving:\n'
                 '            self._statements.record_departure(\n'
-                '                server.record.start, attempts.request\n'
+                '                server.record.start, server.record.address\n'
                 '            )\n',
             ),
         ),
@@ -159,17 +159,17 @@
     Fault(
         'the time that a full server names is read once its refusal is whole',
         'gateway/server_attempts.py',
-        'if _is_full(status, metadata):',
+        'if metadata.names_wait(status):',
         'if False:',
         'statements',
         more=(
             Edit(
                 'gateway/server_attempts.py',
                 '        if metadata.load is not None and',
-                '        if _is_full(response.status, metadata):\n'
+                '        if metadata.names_wait(response.status):\n'
                 '            self._statements.record_backoff(\n'
                 '                server.record.start,\n'
-                '                attempts.request,\n'
+                '                server.record.address,\n'
                 '                metadata.retry_after_ms,\n'
                 '            )\n'
                 '        if metadata.load is not None and',
@@ -186,7 +186,8 @@
     Fault(
         'a full server is judged as failing',
         'gateway/server_attempts.py',
-        'if _is_full(response.status, metadata):\n            return response',
+        'if metadata.names_wait(response.status):\n'
+        '            return response',
         'if False:\n            return response',
         'statements',
     ),
@@ -204,4 +205,81 @@
         '(lambda each: each.is_relayed)(',
         'statements',
     ),
+    Fault(
+        'a start in doubt gets requests',
+        'gateway/placements.py',
+        'self._leaves(server) or self.doubtful.find(server.record)',
+        'self._leaves(server)',
+        'statement_attribution',
+    ),
+    Fault(
+        'a start in doubt is not checked',
+        'gateway/start_checks.py',
+        'await gather(*map(self._check, doubted))',
+        'pass',
+        'statement_attribution',
+    ),
+    Fault(
+        'a start is checked only when the view changes',
+        'gateway/server_statements.py',
+        'if self._statement_listener is not None:',
+        'if False:',
+        'statement_attribution',
+    ),
+    Fault(
+        'any answer to a health check ends the doubt',
+        'gateway/doubtful_starts.py',
+        '        return CheckOutcome.USABLE\n    return CheckOutcome.UNKNOWN',
+        '        return CheckOutcome.USABLE\n    return CheckOutcome.USABLE',
+        'statement_attribution',
+    ),
+    Fault(
+        'a health check is believed whichever server answers',
+        'gateway/doubtful_starts.py',
+        " or metadata.server_name not in ('', name)",
+        '',
+        'statement_attribution',
+    ),
+    Fault(
+        'a health check says nothing of a start that is full',
+        'gateway/start_checks.py',
+        'if outcome is CheckOutcome.FULL:',
+        'if False:',
+        'statement_attribution',
+    ),
+    Fault(
+        'a start is in doubt whatever its address',
+        'gateway/doubtful_starts.py',
+        "and statement.address in ('', record.address)",
+        'and True',
+        'statement_attribution',
+    ),
+    Fault(
+        'what another gateway relayed puts no start in doubt',
+        'gateway/doubtful_starts.py',
+        "statement.address in ('', record.address)",
+        'statement.address == record.address',
+        'statement_attribution',
+    ),
+    Fault(
+        'what is said during a health check is forgotten with it',
+        'gateway/doubtful_starts.py',
+        'if statements.get(statement.born_ms) is statement:',
+        'if statement.born_ms in statements:',
+        'statement_attribution',
+    ),
+    Fault(
+        'a health check of an earlier start ends the doubt',
+        'gateway/start_checks.py',
+        'if self._selector.find(record.name) is not server:',
+        'if False:',
+        'statement_attribution',
+    ),
+    Fault(
+        'statements of any number of servers are kept',
+        'gateway/doubtful_starts.py',
+        'while len(self._statements) > NAME_LIMIT:',
+        'while False:',
+        'statement_attribution',
+    ),
 )
