Let servers of the soak start again under their ids, and routes have homes

Six servers of each run crash and start again under their ids and addresses. They register 1 to 6 s later, and three of four say from their start on that they leave. One route has a home region that moves with the versions; the ledger checks that no other region runs its requests.

--- a/features/soak_ledger.feature
+++ b/features/soak_ledger.feature
@@ -38,6 +38,22 @@
       | 4096   | 4      | 200    | 1     |
       | 100000 | 2      | 400    | 1     |
 
+  Scenario Outline: runs of a route whose home moves
+    Given a configuration that allows bodies of 4096 bytes, acknowledged at 0 s
+    And another that allows bodies of 4096 bytes, acknowledged at 10 s
+    And the home of a route is north in the first one and south in the other
+    And a request of that route that is sent at <sent_s> s and runs in <domain>
+    Then the ledger reports <count> broken promises
+
+    Examples:
+      | sent_s | domain  | count |
+      | 9      | north-b | 0     |
+      | 9      | south-a | 1     |
+      | 11     | north-b | 0     |
+      | 11     | south-a | 0     |
+      | 13     | north-b | 1     |
+      | 13     | south-a | 0     |
+
   Scenario Outline: runs of a request that crashes servers
     Given a request that crashed 3 servers by 5 s
     And <count> requests of its kind that run from <start_s> s on
--- a/features/steps/soak_ledger_steps.py
+++ b/features/steps/soak_ledger_steps.py
@@ -134,6 +134,34 @@
     context.ledger.record_request(sent)
 
 
+@given('the home of a route is north in the first one and south in the other')
+def given_homes(context):
+    first, second = context.ledger.orders
+    first.home, second.home = 'north', 'south'
+
+
+@given(
+    'a request of that route that is sent at {sent_s:d} s and runs in {domain}'
+)
+def given_home_run(context, sent_s, domain):
+    path = '/home/1'
+    sent = SentRequest(
+        'home',
+        'GET',
+        path,
+        OTHER,
+        float(sent_s),
+        TIMEOUT_S,
+        True,
+        sent_s + INTERVAL_S,
+        200,
+    )
+    sent.runs.append(
+        RequestRun('server', 'stock', domain, 'GET', path, float(sent_s))
+    )
+    context.ledger.record_request(sent)
+
+
 @given('a read of it that is sent at {sent_s:d} s')
 def given_read(context, sent_s):
     context.ledger.reads.append(ConfigurationRead(OTHER, 1, float(sent_s)))
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -24,7 +24,8 @@
 # In the refusal of a request that crashes servers.
 QUARANTINED = b'no_backend'
 SERVER_LEAVING = 'Server-Leaving'
-PATH_PREFIXES = ('/stock/', '/orders/', '/move/')
+PATH_PREFIXES = ('/stock/', '/orders/', '/move/', '/home/')
+IDEMPOTENT_PREFIXES = ('/stock/', '/home/')
 
 
 class Caller:
@@ -70,12 +71,12 @@
         prefix, target = self._choose_target()
         sent = SentRequest(
             request_id,
-            'GET' if prefix == '/stock/' else 'POST',
+            'GET' if prefix in IDEMPOTENT_PREFIXES else 'POST',
             f'{prefix}{target}',
             self._gateway,
             monotonic(),
             DEADLINE_S,
-            prefix == '/stock/',
+            prefix in IDEMPOTENT_PREFIXES,
         )
         self._soak.ledger.record_request(sent)
         self._is_new_connection = False
--- a/soak/fault_plans.py
+++ b/soak/fault_plans.py
@@ -19,6 +19,8 @@
 # Servers that leave, and servers that are full, in each run.
 LEAVING_SERVERS = 4
 FULL_SERVERS = 4
+# Servers that start again under their ids in each run.
+RESTARTED_SERVERS = 6
 
 
 @unique
@@ -47,6 +49,7 @@
     SERVER_LEAVE = 'server_leave'
     SERVER_FLAP = 'server_flap'
     SERVER_FULL = 'server_full'
+    SERVER_RESTART = 'server_restart'
     CUT_FROM_SERVERS = 'cut_from_servers'
 
 
@@ -55,7 +58,12 @@
 DRAWN_KINDS = tuple(
     kind
     for kind in FaultKind
-    if kind not in (FaultKind.CUT_FROM_SERVERS, FaultKind.SERVER_FULL)
+    if kind
+    not in (
+        FaultKind.CUT_FROM_SERVERS,
+        FaultKind.SERVER_FULL,
+        FaultKind.SERVER_RESTART,
+    )
 )
 # Faults that leave the gateways in contact with the control group.
 LATE_KINDS = tuple(
@@ -138,6 +146,23 @@
     """
     kinds = (FaultKind.SERVER_LEAVE,) * LEAVING_SERVERS
     kinds += (FaultKind.SERVER_FULL,) * FULL_SERVERS
+    return _draw_each(random, kinds)
+
+
+def draw_server_restarts(random):
+    """Draw the servers that start again under their ids in one run.
+
+    They come on top of those of :func:`draw_plan`.
+
+    :param random: random number generator of its own, seeded with the run's
+        seed.
+    :return: a tuple of :class:`PlannedFault`.
+    """
+    return _draw_each(random, (FaultKind.SERVER_RESTART,) * RESTARTED_SERVERS)
+
+
+def _draw_each(random, kinds):
+    """Draw one fault of each kind, at any time of the fault phase."""
     return tuple(
         _draw_fault(
             random,
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -24,6 +24,10 @@
 # server divides it among its restarts.
 ADDRESS_REUSE_DELAY_S = 2.0
 FLAP_COUNT = 3
+# Part of its span for which a server that starts again is down.
+RESTART_SPEEDUP = 10
+# One in so many servers that start again does not leave.
+STAYING_RESTARTS = 4
 CUT_STATES = (LinkState.SILENT, LinkState.ONE_WAY, LinkState.REFUSING)
 SERVER_CUTS = (ServerCut.SILENT, ServerCut.RESET, ServerCut.REFUSING)
 
@@ -80,6 +84,8 @@
             await self._change_mode(server, ServerMode.FULL, fault.span_s)
         elif fault.kind is FaultKind.SERVER_FLAP:
             await self._flap(server)
+        elif fault.kind is FaultKind.SERVER_RESTART:
+            await self._restart_server(server, fault)
         elif fault.kind is FaultKind.SERVER_LEAVE:
             form = tuple(LeaveForm)[fault.variant % len(LeaveForm)]
             await server.leave(form)
@@ -114,6 +120,25 @@
             await self._soak.replace_server(server, swap_service=False)
         self._disturbed_names.discard(server.name)
 
+    async def _restart_server(self, server, fault):
+        """Start a server again under its id, and let most starts leave.
+
+        One that leaves says so in all its answers, also before it registers.
+        """
+        await server.crash()
+        await sleep(fault.span_s / RESTART_SPEEDUP)
+        self._disturbed_names.discard(server.name)
+        server = await self._soak.replace_server(server, keeps_id=True)
+        if fault.variant % STAYING_RESTARTS == 0:
+            return
+        self._disturbed_names.add(server.name)
+        server.is_leaving = True
+        await server.wait_for_registration()
+        form = tuple(LeaveForm)[fault.variant % len(LeaveForm)]
+        await server.leave(form)
+        await self._soak.replace_server(server)
+        self._disturbed_names.discard(server.name)
+
     async def _flap(self, server):
         for _ in range(FLAP_COUNT):
             await server.crash()
--- a/soak/ledger.py
+++ b/soak/ledger.py
@@ -9,6 +9,7 @@
 
 from soak.body_limits import find_limit_error
 from soak.body_limits import is_large
+from soak.processes import REGIONS
 from soak.records import NEVER_S
 from soak.records import Order
 from soak.statements import DRAIN_LIMIT_S
@@ -231,6 +232,11 @@
                 'CONFIG',
                 f'{sent.request_id} ran by {run.service}, not {services}',
             )
+        homes = self._allowed_homes(sent)
+        if homes and REGIONS[run.domain] not in homes:
+            self.record_violation(
+                'HOME', f'{sent.request_id} ran in {run.domain}, not {homes}'
+            )
         drained_s = self.drains_acked_s.get(run.server, NEVER_S)
         if sent.sent_s > drained_s + DRAIN_LIMIT_S:
             self.record_violation(
@@ -253,6 +259,15 @@
             return set()
         return {order.service for order in self._possible_orders(sent)}
 
+    def _allowed_homes(self, sent):
+        """Return the regions that may run a request of the ``home`` route.
+
+        The result is empty for other routes.
+        """
+        if not sent.path.startswith('/home/'):
+            return set()
+        return {order.home for order in self._possible_orders(sent)}
+
     def _possible_orders(self, sent):
         """Return the configurations that may be in force for a request.
 
--- a/soak/operators.py
+++ b/soak/operators.py
@@ -3,6 +3,7 @@
 from asyncio import create_task
 from asyncio import gather
 from asyncio import sleep
+from random import Random
 from time import monotonic
 
 from msgspec.json import decode
@@ -10,6 +11,7 @@
 
 from soak.body_limits import BODY_LIMITS
 from soak.calls import fetch
+from soak.processes import REGIONS
 from soak.records import ConfigurationRead
 from soak.records import Evacuation
 from soak.records import Order
@@ -18,6 +20,7 @@
 RETRY_INTERVAL_S = 0.1
 PAUSE_RANGE_S = (0.3, 1.2)
 SERVICES = ('stock', 'orders')
+HOMES = tuple(dict.fromkeys(REGIONS.values()))
 REFUSAL_STATUSES = range(400, 500)
 RACE_PROBABILITY = 0.2
 # Of an order that changes the limits of callers.
@@ -29,19 +32,21 @@
 AGAIN_PROBABILITY = 0.5
 
 
-def make_configuration(version, parent_version, service, body_bytes):
+def make_configuration(version, parent_version, service, home, body_bytes):
     """Return a configuration document.
 
     :param version: number of the version.
     :param parent_version: number of the version that it is based on, 0 for
         none.
-    :param service: target of the ``move`` route; the other routes are the
+    :param service: target of the ``move`` route.
+    :param home: home region of the ``home`` route; the other routes are the
         same in all versions.
     :param body_bytes: limit of the bodies of callers.
     """
     routes = [('stock', 'stock', 'idempotent')]
     routes.append(('orders', 'orders', 'non_idempotent'))
     routes.append(('move', service, 'non_idempotent'))
+    routes.append(('home', 'stock', 'idempotent'))
     resources = [
         {
             'type': 'routes',
@@ -55,6 +60,7 @@
                 'service': target,
                 'max_attempts': 2,
                 'sticky': True,
+                'home_regions': [home] if name == 'home' else [],
             },
         }
         for name, target, kind in routes
@@ -88,6 +94,8 @@
         self._version = 0
         self._base_version = 0
         self._service = SERVICES[0]
+        self._home = HOMES[0]
+        self._home_random = Random(f'homes {soak.seed}')
         self._limits = list(BODY_LIMITS)
 
     async def put_first_configuration(self):
@@ -133,10 +141,15 @@
     def _next_order(self):
         self._version += self._soak.random.randint(1, 3)
         self._service = self._soak.random.choice(SERVICES)
+        self._home = self._home_random.choice(HOMES)
         if self._soak.random.random() < LIMIT_PROBABILITY:
             self._limits.reverse()
         body = make_configuration(
-            self._version, self._base_version, self._service, self._limits[0]
+            self._version,
+            self._base_version,
+            self._service,
+            self._home,
+            self._limits[0],
         )
         return Order(
             self._version,
@@ -145,6 +158,7 @@
             encode(body),
             monotonic(),
             self._limits[0],
+            home=self._home,
         )
 
     async def _put(self, order):
--- a/soak/records.py
+++ b/soak/records.py
@@ -51,6 +51,7 @@
     body_bytes: int = 0
     acked_s: float = NEVER_S
     refused: bool = False
+    home: str = ''
 
 
 class Evacuation(Struct):
--- a/soak/runs.py
+++ b/soak/runs.py
@@ -27,6 +27,7 @@
 from soak.crashing_callers import CrashingCaller
 from soak.fault_plans import draw_plan
 from soak.fault_plans import draw_server_cuts
+from soak.fault_plans import draw_server_restarts
 from soak.fault_plans import draw_statements
 from soak.faults import FaultInjector
 from soak.large_callers import LargeCaller
@@ -42,6 +43,7 @@
 from soak.processes import SEED_HOSTS
 from soak.processes import SoakProcess
 from soak.records import LoopStall
+from soak.servers import LATE_HEARTBEAT_RANGE_S
 from soak.servers import StandInServer
 
 GATEWAYS = 3
@@ -74,15 +76,18 @@
     """
 
     def __init__(self, seed, slot, commit=''):
+        self.seed = seed
         self.random = Random(f'traffic {seed}')
         self.plan = sorted(
             draw_plan(Random(seed))
             + draw_server_cuts(Random(f'server cuts {seed}'))
-            + draw_statements(Random(f'statements {seed}')),
+            + draw_statements(Random(f'statements {seed}'))
+            + draw_server_restarts(Random(f'server restarts {seed}')),
             key=lambda fault: fault.at_s,
         )
         self.member_plan = draw_member_plan(Random(f'group losses {seed}'))
         self._crash_random = Random(f'crashes {seed}')
+        self._restart_random = Random(f'restarts {seed}')
         self.builds = BuildPlan(commit, Random(f'builds {seed}'))
         self.network = Network(slot)
         self.ports = Ports.find_free(self.network.private_address(1))
@@ -137,17 +142,24 @@
         self.control[index] = successor
         await self._start_process(successor)
 
-    async def replace_server(self, old, swap_service):
+    async def replace_server(self, old, swap_service=False, keeps_id=False):
         """Start a new server at the address and port of another one.
 
         :param old: the server to replace; it must have ended.
         :param swap_service: True if the new server offers the other service.
+        :param keeps_id: True if it registers under the same id, and late.
         :return: the new server.
         """
         service = old.service
         if swap_service:
             service = SERVICES[1 - SERVICES.index(service)]
-        server = self._new_server(service, old.domain, old.address, old.port)
+        server = self._new_server(
+            service,
+            old.domain,
+            old.address,
+            old.port,
+            old.server_id if keeps_id else '',
+        )
         self.servers[self.servers.index(old)] = server
         return server
 
@@ -201,11 +213,16 @@
         process.start(bootstrap)
         self._tasks.append(create_task(process.restart_on_exit()))
 
-    def _new_server(self, service, domain, address, port=0):
+    def _new_server(self, service, domain, address, port=0, server_id=''):
         self._started_servers += 1
         name = f's{self._started_servers}'
-        server = StandInServer(self, name, service, domain, address, port)
-        self._tasks.append(create_task(server.send_heartbeats()))
+        server = StandInServer(
+            self, name, service, domain, address, port, server_id
+        )
+        delay_s = 0.0
+        if server_id:
+            delay_s = self._restart_random.uniform(*LATE_HEARTBEAT_RANGE_S)
+        self._tasks.append(create_task(server.send_heartbeats(delay_s)))
         return server
 
     def _start_callers(self):
--- a/soak/servers.py
+++ b/soak/servers.py
@@ -29,6 +29,9 @@
 LEAVE_DELAY_S = 3.5
 # Time for which a server says in its answers only that it leaves.
 NOTICE_RANGE_S = (0.0, 4.0)
+# Time for which a server that starts again is not registered.
+LATE_HEARTBEAT_RANGE_S = (1.0, 6.0)
+HEALTH_PATH = '/'
 # Share of the refusals of a full server that say for how long.
 RETRY_AFTER_SHARE = 0.5
 RETRY_AFTER_RANGE_S = (0.3, 3.0)
@@ -72,11 +75,14 @@
         """Handle a request of any method."""
         server = self.application.settings['server']
         headers = self.request.headers
-        request_id = headers.get('X-Attempt-Id', '')
-        self.set_header('X-Attempt-Id', request_id)
         if server.is_leaving:
             self.set_header('Server-Leaving', '1')
-        if headers.get('X-Expect-Instance') != server.name:
+        if self.request.path == HEALTH_PATH:
+            self._answer_check(server)
+            return
+        request_id = headers.get('X-Attempt-Id', '')
+        self.set_header('X-Attempt-Id', request_id)
+        if headers.get('X-Expect-Instance') != server.server_id:
             self.set_status(421)
             self.set_header('X-Not-Run', '1')
             self.finish()
@@ -105,20 +111,32 @@
             self.set_status(500)
         self.finish(f'{request_id} by {server.name}')
 
+    def _answer_check(self, server):
+        """Answer a health check."""
+        self.set_header('X-Instance-Id', server.server_id)
+        if server.is_leaving or server.mode is ServerMode.FULL:
+            self.set_status(503)
+        self.finish()
+
 
 class StandInServer:
     """A backend server, from its start to its end.
 
     :param soak: the :class:`Soak` run that it belongs to.
-    :param name: name of the server, never used again in the run.
+    :param name: name of this start in the ledger, never used again in the run.
     :param service: service that it offers.
     :param domain: its failure domain.
     :param address: IP address to listen on.
     :param port: port to listen on, 0 for any free one.
+    :param server_id: id under which it registers, that of an earlier start if
+        it starts again; ``name`` if left out.
     """
 
-    def __init__(self, soak, name, service, domain, address, port=0):
+    def __init__(
+        self, soak, name, service, domain, address, port=0, server_id=''
+    ):
         self.name = name
+        self.server_id = server_id or name
         self.service = service
         self.domain = domain
         self.mode = ServerMode.HEALTHY
@@ -130,6 +148,7 @@
         self._sequence = 0
         self._is_stopped = False
         self._is_registered = True
+        self._has_registered = False
         application = Application(
             [('.*', ServerHandler)], server=self, log_function=lambda _: None
         )
@@ -198,12 +217,21 @@
             work_s = HANG_DURATION_S
         await sleep(work_s)
 
-    async def send_heartbeats(self):
-        """Send heartbeats until the server has ended or says no more."""
+    async def send_heartbeats(self, delay_s=0.0):
+        """Send heartbeats until the server has ended or says no more.
+
+        :param delay_s: seconds until the first one.
+        """
+        await sleep(delay_s)
         while self._is_registered and not self._is_stopped:
             await self._send_heartbeat()
             await sleep(HEARTBEAT_INTERVAL_S)
 
+    async def wait_for_registration(self):
+        """Wait until a heartbeat was acknowledged or the server has ended."""
+        while not self._has_registered and not self._is_stopped:
+            await sleep(HEARTBEAT_INTERVAL_S / 5)
+
     async def leave(self, form):
         """Announce a drain and leave.
 
@@ -263,6 +291,7 @@
             'born': self._born_ms,
         }
         acked = await self._call('PUT', body)
+        self._has_registered |= acked
         if acked and sent_state == 'draining':
             self._soak.ledger.drains_acked_s.setdefault(self.name, monotonic())
 
@@ -273,7 +302,7 @@
         """
         for process in self._soak.shuffled_control():
             address = process.address('control')
-            url = f'http://{address}/api/instances/{self.name}'
+            url = f'http://{address}/api/instances/{self.server_id}'
             reply = await fetch(method, url, encode(body))
             if reply is not None and reply.code == 200:
                 return True
