Count each start of a server that a request crashes

A request that crashes servers ran without end where its server came back under its name: a loss counted once for each name, so the second loss in a row, at which the request is refused, never came. The same class as the fault of departures: a belief of one start, kept under a name that covers more.

forwarding.feature, "a request that crashes servers is known if they start again under their names": 6 of 6 sends crashed the server before, 2 now. The message is unchanged; builds that name servers without their starts only compare the names. Two losses at one start still count once. Servers of the soak that a request crashes keep their ids half of the time.

Not mended: a start that the view does not have yet counts as the earlier one.

--- a/features/forwarding.feature
+++ b/features/forwarding.feature
@@ -49,6 +49,11 @@
     When a request that crashes its servers is sent 6 times
     Then 2 servers are down
 
+  Scenario: a request that crashes servers is known if they start again under their names
+    Given a gateway with 1 servers, of which the first answers
+    When a request that crashes its servers is sent 6 times, and its server starts again after each
+    Then 2 servers are down
+
   Scenario: a request suspected by one gateway is refused by another
     Given a gateway with 5 servers, of which the first answers
     When a request that crashes its servers is sent 1 times
--- a/features/steps/forwarding_steps.py
+++ b/features/steps/forwarding_steps.py
@@ -195,7 +195,7 @@
         # servers. Servers without a fault are started to find the first one,
         # then replaced by the servers of the test.
         for index in range(count):
-            self._add_server(f'server-{index}')
+            self.add_server(f'server-{index}')
         self._apply_configuration()
         first = self._first_server_name()
         for server in self.servers:
@@ -204,10 +204,10 @@
         names.sort(key=lambda name: name != first)
         self.servers = []
         for name in names:
-            self._add_server(name, fault if name == first else 'answers')
+            self.add_server(name, fault if name == first else 'answers')
         self._apply_configuration()
 
-    def _add_server(self, name, fault='answers'):
+    def add_server(self, name, fault='answers'):
         server = self.make_server(name, fault)
         self.servers.append(server)
         self.view.servers[name] = ServerRecord(
@@ -332,6 +332,28 @@
         fixture.run(sleep(CHECK_WAIT_S))
 
 
+@when(
+    'a request that crashes its servers is sent {count:d} times, and its'
+    ' server starts again after each'
+)
+def when_poison_sent_again(context, count):
+    """Register a later start of the server whenever it is down."""
+    fixture = context.forwarding
+
+    async def start_again(born_ms):
+        name = fixture.servers[-1].name
+        fixture.add_server(name)
+        record = fixture.view.servers[name]
+        fixture.view.servers[name] = replace(record, born_ms=born_ms)
+        fixture.forwarder.apply_view(fixture.view, 1)
+
+    for index in range(count):
+        fixture.run(fixture.serve(RequestKind.IDEMPOTENT, POISON_PATH))
+        fixture.run(sleep(CHECK_WAIT_S))
+        if fixture.servers[-1].is_down:
+            fixture.run(start_again(index + 2))
+
+
 @when('a request that crashes its servers is sent from {count:d} addresses')
 def when_poison_sent_around(context, count):
     """Send the request from each address until it is refused or fails."""
--- a/fuchsiacart/gateway/hop_headers.py
+++ b/fuchsiacart/gateway/hop_headers.py
@@ -39,7 +39,7 @@
 
 
 def format_start(start):
-    """Return a :class:`ServerStart` as the value of ``RELAYED_LEAVING``."""
+    """Return a :class:`ServerStart` as text, such as ``RELAYED_LEAVING``."""
     return f'{start.born_ms} {start.name}'
 
 
--- a/fuchsiacart/gateway/suspects.py
+++ b/fuchsiacart/gateway/suspects.py
@@ -13,6 +13,7 @@
 
 from fuchsiacart.clocks import steady_ms
 from fuchsiacart.clocks import wall_ms
+from fuchsiacart.gateway.hop_headers import format_start
 from fuchsiacart.gateway.suspect_reports import SuspectReports
 from fuchsiacart.logs import log_event
 from fuchsiacart.quarantine import MAX_SUSPECTS_IN_MESSAGE
@@ -149,7 +150,7 @@
             known_losses = max(known_losses, await earlier_check)
         digest = _digest(request)
         suspect = self._quarantine.record_broken(
-            digest, record.name, known_losses, wall_ms()
+            digest, format_start(record.start), known_losses, wall_ms()
         )
         self._reports.add_loss(suspect)
         log_event(
--- a/fuchsiacart/messages.py
+++ b/fuchsiacart/messages.py
@@ -98,14 +98,15 @@
 class Suspect(Struct, frozen=True):
     """A request that was running on backend servers when they were lost.
 
-    ``digest`` identifies the request, ``broken`` names the servers and
-    ``until_ms`` is the wall clock time at which the record expires.
+    ``digest`` identifies the request, ``broken`` names the servers, with
+    their starts if those are known, and ``until_ms`` is the wall clock time
+    at which the record expires.
     ``losses_in_row`` counts the servers that were lost one after the other:
     each loss was known when the request was sent to the next server.
     """
 
     digest: str
-    broken: tuple[BackendServerId, ...]
+    broken: tuple[str, ...]
     until_ms: int
     losses_in_row: int
 
--- a/fuchsiacart/quarantine.py
+++ b/fuchsiacart/quarantine.py
@@ -44,7 +44,7 @@
         """Record that a server was lost while it ran a request.
 
         :param digest: identifies the request; see :func:`request_digest`.
-        :param server: name of the server.
+        :param server: names the server, and its start if that is known.
         :param known_losses: result of :meth:`losses_in_row` when the request
             was sent to the server.
         :param now_ms: current time.
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -24,6 +24,8 @@
 # server divides it among its restarts.
 ADDRESS_REUSE_DELAY_S = 2.0
 FLAP_COUNT = 3
+# Share of the servers that keep their id after a request has crashed them.
+SAME_ID_SHARE = 0.5
 # Part of its span for which a server that starts again is down.
 RESTART_SPEEDUP = 10
 # One in so many servers that start again does not leave.
@@ -117,7 +119,8 @@
         await server.crash()
         await sleep(ADDRESS_REUSE_DELAY_S)
         if not self._soak.is_finished:
-            await self._soak.replace_server(server, swap_service=False)
+            keeps_id = self._soak.restart_random.random() < SAME_ID_SHARE
+            await self._soak.replace_server(server, keeps_id=keeps_id)
         self._disturbed_names.discard(server.name)
 
     async def _restart_server(self, server, fault):
--- a/soak/runs.py
+++ b/soak/runs.py
@@ -87,7 +87,7 @@
         )
         self.member_plan = draw_member_plan(Random(f'group losses {seed}'))
         self._crash_random = Random(f'crashes {seed}')
-        self._restart_random = Random(f'restarts {seed}')
+        self.restart_random = Random(f'restarts {seed}')
         self.builds = BuildPlan(commit, Random(f'builds {seed}'))
         self.network = Network(slot)
         self.ports = Ports.find_free(self.network.private_address(1))
@@ -221,7 +221,7 @@
         )
         delay_s = 0.0
         if server_id:
-            delay_s = self._restart_random.uniform(*LATE_HEARTBEAT_RANGE_S)
+            delay_s = self.restart_random.uniform(*LATE_HEARTBEAT_RANGE_S)
         self._tasks.append(create_task(server.send_heartbeats(delay_s)))
         return server
 
--- a/tools/seeded_faults/gateway.py
+++ b/tools/seeded_faults/gateway.py
@@ -3,6 +3,13 @@
 from tools.seeded_faults.faults import Fault
 
 GATEWAY_FAULTS = (
+    Fault(
+        'starts of a server under one name that a request crashes count once',
+        'gateway/suspects.py',
+        'digest, format_start(record.start), known_losses',
+        'digest, record.name, known_losses',
+        'forwarding',
+    ),
     Fault(
         'every gateway sends requests to a cold server',
         'gateway/placements.py',
