--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -1,7 +1,8 @@
 """Runs seeds of the fault soak and prints the promises that each one broke.
 
 Usage:
-  soak [--jobs=N] [--untimed] [--keep=FOLDER] [--from=COMMIT] SEED...
+  soak [--jobs=N] [--untimed] [--keep=FOLDER] [--from=COMMIT] [--gateways=N]
+       SEED...
   soak --help
 
 A SEED is a number or a range such as 1-50; `fresh` picks one at random.
@@ -12,6 +13,7 @@
                  whose load is not known.
   --from=COMMIT  Start with the build of a commit; processes that are
                  restarted run this tree, or the build again.
+  --gateways=N   Gateways in each run, 2 to 10 [default: 3].
   --keep=FOLDER  Where the logs of failed seeds go [default: soak-failures].
 """
 
@@ -25,6 +27,8 @@
 
 from docopt import docopt
 
+from soak.runs import GATEWAY_COUNTS
+
 FRESH_SEEDS = range(100_000, 1_000_000)
 
 
@@ -45,6 +49,13 @@
     return seeds
 
 
+def check_gateways(text):
+    """Exit with a message unless a text is a possible number of gateways."""
+    if not text.isdecimal() or int(text) not in GATEWAY_COUNTS:
+        first, last = min(GATEWAY_COUNTS), max(GATEWAY_COUNTS)
+        sys_exit(f'--gateways takes {first} to {last}, not {text!r}')
+
+
 def run_seed(seed, slot, options):
     """Run one seed in a process of its own.
 
@@ -54,6 +65,7 @@
     """
     command = [executable, '-m', 'soak.runs', str(seed), str(slot)]
     command.append(options['--keep'])
+    command.append(f'--gateways={options["--gateways"]}')
     if options['--untimed']:
         command.append('--untimed')
     if options['--from']:
@@ -66,6 +78,7 @@
 def main():
     """Run the seeds; exit with code 1 if any of them broke a promise."""
     options = docopt(__doc__)
+    check_gateways(options['--gateways'])
     seeds = parse_seeds(options['SEED'])
     with ThreadPoolExecutor(int(options['--jobs'])) as pool:
         passed = list(
--- a/soak/runs.py
+++ b/soak/runs.py
@@ -1,7 +1,7 @@
 """Runs one seed of the soak and reports the promises that it broke.
 
 Usage:
-  runs SEED SLOT KEEP [--untimed] [--from=COMMIT]
+  runs SEED SLOT KEEP [--untimed] [--from=COMMIT] [--gateways=N]
 """
 
 from asyncio import CancelledError
@@ -46,7 +46,8 @@
 from soak.servers import LATE_HEARTBEAT_RANGE_S
 from soak.servers import StandInServer
 
-GATEWAYS = 3
+GATEWAY_COUNTS = range(2, 11)
+DEFAULT_GATEWAYS = 3
 FIRST_GATEWAY_INDEX = 11
 FIRST_SUCCESSOR_INDEX = 21
 CALLERS = 8
@@ -73,9 +74,10 @@
     :param slot: number that keeps the networks of concurrent runs apart.
     :param commit: build that all processes start with; those that are
         restarted may run this tree.  '' to run this tree only.
+    :param gateways: number of gateways, one of ``GATEWAY_COUNTS``.
     """
 
-    def __init__(self, seed, slot, commit=''):
+    def __init__(self, seed, slot, commit='', gateways=DEFAULT_GATEWAYS):
         self.seed = seed
         self.random = Random(f'traffic {seed}')
         self.plan = sorted(
@@ -106,9 +108,12 @@
         self._gone = []
         self.gateways = [
             SoakProcess(
-                self, Role.GATEWAY, FIRST_GATEWAY_INDEX + index, DOMAINS[index]
+                self,
+                Role.GATEWAY,
+                FIRST_GATEWAY_INDEX + index,
+                DOMAINS[index % len(DOMAINS)],
             )
-            for index in range(GATEWAYS)
+            for index in range(gateways)
         ]
         self.operator = Operator(self)
         self.injector = FaultInjector(self)
@@ -334,7 +339,8 @@
     """Run one seed; exit with code 1 if it broke a promise."""
     options = docopt(__doc__)
     seed, slot = int(options['SEED']), int(options['SLOT'])
-    soak = Soak(seed, slot, options['--from'] or '')
+    gateways = int(options['--gateways'] or DEFAULT_GATEWAYS)
+    soak = Soak(seed, slot, options['--from'] or '', gateways)
     try:
         violations = run(
             wait_for(soak.execute(not options['--untimed']), RUN_TIMEOUT_S)
