Clear a start in doubt by any answer but a refusal

A service whose health path is not served, or is no path, kept servers that started again out for good: their checks ended with 404, or with no request at all, and were repeated without end. A server that leaves says so in all its answers, so each answer of that server but a 503 shows that it does not. Found by reading; the table of answers is new.

--- a/features/statement_attribution.feature
+++ b/features/statement_attribution.feature
@@ -107,15 +107,40 @@
     And the gateway serves 30 requests for several objects
     Then the first server has got 0 requests
 
-  Scenario: a start whose service names no health check is not checked
+  Scenario Outline: a start whose service names no usable health check is not checked
     Given a gateway before 3 servers, of which the first says in an answer that it leaves
-    And the service of the servers has no health check
+    And the health check of the service is at "<path>"
     When the gateway serves a request
     And it starts again under its name
     And the gateway serves 30 requests for several objects
     Then the first server has got more than 1 request
     And neither was checked
 
+    Examples:
+      | path       |
+      |            |
+      | healthz    |
+      | /a b       |
+
+  Scenario Outline: what the answer to a health check shows
+    Given a health check that is answered <status>, which says <saying>
+    Then the check shows that it is <outcome>
+
+    Examples:
+      | status | saying                                | outcome |
+      | 200    | nothing                               | usable  |
+      | 200    | its name                              | usable  |
+      | 200    | that it leaves                        | leaving |
+      | 200    | another name                          | unknown |
+      | 404    | nothing                               | usable  |
+      | 500    | nothing                               | usable  |
+      | 503    | nothing                               | unknown |
+      | 503    | its name                              | unknown |
+      | 503    | that it leaves                        | leaving |
+      | 503    | for how long it is full               | full    |
+      | 503    | another name                          | unknown |
+      | 421    | that it leaves                        | unknown |
+
   Scenario: a statement that comes while a start is checked leaves it in doubt
     Given a start in doubt that is being checked
     When the earlier start says again that it leaves
--- a/features/steps/doubtful_start_steps.py
+++ b/features/steps/doubtful_start_steps.py
@@ -6,16 +6,27 @@
 from behave import then
 from behave import when
 from msgspec.structs import replace
+from tornado.httputil import HTTPHeaders
 
 from features.steps.statement_steps import check_full_lines
 from features.steps.stating_servers import answer
 from features.steps.stating_servers import CHECKS
 from features.steps.stating_servers import StatingServer
+from fuchsiacart.gateway.doubtful_starts import CheckOutcome
 from fuchsiacart.gateway.doubtful_starts import DoubtfulStarts
+from fuchsiacart.gateway.doubtful_starts import judge_check
+from fuchsiacart.platform.headers import PlatformDialect
 from fuchsiacart.servers import ServerRecord
 from fuchsiacart.servers import ServerStart
 
 NAME = 'server'
+SAYINGS = {
+    'nothing': {},
+    'its name': {'X-Instance-Id': NAME},
+    'another name': {'X-Instance-Id': 'another'},
+    'that it leaves': {'Server-Leaving': '1'},
+    'for how long it is full': {'Retry-After': '0.5', 'X-Not-Run': '1'},
+}
 ADDRESS = '127.0.0.1:80'
 
 
@@ -45,10 +56,26 @@
     fixture.run(sleep(first.health_delay_s * 2))
 
 
-@given('the service of the servers has no health check')
-def given_no_health_check(context):
-    fixture = context.statements
-    fixture.health_path = ''
+@given('the health check of the service is at "{path}"')
+def given_health_path(context, path):
+    context.statements.health_path = path
+
+
+@given('the health check of the service is at ""')
+def given_no_health_path(context):
+    context.statements.health_path = ''
+
+
+@given('a health check that is answered {status:d}, which says {saying}')
+def given_answer(context, status, saying):
+    headers = HTTPHeaders(SAYINGS[saying])
+    context.answer = status, PlatformDialect().read_response(status, headers)
+
+
+@then('the check shows that it is {outcome}')
+def then_shows(context, outcome):
+    found = judge_check(NAME, *context.answer)
+    assert found is CheckOutcome(outcome), found
 
 
 @when('the server answers requests without a word on itself')
--- a/fuchsiacart/bounds.py
+++ b/fuchsiacart/bounds.py
@@ -22,6 +22,7 @@
 # The longest name in the DNS.
 MAX_NAME_LENGTH = 255
 NAME = compile_pattern(f'[!-~]{{1,{MAX_NAME_LENGTH}}}')
+REQUEST_PATH = compile_pattern('/[!-~]*')
 ADDRESS = compile_pattern(r'([0-9.]{7,15}):([0-9]{1,5})')
 
 Count = Annotated[int, Meta(ge=0, le=MAX_INTEGER)]
@@ -39,6 +40,14 @@
     return NAME.fullmatch(name) is not None
 
 
+def is_request_path(text):
+    """Return True if a text can be sent as the path of a request.
+
+    :param text: the path, with its query if it has one.
+    """
+    return REQUEST_PATH.fullmatch(text) is not None
+
+
 def check_target(target, run=Run.NO):
     """Refuse a target that is no URI (RFC 3986).
 
--- a/fuchsiacart/gateway/doubtful_starts.py
+++ b/fuchsiacart/gateway/doubtful_starts.py
@@ -11,13 +11,13 @@
 
 from msgspec import Struct
 
+from fuchsiacart.gateway.dialects import STATUS_SERVICE_UNAVAILABLE
 from fuchsiacart.models import Address
 
 # Names of servers that are kept; the oldest are dropped first.
 NAME_LIMIT = 4096
 # Starts that are kept for each name.
 START_LIMIT = 8
-STATUS_OK = 200
 
 
 class Statement(Struct, frozen=True, eq=False):
@@ -107,6 +107,9 @@
 def judge_check(name, status, metadata):
     """Return the :class:`CheckOutcome` of an answer to a health check.
 
+    A server that leaves says so in all its answers, so any other answer than
+    a refusal clears it, also where the path is not served.
+
     :param name: name of the server that was meant.
     :param status: HTTP status.
     :param metadata: the :class:`ResponseMetadata`.
@@ -117,6 +120,6 @@
         return CheckOutcome.LEAVING
     if metadata.names_wait(status):
         return CheckOutcome.FULL
-    if status == STATUS_OK:
-        return CheckOutcome.USABLE
-    return CheckOutcome.UNKNOWN
+    if status == STATUS_SERVICE_UNAVAILABLE:
+        return CheckOutcome.UNKNOWN
+    return CheckOutcome.USABLE
--- a/fuchsiacart/gateway/start_checks.py
+++ b/fuchsiacart/gateway/start_checks.py
@@ -7,6 +7,7 @@
 
 from tornado.httputil import HTTPHeaders
 
+from fuchsiacart.bounds import is_request_path
 from fuchsiacart.gateway.doubtful_starts import CheckOutcome
 from fuchsiacart.gateway.doubtful_starts import judge_check
 from fuchsiacart.gateway.exchanges import ExchangeLimits
@@ -86,7 +87,7 @@
         :return: the :class:`CheckOutcome` and its detail.
         """
         terms = self._route_table.service_terms(record.service)
-        if terms is None or not terms.health_path.startswith('/'):
+        if terms is None or not is_request_path(terms.health_path):
             return CheckOutcome.USABLE, 'its service has no health check'
         result = await self._pool.exchange(
             record,
--- a/tools/seeded_faults/statements.py
+++ b/tools/seeded_faults/statements.py
@@ -229,8 +229,8 @@
     Fault(
         'any answer to a health check ends the doubt',
         'gateway/doubtful_starts.py',
-        '        return CheckOutcome.USABLE\n    return CheckOutcome.UNKNOWN',
-        '        return CheckOutcome.USABLE\n    return CheckOutcome.USABLE',
+        'if status == STATUS_SERVICE_UNAVAILABLE:',
+        'if False:',
         'statement_attribution',
     ),
     Fault(
