Let the soak's gateways reach each other from their own addresses

Trace: it had relayed the answer while it reached no server, and the other gateway did not name the start, since it believes only gateways, by their addresses, and the soak's proxies connect from 127.0.0.1. Gateways have addresses of their own where no proxy stands between them, so no such answer is lost there. Since no relay of the soak was believed, and none waited for the version of its relay.

Connections come from the address of the process now, and the proxies connect on from the peer's.

--- a/soak/launch.py
+++ b/soak/launch.py
@@ -26,8 +26,8 @@
 class Conditions(Struct, frozen=True):
     """Faults of the clock, the disk and the network of one process.
 
-    Addresses of backend servers begin with ``server_prefix``.  Connections to
-    them come from ``source_address`` if that is set.
+    Addresses of backend servers begin with ``server_prefix``.  Connections
+    come from ``source_address`` if that is set, but for those of gRPC.
     """
 
     clock_offset_s: float = 0.0
--- a/soak/proxies.py
+++ b/soak/proxies.py
@@ -3,12 +3,17 @@
 from asyncio import CancelledError
 from asyncio import Event
 from asyncio import gather
+from asyncio import get_running_loop
 from asyncio import open_connection
 from asyncio import sleep
 from asyncio import start_server
 from enum import Enum
 from enum import unique
+from socket import AF_INET
 from socket import SO_LINGER
+from socket import SO_REUSEADDR
+from socket import SOCK_STREAM
+from socket import socket
 from socket import SOL_SOCKET
 from struct import pack
 
@@ -88,11 +93,8 @@
             await self._opened.wait()
             _abort(writer)
             return
-        host, _, port = self._private.rpartition(':')
         try:
-            process_reader, process_writer = await open_connection(
-                host, int(port)
-            )
+            process_reader, process_writer = await self._connect(writer)
         except (CancelledError, OSError):
             _abort(writer)
             return
@@ -111,6 +113,24 @@
             writer.close()
             process_writer.close()
 
+    async def _connect(self, writer):
+        """Connect to the process from the address of the peer."""
+        source, _ = writer.get_extra_info('peername')
+        host, _, port = self._private.rpartition(':')
+        own_socket = socket(AF_INET, SOCK_STREAM)
+        try:
+            own_socket.setblocking(False)
+            # Listeners may have this port once the connection has ended.
+            own_socket.setsockopt(SOL_SOCKET, SO_REUSEADDR, 1)
+            own_socket.bind((source, 0))
+            await get_running_loop().sock_connect(
+                own_socket, (host, int(port))
+            )
+        except BaseException:
+            own_socket.close()
+            raise
+        return await open_connection(sock=own_socket)
+
     async def _forward(self, reader, writer, is_response):
         while True:
             chunk = await reader.read(CHUNK_BYTES)
--- a/soak/server_cuts.py
+++ b/soak/server_cuts.py
@@ -73,14 +73,15 @@
 
         def cut_connect(own_socket, address):
             current = self._conditions.current()
-            prefix = current.server_prefix
-            is_server = own_socket.family == AF_INET and prefix
-            if not is_server or not address[0].startswith(prefix):
+            if own_socket.family != AF_INET:
                 return real_connect(own_socket, address)
             if current.source_address:
                 # Listeners may have this port once the connection has ended.
                 own_socket.setsockopt(SOL_SOCKET, SO_REUSEADDR, 1)
                 own_socket.bind((current.source_address, 0))
+            prefix = current.server_prefix
+            if not prefix or not address[0].startswith(prefix):
+                return real_connect(own_socket, address)
             with self._lock:
                 self._sockets.add(own_socket)
                 if self._cut is ServerCut.SILENT:
