Wait for the configuration of the gateway that relayed a request

Callers at a gateway that reaches no server were refused for a second, some hundred of them, each time that the configuration changed.

Cause: a gateway refused a relayed request at once where its configuration was older than its relay's, and the relay then avoided it for a second. With one gateway left to ask, nobody was served.

home_regions.feature, "relayed requests wait for a configuration that is on its way": 20 of 20 refused before, none now.

--- a/features/home_regions.feature
+++ b/features/home_regions.feature
@@ -72,6 +72,16 @@
     Then no request reached a server outside the homes in force
     And all callers get an answer from lloegr
 
+  Scenario: relayed requests wait for a configuration that is on its way
+    Given gateways and servers in cymru, lloegr and iwerddon
+    And a route of non-idempotent requests with the homes lloegr
+    When the home moves to cymru at the gateway of iwerddon only
+    And the gateway of iwerddon reaches no server
+    And the other gateways learn of the move 0.05 s later
+    And 20 requests with a body are sent to the gateway of iwerddon
+    Then all callers get an answer from cymru
+    And no request reached a server outside the homes in force
+
   Scenario Outline: a body passes through a gateway outside the homes
     Given gateways and servers in cymru, lloegr and iwerddon
     And a route of <kind> requests with the homes <homes>
--- a/features/steps/home_region_steps.py
+++ b/features/steps/home_region_steps.py
@@ -116,6 +116,11 @@
     context.home.gateways[region].isolate()
 
 
+@when('the other gateways learn of the move {later_s:g} s later')
+def when_others_learn(context, later_s):
+    context.home.loop.call_later(later_s, context.home.apply_view)
+
+
 @when('the gateway of {region} is gone')
 def when_gone(context, region):
     fixture = context.home
--- a/fuchsiacart/gateway/forwarding.py
+++ b/fuchsiacart/gateway/forwarding.py
@@ -35,6 +35,9 @@
 from fuchsiacart.logs import log_event
 from fuchsiacart.randomness import make_random
 
+# Time in which a configuration that another gateway has comes to this one.
+MAX_VERSION_WAIT_MS = 200.0
+
 
 class Forwarder:
     """Forwards requests to the backend servers of their routes.
@@ -214,7 +217,10 @@
         version = self.relay.needed_version(request)
         if version <= self.version:
             return
-        await self.freshness.wait_until_caught_up(request.retry_after_ms)
+        await self.freshness.wait_for_use(
+            lambda: version <= self.version,
+            min(MAX_VERSION_WAIT_MS, request.retry_after_ms),
+        )
         if version > self.version:
             raise _make_stale_error(request)
 
--- a/fuchsiacart/gateway/view_freshness.py
+++ b/fuchsiacart/gateway/view_freshness.py
@@ -13,6 +13,7 @@
 
 from asyncio import Event
 from asyncio import wait_for
+from time import monotonic
 
 from fuchsiacart.clocks import MILLISECONDS
 from fuchsiacart.logs import log_event
@@ -32,6 +33,7 @@
         self._has_waited = False
         self._confirmed = Event()
         self._in_use = Event()
+        self._next_use = Event()
         self._current_until_ms = 0.0
         self._caught_up = Event()
         self._caught_up.set()
@@ -39,6 +41,22 @@
     def record_use(self):
         """Record that the gateway serves by a view."""
         self._in_use.set()
+        self._next_use.set()
+        self._next_use = Event()
+
+    async def wait_for_use(self, is_met, limit_ms):
+        """Wait until a view that the gateway serves by meets a condition.
+
+        :param is_met: function that returns True if the present one does.
+        :param limit_ms: milliseconds to wait at most.
+        """
+        until_s = monotonic() + limit_ms / MILLISECONDS
+        while not is_met():
+            try:
+                await wait_for(self._next_use.wait(), until_s - monotonic())
+            except TimeoutError:
+                log_event('view_behind', waited_ms=int(limit_ms))
+                return
 
     async def wait_for_first(self, limit_ms):
         """Wait until the gateway serves by a view, or the time is over.
--- a/tools/seeded_faults/gateway.py
+++ b/tools/seeded_faults/gateway.py
@@ -3,6 +3,13 @@
 from tools.seeded_faults.faults import Fault
 
 GATEWAY_FAULTS = (
+    Fault(
+        'a relayed request waits for no configuration',
+        'gateway/forwarding.py',
+        'lambda: version <= self.version,',
+        'lambda: True,',
+        'home_regions',
+    ),
     Fault(
         'starts of a server under one name that a request crashes count once',
         'gateway/suspects.py',
