Leave requests with a home out of the soak's count at gateways that are cut off

Trace: of some 73 requests that failed at those gateways within the cut, disturbed ones included, 60 had a home, refused since no server of that region had room ("no server of stock has room") or no gateway of the region was left to relay to; 11 were the request that crashes servers, 2 met connections that were refused. HOME and all other checks still count them.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -13,6 +13,7 @@
 from fuchsiacart.gateway.exchanges import request_line
 from fuchsiacart.gateway.exchanges import ServerConnection
 from soak.calls import fetch
+from soak.records import HOME_PREFIX
 from soak.records import SentRequest
 
 CONNECT_TIMEOUT_S = 1.0
@@ -24,8 +25,8 @@
 # In the refusal of a request that crashes servers.
 QUARANTINED = b'no_backend'
 SERVER_LEAVING = 'Server-Leaving'
-PATH_PREFIXES = ('/stock/', '/orders/', '/move/', '/home/')
-IDEMPOTENT_PREFIXES = ('/stock/', '/home/')
+PATH_PREFIXES = ('/stock/', '/orders/', '/move/', HOME_PREFIX)
+IDEMPOTENT_PREFIXES = ('/stock/', HOME_PREFIX)
 
 
 class Caller:
--- a/soak/ledger.py
+++ b/soak/ledger.py
@@ -264,7 +264,7 @@
 
         The result is empty for other routes.
         """
-        if not sent.path.startswith('/home/'):
+        if not sent.has_home:
             return set()
         return {order.home for order in self._possible_orders(sent)}
 
@@ -300,8 +300,8 @@
         """Check that callers at gateways that were cut off were served.
 
         Requests at gateways that another fault disturbed don't count, nor
-        those for which no undisturbed gateway reached the servers, or whose
-        bodies a configuration may not allow.
+        those for which no undisturbed gateway reached the servers, whose
+        bodies a configuration may not allow, or whose home may have no server.
         """
         gateways = {sent.gateway for sent in self.requests.values()}
         tries = [
@@ -309,6 +309,7 @@
             for sent in self.requests.values()
             if cut.start_s + CUT_OFF_LIMIT_S <= sent.sent_s < cut.end_s
             and not is_large(sent)
+            and not sent.has_home
             and self._was_calm(sent, sent.gateway)
             and any(
                 self._was_calm(sent, gateway)
--- a/soak/records.py
+++ b/soak/records.py
@@ -6,6 +6,8 @@
 NEVER_S = float('inf')
 # Each server that runs a request for this object crashes.
 CRASHING_OBJECT = 'crashing'
+# Of requests that have a home region.
+HOME_PREFIX = '/home/'
 
 
 class RequestRun(Struct, frozen=True):
@@ -34,6 +36,11 @@
     detail: str = ''
     runs: list[RequestRun] = field(default_factory=list)
 
+    @property
+    def has_home(self):
+        """True if only servers of a home region may run the request."""
+        return self.path.startswith(HOME_PREFIX)
+
     @property
     def crashes_servers(self):
         """True if each server that runs the request crashes."""
