--- a/fuchsiacart/gateway/start_checks.py
+++ b/fuchsiacart/gateway/start_checks.py
@@ -54,6 +54,7 @@
 
     async def run(self):
         """Check servers until cancelled."""
+        self._requested.set()
         while True:
             await self._requested.wait()
             self._requested.clear()
