Check all starts in doubt, however many fail their checks

At most 64 starts were checked, and always the first ones: 64 that failed their checks kept all others from being checked. Found by reading the fix afresh; the scenario fails on the code before, with one check at a time.

--- a/features/statement_attribution.feature
+++ b/features/statement_attribution.feature
@@ -141,6 +141,15 @@
       | 503    | another name                          | unknown |
       | 421    | that it leaves                        | unknown |
 
+  Scenario: a start that fails its checks keeps no other from being checked
+    Given a gateway before 3 servers, of which the first says in an answer that it leaves
+    And one start is checked at a time
+    And a health check of the first server shows that it fails
+    When the gateway serves a request
+    And the second server says that it leaves
+    And its view has later starts of both
+    Then only the first server is still in doubt after 0.5 s
+
   Scenario: a statement that comes while a start is checked leaves it in doubt
     Given a start in doubt that is being checked
     When the earlier start says again that it leaves
--- a/features/steps/doubtful_start_steps.py
+++ b/features/steps/doubtful_start_steps.py
@@ -1,6 +1,7 @@
 """Steps for starts that may have said what counts for earlier ones."""
 
 from asyncio import sleep
+from unittest.mock import patch
 
 from behave import given
 from behave import then
@@ -15,6 +16,7 @@
 from fuchsiacart.gateway.doubtful_starts import CheckOutcome
 from fuchsiacart.gateway.doubtful_starts import DoubtfulStarts
 from fuchsiacart.gateway.doubtful_starts import judge_check
+from fuchsiacart.gateway import start_checks
 from fuchsiacart.platform.headers import PlatformDialect
 from fuchsiacart.servers import ServerRecord
 from fuchsiacart.servers import ServerStart
@@ -127,6 +129,39 @@
     check_full_lines(context.statements, '', wait_ms)
 
 
+@given('one start is checked at a time')
+def given_one_at_a_time(context):
+    context.resources.enter_context(
+        patch.object(start_checks, 'MAX_CHECKS', 1)
+    )
+
+
+@when('the second server says that it leaves')
+def when_second_says(context):
+    fixture = context.statements
+    record = fixture.view.servers[fixture.servers[1].name]
+    statements = fixture.forwarder.statements
+    statements.record_departure(record.start, record.address)
+
+
+@when('its view has later starts of both')
+def when_later_starts(context):
+    fixture = context.statements
+    for server in fixture.servers[:2]:
+        record = fixture.view.servers[server.name]
+        fixture.view.servers[server.name] = replace(record, born_ms=2)
+    fixture.forwarder.apply_view(fixture.view, 1)
+
+
+@then('only the first server is still in doubt after {after_s:g} s')
+def then_only_first(context, after_s):
+    fixture = context.statements
+    fixture.run(sleep(after_s))
+    doubted = fixture.forwarder.selector.doubted_servers()
+    names = [server.name for server in doubted]
+    assert names == [fixture.first.name], names
+
+
 @given('a start in doubt that is being checked')
 def given_being_checked(context):
     context.doubtful = DoubtfulStarts()
--- a/fuchsiacart/gateway/doubtful_starts.py
+++ b/fuchsiacart/gateway/doubtful_starts.py
@@ -1,4 +1,4 @@
-"""Starts of backend servers that may have said what counts for earlier ones.
+"""Starts of backend servers that may have made a statement of an earlier one.
 
 A server that starts again under its name and address gets requests before the
 view names its new start, for as long as no leader is heard.  What it says of
--- a/fuchsiacart/gateway/start_checks.py
+++ b/fuchsiacart/gateway/start_checks.py
@@ -58,8 +58,10 @@
         while True:
             await self._requested.wait()
             self._requested.clear()
-            doubted = self._selector.doubted_servers()[:MAX_CHECKS]
-            await gather(*map(self._check, doubted))
+            doubted = self._selector.doubted_servers()
+            for first in range(0, len(doubted), MAX_CHECKS):
+                batch = doubted[first : first + MAX_CHECKS]
+                await gather(*map(self._check, batch))
             if self._selector.doubted_servers():
                 await sleep(CHECK_INTERVAL_S)
                 self._requested.set()
--- a/tools/seeded_faults/statements.py
+++ b/tools/seeded_faults/statements.py
@@ -215,10 +215,17 @@
     Fault(
         'a start in doubt is not checked',
         'gateway/start_checks.py',
-        'await gather(*map(self._check, doubted))',
+        'await gather(*map(self._check, batch))',
         'pass',
         'statement_attribution',
     ),
+    Fault(
+        'starts that fail their checks keep others from being checked',
+        'gateway/start_checks.py',
+        'range(0, len(doubted), MAX_CHECKS)',
+        'range(min(1, len(doubted)))',
+        'statement_attribution',
+    ),
     Fault(
         'a start is checked only when the view changes',
         'gateway/server_statements.py',
