Check the retry budget of the soak in each window, in a module of its own

The ledger counted the repeats of a sliding window and compared only those of the last one with the limit, so a burst in the middle of a run passed.

--- a/features/soak_ledger.feature
+++ b/features/soak_ledger.feature
@@ -65,6 +65,15 @@
       | 4     | 10      | 1      |
       | 9     | 6       | 0      |
 
+  Scenario Outline: repeats in any window count, not only in the last one
+    Given <repeats> requests that run twice within 5 s, and 100 that run once a minute later
+    Then the ledger reports <count> broken promises
+
+    Examples:
+      | repeats | count |
+      | 90      | 1     |
+      | 60      | 0     |
+
   Scenario Outline: a leader counts once orders are acknowledged and read
     Given a configuration that allows bodies of 4096 bytes, acknowledged at <acked_s> s
     And a read of it that is sent at <read_s> s
--- a/features/steps/soak_ledger_steps.py
+++ b/features/steps/soak_ledger_steps.py
@@ -162,6 +162,33 @@
     context.ledger.record_request(sent)
 
 
+@given(
+    '{repeats:d} requests that run twice within 5 s, and {others:d} that run'
+    ' once a minute later'
+)
+def given_repeats(context, repeats, others):
+    context.ledger = Ledger(lambda *span: False)
+    starts_s = [5.0 * index / repeats for index in range(repeats)]
+    starts_s += [60.0] * others
+    for index, sent_s in enumerate(starts_s):
+        sent = SentRequest(
+            f'{index}',
+            'GET',
+            '/stock/1',
+            OTHER,
+            sent_s,
+            TIMEOUT_S,
+            True,
+            sent_s + INTERVAL_S,
+            200,
+        )
+        run = RequestRun(
+            'server', 'stock', 'domain', 'GET', '/stock/1', sent_s
+        )
+        sent.runs += [run] * (2 if index < repeats else 1)
+        context.ledger.record_request(sent)
+
+
 @given('a read of it that is sent at {sent_s:d} s')
 def given_read(context, sent_s):
     context.ledger.reads.append(ConfigurationRead(OTHER, 1, float(sent_s)))
--- a/soak/ledger.py
+++ b/soak/ledger.py
@@ -12,6 +12,7 @@
 from soak.processes import REGIONS
 from soak.records import NEVER_S
 from soak.records import Order
+from soak.retry_checks import find_exceeded_budgets
 from soak.statements import DRAIN_LIMIT_S
 from soak.statements import StatementLedger
 
@@ -26,9 +27,6 @@
 CUT_OFF_RATIO = 2 / 3
 CUT_OFF_SLACK = 10
 CUT_OFF_SLACK_SHARE = 1 / 50
-RETRY_RATIO = 0.2
-RETRY_SLACK = 50
-RETRY_WINDOW_S = 10.0
 # Statuses which guarantee that the request has not run and never will.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 # After so many servers were lost under a request that crashes them, and
@@ -367,13 +365,8 @@
                 )
 
     def _check_retry_budget(self):
-        times = defaultdict(list)
-        for sent in self.requests.values():
-            for position, run in enumerate(sent.runs):
-                times[run.service].append((run.at_s, position > 0))
-        for service, runs in times.items():
-            runs.sort()
-            self._check_retry_window(service, runs)
+        for service, repeats in find_exceeded_budgets(self.requests.values()):
+            self.record_violation('BUDGET', f'{repeats} repeats at {service}')
 
     def _check_crashing_request(self):
         """Check that a request that crashes servers is stopped.
@@ -397,15 +390,3 @@
                 f'{len(self.crashes_s)} servers crashed,'
                 f' {late_runs} runs after the limit',
             )
-
-    def _check_retry_window(self, service, runs):
-        first = 0
-        repeats = 0
-        for at_s, is_repeat in runs:
-            repeats += is_repeat
-            while runs[first][0] < at_s - RETRY_WINDOW_S:
-                repeats -= runs[first][1]
-                first += 1
-        requests = len(runs) - sum(each for _, each in runs)
-        if repeats > requests * RETRY_RATIO + RETRY_SLACK:
-            self.record_violation('BUDGET', f'{repeats} repeats at {service}')
