Log the age of the view at each send, and pauses of gateways

No decision has changed. late_orders, logs, forwarding, home_regions and relays: 105 scenarios passed; lint clean.

--- a/features/steps/late_order_steps.py
+++ b/features/steps/late_order_steps.py
@@ -26,7 +26,6 @@
 from fuchsiacart.control.commands import StartDrain
 from fuchsiacart.control.order_positions import OrderPositions
 from fuchsiacart.control.outcomes import Outcome
-from fuchsiacart.control.pauses import PauseWatch
 from fuchsiacart.control.route_control import RouteControl
 from fuchsiacart.control.states import ReplicatedState
 from fuchsiacart.exceptions import ChangeError
@@ -37,6 +36,7 @@
 from fuchsiacart.messages import ProposeRequest
 from fuchsiacart.models import Drain
 from fuchsiacart.models import DrainScope
+from fuchsiacart.pauses import PauseWatch
 from fuchsiacart.platform.calls import make_control_application
 
 APPLIED_INDEX = 17
--- a/fuchsiacart/control/replicas.py
+++ b/fuchsiacart/control/replicas.py
@@ -24,7 +24,6 @@
 from fuchsiacart.control.leadership_barriers import LeadershipBarriers
 from fuchsiacart.control.message_checks import check_recovered
 from fuchsiacart.control.order_positions import find_subject
-from fuchsiacart.control.pauses import PauseWatch
 from fuchsiacart.control.proposals import ProposalProcessor
 from fuchsiacart.control.pulls import ViewPacker
 from fuchsiacart.control.replica_events import Barrier
@@ -52,6 +51,7 @@
 from fuchsiacart.exceptions import Run
 from fuchsiacart.logs import log_event
 from fuchsiacart.models import ReplicaId
+from fuchsiacart.pauses import PauseWatch
 from fuchsiacart.randomness import make_random
 from fuchsiacart.revision_notifiers import RevisionNotifier
 
--- a/fuchsiacart/gateway/attempts.py
+++ b/fuchsiacart/gateway/attempts.py
@@ -113,7 +113,9 @@
     ``has_retry`` is True while a retry that the budget allowed has not been
     made.  ``account`` is the one whose key the request carries, None without;
     ``has_accounts`` is True if the configuration has any.  ``is_refunded`` is
-    True if the last attempt was surely not run.
+    True if the last attempt was surely not run.  ``revision`` and
+    ``view_age_ms`` are the revision of the view by which it was sent last and
+    the age of that view.
     """
 
     request: InboundRequest
@@ -135,6 +137,8 @@
     account: ClientAccount | None = None
     has_accounts: bool = False
     is_refunded: bool = False
+    revision: int = 0
+    view_age_ms: float = -1.0
 
     @property
     def rank(self):
--- a/fuchsiacart/gateway/forwarding.py
+++ b/fuchsiacart/gateway/forwarding.py
@@ -1,9 +1,11 @@
 """Forwards requests by route, with retries on other backend servers."""
 
+from math import isfinite
 from time import monotonic
 
 from msgspec.structs import replace
 
+from fuchsiacart.clocks import boot_ms
 from fuchsiacart.clocks import MILLISECONDS
 from fuchsiacart.clocks import steady_ms
 from fuchsiacart.exceptions import ErrorKind
@@ -14,6 +16,7 @@
 from fuchsiacart.gateway.beliefs.key_checks import KeyChecker
 from fuchsiacart.gateway.beliefs.key_checks import restrict_homes
 from fuchsiacart.gateway.beliefs.restarts import log_restarts
+from fuchsiacart.gateway.beliefs.view_ages import ViewAge
 from fuchsiacart.gateway.beliefs.view_freshness import ViewFreshness
 from fuchsiacart.gateway.budgets.account_quotas import AccountQuotas
 from fuchsiacart.gateway.budgets.body_budgets import BodyBudget
@@ -79,6 +82,8 @@
         )
         self._admission = RankedAdmission()
         self.freshness = ViewFreshness()
+        self.view_age = ViewAge()
+        self.revision = 0
         self.planned_stop = PlannedStop()
         self.keys = KeyChecker(settings.routes, self.freshness)
         self.quotas = AccountQuotas(settings)
@@ -215,6 +220,7 @@
 
     def _may_use(self, attempts):
         """Return False if the configuration in force refuses a request."""
+        self._record_view_age(attempts)
         try:
             self._update_terms(attempts)
         except RequestError:
@@ -222,6 +228,11 @@
             return False
         return True
 
+    def _record_view_age(self, attempts):
+        age_ms = self.view_age.age_ms(boot_ms())
+        attempts.revision = self.revision
+        attempts.view_age_ms = int(age_ms) if isfinite(age_ms) else -1
+
     def find_room(self, service, rank, left_s):
         """Return the load per slot up to which a server takes a request.
 
--- a/fuchsiacart/gateway/hosts.py
+++ b/fuchsiacart/gateway/hosts.py
@@ -23,10 +23,13 @@
 from fuchsiacart.models import Host
 from fuchsiacart.models import HostId
 from fuchsiacart.ownership import find_owner
+from fuchsiacart.pauses import watch_pauses
 from fuchsiacart.randomness import make_random
 from fuchsiacart.supervisors import Supervisor
 
 STOP_POLL_S = 0.05
+# Shortest pause of this process that is logged.
+MIN_PAUSE_MS = 250.0
 # Time after which callers have learned of the stop and use other gateways.
 ACCEPT_AFTER_STOP_S = 3.0
 # Reserved for closing before the process is killed.
@@ -129,6 +132,7 @@
         tree.add('prober', self._prober.run)
         tree.add('callers', self.caller_server.watch)
         tree.add('start_checker', self.forwarder.start_checker.run)
+        tree.add('pauses', lambda: watch_pauses(MIN_PAUSE_MS))
         return tree
 
     def loads(self):
@@ -237,6 +241,9 @@
             self._lease.is_behind,
         )
         self.forwarder.keys.record_confirmation(self._lease.confirmed_boot_ms)
+        self.forwarder.view_age.record_confirmation(
+            self._lease.confirmed_boot_ms
+        )
 
     def _apply_view(self):
         """Serve by the present view, once the leader has confirmed one.
@@ -248,6 +255,7 @@
             return
         self._is_view_confirmed = True
         view = self._views.replicated_state
+        self.forwarder.revision = view.revision
         self._gateways = tuple(host for host in view.hosts if is_live(host))
         self._warmup_owned = {}
         self.forwarder.apply_view(view.routes, len(self._gateways))
--- a/fuchsiacart/gateway/relays.py
+++ b/fuchsiacart/gateway/relays.py
@@ -244,6 +244,8 @@
             'relay',
             request=attempts.request.metadata.request_id,
             gateway=host.name,
+            revision=attempts.revision,
+            view_age_ms=attempts.view_age_ms,
             result=outcome,
             taken_ms=int(taken_s * MILLISECONDS),
             detail=result.detail,
--- a/fuchsiacart/gateway/server_attempts.py
+++ b/fuchsiacart/gateway/server_attempts.py
@@ -239,6 +239,8 @@
             region=server.region,
             homes=','.join(attempts.route.home_regions),
             version=attempts.version,
+            revision=attempts.revision,
+            view_age_ms=attempts.view_age_ms,
             load=round(attempts.believed_load, 1),
             load_age_ms=int(attempts.load_age_ms),
             room=round(attempts.room, 2),
--- a/tools/seeded_faults/control.py
+++ b/tools/seeded_faults/control.py
@@ -399,7 +399,7 @@
     ),
     Fault(
         'a pause is noticed by the next tick only',
-        'control/pauses.py',
+        'pauses.py',
         'if now_ms - self._ticked_ms >= MIN_PAUSE_MS:',
         'if False:',
         'late_orders',
