Apply each renewal of a lease once its own revision is reached

A lease kept one pending renewal. A further renewal replaced it, with a newer revision that the host had to reach first. While changes go on and a host applies them later than the time between two renewals, none ever took effect: the lease ended, though the view was never more than 0.7 s behind.

Renewals are kept until the view has reached the revision that each named. The new scenario (renewals every 0.5 s, changes every 0.1 s applied 0.7 s later) failed before: the lease was not valid at 10 s. agreement: all pass now.

--- a/features/agreement.feature
+++ b/features/agreement.feature
@@ -27,6 +27,12 @@
     When the host reaches revision 7
     Then the lease is valid at 1500
 
+  Scenario: a lease ends as each renewal names changes that its host has not reached
+    Given a lease of 3000 ms that is renewed every 500 ms for 10 s
+    And changes every 100 ms that its host applies 700 ms later
+    Then the lease is valid at 10000
+    And the last renewal in effect was sent after 8700
+
   Scenario: the control group expires a host only after its lease has ended
     Given a control host that renewed a lease of 3000 ms at 2500
     Then it expires the host only after 5500
--- a/features/steps/agreement_steps.py
+++ b/features/steps/agreement_steps.py
@@ -106,6 +106,29 @@
     context.lease.renew(1000.0, lease, required, at)
 
 
+@given('a lease of {lease:d} ms that is renewed every {every:d} ms for 10 s')
+def given_renewed_lease(context, lease, every):
+    """Set the terms of a lease."""
+    context.lease = Lease()
+    context.terms = lease, every
+
+
+@given('changes every {each:d} ms that its host applies {late:d} ms later')
+def given_late_changes(context, each, late):
+    """Renew the lease while the host is always a few changes behind."""
+    lease_ms, every_ms = context.terms
+    for at_ms in range(0, 10_001, each):
+        applied = max(0, at_ms - late) // each
+        context.lease.record_revision(applied)
+        if at_ms % every_ms == 0:
+            context.lease.renew(at_ms, lease_ms, at_ms // each, applied)
+
+
+@then('the last renewal in effect was sent after {sent:d}')
+def then_renewed_after(context, sent):
+    assert context.lease.renewed_ms > sent, context.lease.renewed_ms
+
+
 @when('the host reaches revision {revision:d}')
 def when_reached(context, revision):
     context.lease.record_revision(revision)
--- a/fuchsiacart/leases.py
+++ b/fuchsiacart/leases.py
@@ -7,6 +7,7 @@
 """
 
 from collections import defaultdict
+from collections import deque
 
 from msgspec import Struct
 
@@ -14,6 +15,8 @@
 
 # Added to the duration of a lease on the leader's side only.
 CLOCK_MARGIN_MS = 250
+# Renewals that wait for their revisions; the oldest are dropped first.
+MAX_PENDING_RENEWALS = 32
 
 
 class Session(Struct):
@@ -24,6 +27,14 @@
     revision: int = 0
 
 
+class PendingRenewal(Struct, frozen=True):
+    """A renewal that takes effect with a revision of the view."""
+
+    sent_ms: float
+    until_ms: float
+    needed_revision: int
+
+
 class LeaseTable:
     """The leases granted by the leader; does no I/O.
 
@@ -99,9 +110,9 @@
 
     def __init__(self):
         self._until_ms = 0.0
-        self._pending_until_ms = 0.0
         self._renewed_ms = 0.0
-        self._pending_renewed_ms = 0.0
+        # Renewals whose revision the view has not reached, oldest first.
+        self._pending = deque(maxlen=MAX_PENDING_RENEWALS)
         self._needed_revision = 0
         self._revision = 0
 
@@ -113,22 +124,27 @@
         :param needed_revision: the revision named in the reply.
         :param revision: the revision of the host's view.
         """
-        self._pending_until_ms = max(
-            self._pending_until_ms, sent_ms + lease_ms
-        )
-        self._pending_renewed_ms = max(self._pending_renewed_ms, sent_ms)
         self._needed_revision = max(self._needed_revision, needed_revision)
+        self._pending.append(
+            PendingRenewal(sent_ms, sent_ms + lease_ms, needed_revision)
+        )
         self.record_revision(revision)
 
     def record_revision(self, revision):
-        """Apply pending renewals if the view has the needed revision.
+        """Apply the pending renewals whose revision the view has reached.
 
         :param revision: the revision of the host's view.
         """
         self._revision = revision
-        if not self.is_behind:
-            self._until_ms = self._pending_until_ms
-            self._renewed_ms = self._pending_renewed_ms
+        reached = [
+            renewal
+            for renewal in self._pending
+            if renewal.needed_revision <= revision
+        ]
+        for renewal in reached:
+            self._pending.remove(renewal)
+            self._until_ms = max(self._until_ms, renewal.until_ms)
+            self._renewed_ms = max(self._renewed_ms, renewal.sent_ms)
 
     def holds(self, now_ms):
         """Return True if the lease is valid."""
