Send requests by no knowledge older than the bound of the settings

What callers saw: requests reached servers up to 2.98 s after their departure was acknowledged, 2.5 s allowed, at gateways that were held up.

Cause: nothing bounded the age of the view at the moment of sending. An answer to a pull counted as new when it was read, however long before it had been made; the age was looked at once, when a request arrived; and after one wait in vain no request looked at it again until the next answer.

Now one rule holds for departures, evacuations, homes, routes and keys. The view is as old as the renewal of the lease that confirmed it, counted from when that was sent, by a clock that runs on while the machine is suspended. Its limit comes from the platform's bounds (routes.drain_s, apply_s, evacuate_s) less the second for which what was sent may be under way. It is asked before each attempt and right before each send or relay. A request that finds the view outdated waits 0.3 s for a renewal at most, once for each loss of contact. Then a server must have said itself, within the limit, that it does not leave, in an answer or when it is asked at its health path; else the request is refused as not run. Revocations use the same age with their own limit, so RevocationGuard is gone.

Fixtures that set the time of an answer to a pull set that of a renewal; the accounts' fixture sets the new bounds far, as only that of revocations is in question there (its stand-in server answers no health check).

--- a/features/steps/account_steps.py
+++ b/features/steps/account_steps.py
@@ -44,6 +44,7 @@
     'the name of berta only': (NAMED,),
 }
 CONNECT_S = 0.05
+FAR_S = 3600.0
 
 
 class AccountDialect(PlainDialect):
@@ -104,6 +105,10 @@
             regions=REGIONS,
             retry_slack=RETRY_SLACK,
             revoke_s=revoke_s,
+            # Only the bound of revocations is in question.
+            drain_s=FAR_S,
+            apply_s=FAR_S,
+            evacuate_s=FAR_S,
             quota_slack=20.0,
         )
         self.accounts = {
@@ -145,10 +150,9 @@
 
     def confirm(self, age_ms):
         """Confirm the view as it was some time ago, and as the newest."""
-        now_ms = boot_ms()
-        self.forwarder.keys.record_confirmation(now_ms - age_ms)
-        self.forwarder.freshness.record_lease(now_ms, float('inf'), False)
-        self.forwarder.freshness._current_until_ms = float('inf')
+        freshness = self.forwarder.freshness
+        freshness.record_lease(boot_ms() - age_ms, float('inf'), False)
+        freshness._current_until_ms = float('inf')
 
     def change(self, name, **fields):
         """Change fields of an account in the configuration."""
--- a/features/steps/explanation_steps.py
+++ b/features/steps/explanation_steps.py
@@ -49,8 +49,7 @@
 
 @given('its view is too old for keys')
 def given_old(context):
-    guard = context.account.forwarder.keys._guard
-    guard._limit_ms = 1000.0
+    context.account.forwarder.keys._limit_ms = 1000.0
     context.account.confirm(FAR_MS)
 
 
--- a/features/steps/forwarding_steps.py
+++ b/features/steps/forwarding_steps.py
@@ -4,6 +4,7 @@
 from asyncio import new_event_loop
 from asyncio import sleep
 from asyncio import wait_for
+from math import inf
 from random import Random
 from time import monotonic
 from time import time
@@ -19,7 +20,7 @@
 from tornado.web import Application
 from tornado.web import RequestHandler
 
-from fuchsiacart.clocks import steady_ms
+from fuchsiacart.clocks import boot_ms
 from fuchsiacart.configurations import Configuration
 from fuchsiacart.configurations import Item
 from fuchsiacart.configurations import ItemId
@@ -456,13 +457,13 @@
 def when_paused(context, pause_s, delay_s):
     fixture = context.forwarding
     freshness = fixture.forwarder.freshness
-    freshness.record_answer(steady_ms() - pause_s * 1000)
+    freshness.record_lease(boot_ms() - pause_s * 1000, inf, False)
 
     async def pull():
         await sleep(delay_s)
         del fixture.view.servers[fixture.servers[0].name]
         fixture.forwarder.apply_view(fixture.view, 1)
-        freshness.record_answer(steady_ms())
+        freshness.record_lease(boot_ms(), inf, False)
 
     async def serve():
         await gather(fixture.serve(RequestKind.IDEMPOTENT), pull())
@@ -477,8 +478,8 @@
 
 @when('it was cut off for {pause_s:d} s')
 def when_cut_off(context, pause_s):
-    context.forwarding.forwarder.freshness.record_answer(
-        steady_ms() - pause_s * 1000
+    context.forwarding.forwarder.freshness.record_lease(
+        boot_ms() - pause_s * 1000, inf, False
     )
 
 
--- a/features/steps/home_region_fixtures.py
+++ b/features/steps/home_region_fixtures.py
@@ -3,6 +3,7 @@
 from asyncio import new_event_loop
 from asyncio import sleep
 from asyncio import wait_for
+from math import inf
 from time import monotonic
 
 from msgspec import Struct
@@ -19,7 +20,7 @@
 from features.steps.forwarding_steps import NOT_RUN_HEADER
 from features.steps.forwarding_steps import PlainDialect
 from features.steps.forwarding_steps import PROOF_HEADER
-from fuchsiacart.clocks import steady_ms
+from fuchsiacart.clocks import boot_ms
 from fuchsiacart.configurations import Configuration
 from fuchsiacart.configurations import Item
 from fuchsiacart.configurations import ItemId
@@ -239,7 +240,7 @@
         for region in regions:
             forwarder = self.gateways[region].forwarder
             forwarder.apply_view(self.view, len(self.gateways))
-            forwarder.freshness.record_answer(steady_ms())
+            forwarder.freshness.record_lease(boot_ms(), inf, False)
 
     def move_server(self, name, domain):
         """Let a server say under the same start that it is elsewhere."""
--- a/features/steps/view_freshness_steps.py
+++ b/features/steps/view_freshness_steps.py
@@ -7,6 +7,7 @@
 from fuchsiacart.clocks import MILLISECONDS
 from fuchsiacart.gateway.beliefs.view_freshness import ViewFreshness
 from fuchsiacart.leases import Lease
+from fuchsiacart.settings import RouteSettings
 
 REVISION = 5
 
@@ -15,15 +16,19 @@
 def given_renewed(context, lease_s):
     lease = Lease()
     lease.renew(0.0, lease_s * MILLISECONDS, REVISION, REVISION)
-    context.freshness = ViewFreshness()
-    context.freshness.record_lease(
-        lease.renewed_ms, lease.until_ms, lease.is_behind
-    )
+    context.lease = lease
 
 
 @given('changes that must be in force after {apply_s:g} seconds')
 def given_bound(context, apply_s):
     context.apply_ms = apply_s * MILLISECONDS
+    routes = RouteSettings(drain_s=apply_s, apply_s=apply_s)
+    context.freshness = ViewFreshness(routes.max_view_age_ms)
+    context.freshness.record_lease(
+        context.lease.renewed_ms,
+        context.lease.until_ms,
+        context.lease.is_behind,
+    )
 
 
 @when('its renewals get no answer for {silence_s:g} seconds')
--- a/fuchsiacart/accounts/__init__.py
+++ b/fuchsiacart/accounts/__init__.py
@@ -18,7 +18,6 @@
 from fuchsiacart.accounts.quota_messages import QuotaGrant
 from fuchsiacart.accounts.quota_messages import QuotaReport
 from fuchsiacart.accounts.quota_terms import QuotaTerms
-from fuchsiacart.accounts.revocations import RevocationGuard
 
 __all__ = (
     'AccountId',
@@ -30,7 +29,6 @@
     'QuotaReport',
     'QuotaState',
     'QuotaTerms',
-    'RevocationGuard',
     'combine_homes',
     'digest_key',
     'find_shared_key',
--- a/fuchsiacart/gateway/beliefs/key_checks.py
+++ b/fuchsiacart/gateway/beliefs/key_checks.py
@@ -1,14 +1,18 @@
 """Finds the account of a request and checks that its key still holds."""
 
+from math import inf
+
 from fuchsiacart.accounts import combine_homes
 from fuchsiacart.accounts import read_key_digest
-from fuchsiacart.accounts import RevocationGuard
 from fuchsiacart.clocks import boot_ms
 from fuchsiacart.clocks import MILLISECONDS
-from fuchsiacart.clocks import steady_ms
 from fuchsiacart.exceptions import ErrorKind
 from fuchsiacart.exceptions import RequestError
 
+# Covers the difference between the clocks of two machines over the time in
+# which a revocation has to hold.
+CLOCK_MARGIN_MS = 100.0
+
 
 class KeyChecker:
     """Checks the keys of requests by the view of this gateway.
@@ -19,14 +23,9 @@
 
     def __init__(self, routes, freshness):
         self._freshness = freshness
-        revoke_ms = None
+        self._limit_ms = inf
         if routes.revoke_s is not None:
-            revoke_ms = routes.revoke_s * MILLISECONDS
-        self._guard = RevocationGuard(revoke_ms)
-
-    def record_confirmation(self, confirmed_ms):
-        """See :meth:`RevocationGuard.record_confirmation`."""
-        self._guard.record_confirmation(confirmed_ms)
+            self._limit_ms = routes.revoke_s * MILLISECONDS - CLOCK_MARGIN_MS
 
     async def find_certainly(self, get_table, request, route):
         """Find the account of a request, by a newer view if needed.
@@ -54,8 +53,14 @@
             raise request.make_stale_error() from error
 
     def accepts(self, now_ms):
-        """See :meth:`RevocationGuard.accepts`."""
-        return self._guard.accepts(now_ms)
+        """Return True if no key can have been revoked for too long.
+
+        Where a revocation has to hold at gateways that are cut off too, they
+        refuse all requests with a key once their view is too old.
+
+        :param now_ms: the current time.
+        """
+        return self._freshness.age.age_ms(now_ms) <= self._limit_ms
 
     def find_account(self, table, request, route):
         """Return the account of a request, or None if it needs none.
@@ -72,7 +77,7 @@
         if not table.accounts:
             return None
         account = table.accounts.find(read_key_digest(request.headers))
-        is_current = self._guard.accepts(boot_ms())
+        is_current = self.accepts(boot_ms())
         if route.is_public:
             return account if is_current else None
         if not is_current:
@@ -90,7 +95,7 @@
     def _is_uncertain(self, error):
         """Return True if a newer view may have the key."""
         is_denied = error.kind is ErrorKind.UNAUTHORIZED
-        return is_denied and not self._freshness.is_current(steady_ms())
+        return is_denied and not self._freshness.is_current(boot_ms())
 
 
 def restrict_homes(route, account, request):
--- a/fuchsiacart/gateway/beliefs/view_freshness.py
+++ b/fuchsiacart/gateway/beliefs/view_freshness.py
@@ -2,7 +2,8 @@
 
 Answers the requests that a process finds after it was paused: servers may
 have left and routes may have changed meanwhile.  A gateway that is cut off
-from the control group waits once and then goes on by the view that it has.
+from the control group waits once and then goes on by the view that it has and
+by what servers say when they are asked.
 Answers also the requests that arrive while a gateway starts, as after a loss
 of power of all hosts: its view is a second away, and callers that were told
 to return would lose that second and their next try.
@@ -13,23 +14,31 @@
 
 from asyncio import Event
 from asyncio import wait_for
+from math import inf
 from time import monotonic
 
+from fuchsiacart.clocks import boot_ms
 from fuchsiacart.clocks import MILLISECONDS
+from fuchsiacart.gateway.beliefs.view_ages import ViewAge
 from fuchsiacart.logs import log_event
+from fuchsiacart.metrics import VIEW_WAITS
 
-# Age of the last answer to a pull after which the view may be outdated.
-# Pulls are answered at least every 0.4 s.
-MAX_VIEW_AGE_MS = 1500.0
-# Time in which a pull after a pause is answered.
+# Time in which a renewal after a pause is answered.
 MAX_WAIT_S = 0.3
 
 
 class ViewFreshness:
-    """Knows when the view was confirmed by pulls and by renewals."""
+    """Knows when the view was confirmed by renewals of the lease.
 
-    def __init__(self):
-        self._confirmed_ms = None
+    ``age`` is the :class:`ViewAge`.  All times are those of :func:`boot_ms`.
+
+    :param limit_ms: age from which the view is outdated.
+    """
+
+    def __init__(self, limit_ms=inf):
+        self.age = ViewAge(limit_ms)
+        self._limit_ms = limit_ms
+        self._outdated_listener = None
         self._has_waited = False
         self._confirmed = Event()
         self._in_use = Event()
@@ -38,6 +47,13 @@
         self._caught_up = Event()
         self._caught_up.set()
 
+    def on_outdated(self, listener):
+        """Set the function that is called when a newer view is needed.
+
+        :param listener: takes no arguments.
+        """
+        self._outdated_listener = listener
+
     def record_use(self):
         """Record that the gateway serves by a view."""
         self._in_use.set()
@@ -68,24 +84,20 @@
         except TimeoutError:
             return
 
-    def record_answer(self, now_ms):
-        """Record an answer to a pull.
-
-        :param now_ms: the current time, of a steady clock.
-        """
-        self._confirmed_ms = now_ms
-        self._has_waited = False
-        self._confirmed.set()
-
     def record_lease(self, renewed_ms, until_ms, is_behind):
         """Record the last renewal of the lease, or a change of the view.
 
-        :param renewed_ms: when the last renewal was sent, of a steady clock.
-        :param until_ms: end of the lease, of a steady clock.
-        :param is_behind: True if the view lacks changes that the renewal
-            has named.
+        :param renewed_ms: when the last renewal was sent whose revision the
+            view has reached.
+        :param until_ms: end of the lease.
+        :param is_behind: True if the view lacks changes that a renewal has
+            named.
         """
-        self._current_until_ms = min(until_ms, renewed_ms + MAX_VIEW_AGE_MS)
+        self.age.record_confirmation(renewed_ms)
+        if not self.age.is_outdated(boot_ms()):
+            self._has_waited = False
+            self._confirmed.set()
+        self._current_until_ms = min(until_ms, renewed_ms + self._limit_ms)
         if is_behind:
             self._caught_up.clear()
         else:
@@ -113,17 +125,22 @@
 
         :param now_ms: the current time.
         """
-        if self._confirmed_ms is None or self._has_waited:
-            return False
-        return now_ms - self._confirmed_ms > MAX_VIEW_AGE_MS
+        return not self._has_waited and self.age.is_outdated(now_ms)
 
-    async def wait(self, now_ms):
-        """Wait for the next answer to a pull, at most ``MAX_WAIT_S``.
+    async def refresh(self):
+        """Wait for a newer view where this one is outdated.
 
-        :param now_ms: the current time.
+        Waits ``MAX_WAIT_S`` at most, and no more after a wait in vain until a
+        renewal is answered.
         """
-        log_event('view_outdated', age_ms=int(now_ms - self._confirmed_ms))
+        now_ms = boot_ms()
+        if not self.needs_wait(now_ms):
+            return
+        log_event('view_outdated', age_ms=int(self.age.age_ms(now_ms)))
+        VIEW_WAITS.inc()
         self._confirmed.clear()
+        if self._outdated_listener is not None:
+            self._outdated_listener()
         try:
             await wait_for(self._confirmed.wait(), MAX_WAIT_S)
         except TimeoutError:
--- a/fuchsiacart/gateway/dialects.py
+++ b/fuchsiacart/gateway/dialects.py
@@ -46,6 +46,7 @@
     ``is_leaving`` says that the server is about to end, ``retry_after_ms``
     for how long it wants no request if it refuses this one; 0 if not told.
     ``server_name`` is what the server calls itself, '' if not told.
+    ``is_staying`` says that the server was not leaving when it answered.
     """
 
     not_run: bool
@@ -55,6 +56,7 @@
     is_leaving: bool = False
     retry_after_ms: float = 0.0
     server_name: str = ''
+    is_staying: bool = False
 
     def names_wait(self, status):
         """Return True if the server says for how long it wants no request.
--- a/fuchsiacart/gateway/forwarding.py
+++ b/fuchsiacart/gateway/forwarding.py
@@ -13,10 +13,10 @@
 from fuchsiacart.gateway.admissions import RankedAdmission
 from fuchsiacart.gateway.admissions import scale_room
 from fuchsiacart.gateway.attempts import Attempts
+from fuchsiacart.gateway.beliefs.health_checks import HealthChecker
 from fuchsiacart.gateway.beliefs.key_checks import KeyChecker
 from fuchsiacart.gateway.beliefs.key_checks import restrict_homes
 from fuchsiacart.gateway.beliefs.restarts import log_restarts
-from fuchsiacart.gateway.beliefs.view_ages import ViewAge
 from fuchsiacart.gateway.beliefs.view_freshness import ViewFreshness
 from fuchsiacart.gateway.budgets.account_quotas import AccountQuotas
 from fuchsiacart.gateway.budgets.body_budgets import BodyBudget
@@ -26,7 +26,6 @@
 from fuchsiacart.gateway.dialects import Dialect
 from fuchsiacart.gateway.evidence import EvidenceMeter
 from fuchsiacart.gateway.gateway_selectors import GatewaySelector
-from fuchsiacart.gateway.placing.placement_requests import PlacementRequest
 from fuchsiacart.gateway.placing.placements import ServerSelector
 from fuchsiacart.gateway.planned_stops import PlannedStop
 from fuchsiacart.gateway.reachability import ServerReachability
@@ -34,6 +33,7 @@
 from fuchsiacart.gateway.route_tables import RouteTable
 from fuchsiacart.gateway.route_tables import TargetSplitter
 from fuchsiacart.gateway.server_attempts import ServerSender
+from fuchsiacart.gateway.server_choosers import ServerChooser
 from fuchsiacart.gateway.server_statements import ServerStatements
 from fuchsiacart.gateway.start_checks import StartChecker
 from fuchsiacart.gateway.suspects import SuspectTracker
@@ -70,9 +70,13 @@
             self.selector.backoffs,
             self.selector.doubtful,
         )
-        self.start_checker = StartChecker(
-            self.selector, dialect, self._pool, self.statements
+        self.freshness = ViewFreshness(settings.routes.max_view_age_ms)
+        self.demands = DemandMeter()
+        self._checker = HealthChecker(dialect, self._pool, self.statements)
+        self._chooser = ServerChooser(
+            self.selector, self.demands, self.freshness.age, self._checker
         )
+        self.start_checker = StartChecker(self.selector, self._checker)
         self.statements.on_statement(self.start_checker.check_soon)
         self.relay = Relay(
             GatewaySelector(settings.host, random),
@@ -81,13 +85,10 @@
             self.body_budget,
         )
         self._admission = RankedAdmission()
-        self.freshness = ViewFreshness()
-        self.view_age = ViewAge()
         self.revision = 0
         self.planned_stop = PlannedStop()
         self.keys = KeyChecker(settings.routes, self.freshness)
         self.quotas = AccountQuotas(settings)
-        self.demands = DemandMeter()
         self.evidence = EvidenceMeter()
         self.suspects = SuspectTracker(
             settings.entry.quarantine_ms,
@@ -128,7 +129,8 @@
         earlier = self.selector.servers
         self.selector.apply_view(view, self.route_table, steady_ms())
         log_restarts(earlier, view.servers)
-        self.start_checker.apply_view(self.route_table)
+        self._checker.apply_view(self.route_table)
+        self.start_checker.check_soon()
         self._pool.retain(view.servers.values())
         self.reachability.apply_view(len(view.servers))
         if self.version:
@@ -146,8 +148,7 @@
             raise request.make_stop_error()
         if not self.version:
             await self.freshness.wait_for_first(request.retry_after_ms)
-        elif self.freshness.needs_wait(steady_ms()):
-            await self.freshness.wait(steady_ms())
+        await self.freshness.refresh()
         await self._check_version(request)
         route = await self._find_route(request)
         account = await self.keys.find_certainly(
@@ -179,9 +180,10 @@
             await attempts.wait_for_server_check()
         self._check_quarantine(attempts)
         if not attempts.may_try_again(self._retry_budget(attempts.service)):
-            raise attempts.make_error(self._time_to_room_ms(attempts))
+            raise attempts.make_error(self._chooser.time_to_room_ms(attempts))
 
     async def _make_attempt(self, attempts):
+        await self.freshness.refresh()
         self._update_terms(attempts)
         if self.reachability.is_isolated:
             return await self._relay(attempts)
@@ -190,11 +192,12 @@
             await self.quotas.spend(account, attempts)
         attempts.is_refunded = True
         try:
-            server = self._choose_server(attempts)
-            if self.reachability.is_confined and not self._pool.has_idle(
-                server.record
+            server = self._chooser.choose(attempts)
+            if self.reachability.is_confined and not self._may_use_idle(
+                server
             ):
                 return await self._relay(attempts)
+            server = await self._chooser.confirm(attempts, server)
             return await self._sender.make_attempt(
                 attempts,
                 server,
@@ -204,6 +207,12 @@
             if account is not None and attempts.is_refunded:
                 self.quotas.refund(account)
 
+    def _may_use_idle(self, server):
+        """Return True if an open connection to a server may be used now."""
+        return self._pool.has_idle(
+            server.record
+        ) and not self._chooser.is_outdated(server)
+
     async def _relay(self, attempts):
         return await self.relay.make_attempt(
             attempts, lambda: self._may_use(attempts)
@@ -216,11 +225,19 @@
         """
         if not self._may_use(attempts) or attempts.account != account:
             return False
+        if self._chooser.is_outdated(server):
+            attempts.excluded -= {server.name}
+            return False
         return self.selector.accepts(server, attempts.route.home_regions)
 
     def _may_use(self, attempts):
-        """Return False if the configuration in force refuses a request."""
+        """Return False if the configuration in force refuses a request.
+
+        Also if that is not known, as the view has become outdated since.
+        """
         self._record_view_age(attempts)
+        if self.freshness.needs_wait(boot_ms()):
+            return False
         try:
             self._update_terms(attempts)
         except RequestError:
@@ -229,7 +246,7 @@
         return True
 
     def _record_view_age(self, attempts):
-        age_ms = self.view_age.age_ms(boot_ms())
+        age_ms = self.freshness.age.age_ms(boot_ms())
         attempts.revision = self.revision
         attempts.view_age_ms = int(age_ms) if isfinite(age_ms) else -1
 
@@ -334,7 +351,7 @@
         )
 
     def _may_deny(self):
-        return bool(self.version) and self.freshness.is_current(steady_ms())
+        return bool(self.version) and self.freshness.is_current(boot_ms())
 
     def _look_up_route(self, request):
         if not self.version:
@@ -371,39 +388,3 @@
         budget = self._retry_budgets[service]
         budget.gateway_count = self._gateway_count
         return budget
-
-    def _choose_server(self, attempts):
-        placement = self._make_placement(attempts)
-        now_ms = steady_ms()
-        server = self.selector.choose(placement, now_ms)
-        attempts.room = placement.max_requests_per_slot
-        if server is None:
-            raise attempts.make_error(
-                self._time_to_room_ms(attempts),
-                f'no server of {attempts.service} has room',
-            )
-        attempts.believed_load = server.load(now_ms)
-        attempts.load_age_ms = server.report_age_ms(now_ms)
-        return server
-
-    def _time_to_room_ms(self, attempts):
-        return self.selector.time_to_room_ms(
-            self._make_placement(attempts),
-            self.demands.mean_service_ms(attempts.service),
-            steady_ms(),
-        )
-
-    def _make_placement(self, attempts):
-        metadata = attempts.request.metadata
-        room = self.demands.max_requests_per_slot(
-            attempts.service, attempts.objective_left_s
-        )
-        return PlacementRequest(
-            attempts.service,
-            metadata.object_key or metadata.request_id,
-            scale_room(room, attempts.urgency),
-            attempts.route.home_regions,
-            attempts.excluded,
-            attempts.route.sticky,
-            self.demands.mean_service_ms(attempts.service),
-        )
--- a/fuchsiacart/gateway/hosts.py
+++ b/fuchsiacart/gateway/hosts.py
@@ -7,7 +7,6 @@
 
 from fuchsiacart.adapters import Method
 from fuchsiacart.clocks import MILLISECONDS
-from fuchsiacart.clocks import steady_ms
 from fuchsiacart.control.states import is_live
 from fuchsiacart.control_clients import ControlClient
 from fuchsiacart.control_clients import rotate_addresses
@@ -59,9 +58,7 @@
             ContractLimiter(),
             self.forwarder.quotas,
         )
-        self._views.on_answer(
-            lambda: self.forwarder.freshness.record_answer(steady_ms())
-        )
+        self.forwarder.freshness.on_outdated(self._lease.renew_soon)
         self.caller_server = CallerServer(
             self.forwarder, dialect, self.forwarder.body_budget
         )
@@ -236,14 +233,10 @@
 
     def _record_lease(self):
         self.forwarder.freshness.record_lease(
-            self._lease.renewed_ms,
-            self._lease.until_ms,
+            self._lease.confirmed_boot_ms,
+            self._lease.until_boot_ms,
             self._lease.is_behind,
         )
-        self.forwarder.keys.record_confirmation(self._lease.confirmed_boot_ms)
-        self.forwarder.view_age.record_confirmation(
-            self._lease.confirmed_boot_ms
-        )
 
     def _apply_view(self):
         """Serve by the present view, once the leader has confirmed one.
--- a/fuchsiacart/gateway/operators/explanations.py
+++ b/fuchsiacart/gateway/operators/explanations.py
@@ -163,7 +163,7 @@
 def _read_view(forwarder):
     return ViewState(
         forwarder.version,
-        forwarder.freshness.is_current(steady_ms()),
+        forwarder.freshness.is_current(boot_ms()),
         forwarder.keys.accepts(boot_ms()),
         not forwarder.reachability.is_isolated,
     )
--- a/fuchsiacart/gateway/server_attempts.py
+++ b/fuchsiacart/gateway/server_attempts.py
@@ -5,6 +5,7 @@
 from msgspec.structs import replace
 
 from fuchsiacart.accounts import without_credentials
+from fuchsiacart.clocks import boot_ms
 from fuchsiacart.clocks import MILLISECONDS
 from fuchsiacart.clocks import steady_ms
 from fuchsiacart.failure_kinds import FailureKind
@@ -79,6 +80,7 @@
         known_losses = self._suspects.losses_in_row(request)
         counted = self._backoffs.begin(record.start)
         server.in_flight += 1
+        asked_ms = boot_ms()
         started_s = monotonic()
         try:
             result = await self._pool.exchange(
@@ -116,6 +118,10 @@
                     request, record, known_losses, attempts.server_check
                 )
             return None
+        if self._dialect.read_response(
+            result.response.status, result.response.headers
+        ).is_staying:
+            server.record_told(asked_ms)
         response = self._handle_response(attempts, server, result, taken_s)
         if response is not None and response.status < MIN_SERVER_ERROR_STATUS:
             self._backoffs.record_success(record.start, counted)
--- a/fuchsiacart/gateway/tracked_servers.py
+++ b/fuchsiacart/gateway/tracked_servers.py
@@ -1,5 +1,7 @@
 """State of one backend server as one gateway sees it."""
 
+from math import inf
+
 from msgspec import Struct
 
 from fuchsiacart.clocks import MILLISECONDS
@@ -18,6 +20,8 @@
     those of other gateways by the last report.  Until ``cold_until_ms`` the
     server is cold and takes requests only at the rate of its token bucket.
     ``is_misdirected`` is True if its address now belongs to another server.
+    ``told_ms`` is when the server was last asked that has answered that it
+    does not leave, a time of :func:`boot_ms`.
     """
 
     record: ServerRecord
@@ -31,6 +35,7 @@
     failures: int = 0
     suspended_until_ms: float = 0.0
     is_misdirected: bool = False
+    told_ms: float = -inf
 
     @property
     def name(self):
@@ -108,6 +113,13 @@
         self.others_in_flight = float(requests)
         self.reported_ms = counted_ms
 
+    def record_told(self, asked_ms):
+        """Record that the server has said that it does not leave.
+
+        :param asked_ms: when it was asked, a time of :func:`boot_ms`.
+        """
+        self.told_ms = max(self.told_ms, asked_ms)
+
     def record_success(self):
         """Reset the count of failures after a response."""
         self.failures = 0
--- a/fuchsiacart/host_tasks.py
+++ b/fuchsiacart/host_tasks.py
@@ -59,7 +59,6 @@
         )
         self.packer = ViewPacker()
         self._listeners = []
-        self._answer_listener = None
         self.replicated_state = View()
 
     def on_change(self, listener):
@@ -69,13 +68,6 @@
         """
         self._listeners.append(listener)
 
-    def on_answer(self, listener):
-        """Set the function that is called after each answer to a pull.
-
-        :param listener: function without parameters.
-        """
-        self._answer_listener = listener
-
     def set_parents(self, parents):
         """Replace the hosts to pull from.
 
@@ -150,8 +142,6 @@
         has_changed |= self.replicated_state.advance(deltas)
         if has_changed:
             self._notify()
-        if self._answer_listener is not None:
-            self._answer_listener()
 
     def _unpack(self, address, reply):
         """Return the snapshot of a reply, None without one, and its deltas."""
@@ -239,9 +229,9 @@
         return self._lease.until_ms
 
     @property
-    def renewed_ms(self):
-        """Return when the last renewal in effect was sent."""
-        return self._lease.renewed_ms
+    def until_boot_ms(self):
+        """Return the end of the lease, a time of :func:`boot_ms`."""
+        return self._boot_lease.until_ms
 
     @property
     def confirmed_boot_ms(self):
--- a/fuchsiacart/metrics.py
+++ b/fuchsiacart/metrics.py
@@ -120,6 +120,10 @@
     'Votes and pre-votes that this replica has refused, by reason',
     ['reason'],
 )
+VIEW_WAITS = Counter(
+    'fuchsiacart_view_waits_total',
+    'Requests that have waited for a newer view, as theirs was outdated',
+)
 COMMIT_INDEX = Gauge(
     'fuchsiacart_commit_index', 'Last index known to be committed'
 )
--- a/fuchsiacart/platform/headers.py
+++ b/fuchsiacart/platform/headers.py
@@ -65,17 +65,26 @@
     def read_response(self, status, headers):
         """See :meth:`Dialect.read_response`."""
         is_misdirected = status == HTTP_MISDIRECTED
+        is_leaving = headers.get(SERVER_LEAVING, '').strip() == '1'
         return ResponseMetadata(
             is_misdirected or NOT_RUN in headers,
             is_misdirected,
             SERVER_STAMP in headers,
             _read_load(headers.get(SERVER_LOAD)),
-            headers.get(SERVER_LEAVING, '').strip() == '1',
+            is_leaving,
             (_read_number(headers.get(RETRY_AFTER_S)) or 0.0) * MILLISECONDS,
             headers.get(INSTANCE_ID, ''),
+            # Instances that leave close each connection after an answer.
+            SERVER_STAMP in headers and not (is_leaving or _closes(headers)),
         )
 
 
+def _closes(headers):
+    """Return True if a connection is closed after its response."""
+    options = headers.get('Connection', '').lower().split(',')
+    return 'close' in map(str.strip, options)
+
+
 def _read_number(text):
     """Parse a finite number of at least 0; return None for any other text."""
     try:
--- a/fuchsiacart/settings.py
+++ b/fuchsiacart/settings.py
@@ -15,6 +15,10 @@
 
 from fuchsiacart.exceptions import SettingsError
 
+# Time for which a request may be under way; unacknowledged data closes its
+# connection then.
+TRANSIT_S = 1.0
+
 Name = Annotated[str, Field(pattern=r'^[a-z0-9][a-z0-9._-]{0,62}$')]
 IpAddress = Annotated[str, Field(pattern=r'^[0-9a-f.:]+$')]
 HostPort = Annotated[str, Field(pattern=r'^[0-9a-f.:\[\]]+:[0-9]{1,5}$')]
@@ -264,6 +268,19 @@
     shift_cap: Annotated[float, Field(gt=0, le=1)] = Field(
         0.15, description='part of a region that may move in 2 s at most'
     )
+    drain_s: Annotated[float, Field(gt=0)] = Field(
+        2.5,
+        description='time after which no request reaches a server that has'
+        ' said that it leaves',
+    )
+    apply_s: Annotated[float, Field(gt=0)] = Field(
+        2.5, description='time after which a configuration is in force'
+    )
+    evacuate_s: Annotated[float, Field(gt=0)] = Field(
+        5.0,
+        description='time after which no request reaches an evacuated failure'
+        ' domain',
+    )
     revoke_s: Annotated[float, Field(gt=0)] | None = Field(
         None,
         description='time after which a revoked key is refused everywhere, by'
@@ -279,6 +296,16 @@
         20.0, description='requests of an account in a window beyond that'
     )
 
+    @property
+    def max_view_age_ms(self):
+        """Age in milliseconds from which a gateway's view is outdated.
+
+        What is sent by it arrives within ``TRANSIT_S``, or in half of the
+        shortest bound if that is less.
+        """
+        bound_s = min(self.drain_s, self.apply_s, self.evacuate_s)
+        return (bound_s - min(TRANSIT_S, bound_s / 2)) * 1000
+
 
 class Settings(Section):
     """The whole settings file."""
