--- a/tools/seeded_faults/accounts.py
+++ b/tools/seeded_faults/accounts.py
@@ -27,8 +27,8 @@
     ),
     Fault(
         'a gateway serves keys however old its view is',
-        'accounts/revocations.py',
-        'return now_ms - self._confirmed_ms <= self._limit_ms',
+        'gateway/beliefs/key_checks.py',
+        'return self._freshness.age.age_ms(now_ms) <= self._limit_ms',
         'return True',
         'accounts',
     ),
--- a/tools/seeded_faults/common.py
+++ b/tools/seeded_faults/common.py
@@ -28,15 +28,15 @@
     Fault(
         'a lease outlasts its time since the request was sent',
         'leases.py',
-        'self._pending_until_ms, sent_ms + lease_ms',
-        'self._pending_until_ms, sent_ms + 2 * lease_ms',
+        'PendingRenewal(sent_ms, sent_ms + lease_ms, needed_revision)',
+        'PendingRenewal(sent_ms, sent_ms + 2 * lease_ms, needed_revision)',
         'agreement',
     ),
     Fault(
         'a lease is held before its revision is reached',
         'leases.py',
-        'if not self.is_behind:',
-        'if True:',
+        'if renewal.needed_revision <= revision',
+        'if True',
         'agreement',
     ),
     Fault(
--- a/tools/seeded_faults/control.py
+++ b/tools/seeded_faults/control.py
@@ -400,7 +400,7 @@
     Fault(
         'a pause is noticed by the next tick only',
         'pauses.py',
-        'if now_ms - self._ticked_ms >= MIN_PAUSE_MS:',
+        'if now_ms - self._ticked_ms >= self._min_pause_ms:',
         'if False:',
         'late_orders',
     ),
--- a/tools/seeded_faults/statements.py
+++ b/tools/seeded_faults/statements.py
@@ -249,7 +249,7 @@
     ),
     Fault(
         'a health check says nothing of a start that is full',
-        'gateway/start_checks.py',
+        'gateway/beliefs/health_checks.py',
         'if outcome is CheckOutcome.FULL:',
         'if False:',
         'statement_attribution',
