Check in the soak when requests reach servers that left, and starve gateways

The check of departures looked at when callers had sent requests, and left out gateways that were disturbed: a request that a gateway held, or sent by an old view after a pause, was not seen. Now each arrival later than 2.5 s after the acknowledgement counts, at any gateway of this build, less the time for which the loop of the soak was blocked.

--- a/features/soak_ledger.feature
+++ b/features/soak_ledger.feature
@@ -132,3 +132,16 @@
       | is cut off from all servers from 9 to 10.5 s   | 3        | 11      | 0     |
       | is cut off from all servers from 5 to 9 s      | 3        | 11      | 1     |
       | meets a loop that is blocked from 10.1 to 11 s | 3        | 11      | 0     |
+
+  Scenario Outline: requests that reach a server after its departure
+    Given a server whose departure was acknowledged at 10 s
+    And a request that is sent at <sent_s> s and reaches it at <reached_s> s
+    And a loop that was blocked for <stalled_s> s until then
+    Then the ledger reports <count> broken promises
+
+    Examples:
+      | sent_s | reached_s | stalled_s | count |
+      | 12.0   | 12.4      | 0         | 0     |
+      | 12.0   | 12.9      | 0         | 1     |
+      | 9.0    | 12.9      | 0         | 1     |
+      | 12.0   | 12.9      | 0.5       | 0     |
--- a/features/steps/soak_ledger_steps.py
+++ b/features/steps/soak_ledger_steps.py
@@ -9,6 +9,7 @@
 from soak.records import ConfigurationRead
 from soak.records import CRASHING_OBJECT
 from soak.records import GatewayCut
+from soak.records import LoopStall
 from soak.records import Order
 from soak.records import PlannedStop
 from soak.records import RequestRun
@@ -208,3 +209,29 @@
 def then_broken(context, count):
     violations = context.ledger.check_promises(timed=True)
     assert len(violations) == count, violations
+
+
+@given('a server whose departure was acknowledged at {acked_s:g} s')
+def given_departure(context, acked_s):
+    context.ledger = Ledger(lambda *span: False)
+    context.ledger.drains_acked_s['server'] = acked_s
+
+
+@given(
+    'a request that is sent at {sent_s:g} s and reaches it at {reached_s:g} s'
+)
+def given_late_request(context, sent_s, reached_s):
+    sent = SentRequest(
+        'late', 'GET', '/stock/1', OTHER, sent_s, TIMEOUT_S, True, sent_s, 200
+    )
+    sent.runs.append(
+        RequestRun('server', 'stock', 'domain', 'GET', sent.path, reached_s)
+    )
+    context.reached_s = reached_s
+    context.ledger.record_request(sent)
+
+
+@given('a loop that was blocked for {stalled_s:g} s until then')
+def given_stall(context, stalled_s):
+    end_s = context.reached_s
+    context.ledger.stalls.append(LoopStall(end_s - stalled_s, end_s))
--- a/soak/fault_plans.py
+++ b/soak/fault_plans.py
@@ -21,6 +21,9 @@
 FULL_SERVERS = 4
 # Servers that start again under their ids in each run.
 RESTARTED_SERVERS = 6
+# Gateways that get little processor time, and for how long, in each run.
+STARVED_GATEWAYS = 3
+STARVED_SPAN_RANGE_S = (3.0, 7.0)
 
 
 @unique
@@ -51,6 +54,7 @@
     SERVER_FULL = 'server_full'
     SERVER_RESTART = 'server_restart'
     CUT_FROM_SERVERS = 'cut_from_servers'
+    GATEWAY_STARVED = 'gateway_starved'
 
 
 # Each of these is drawn with the same probability.  A change alters the plans
@@ -63,6 +67,7 @@
         FaultKind.CUT_FROM_SERVERS,
         FaultKind.SERVER_FULL,
         FaultKind.SERVER_RESTART,
+        FaultKind.GATEWAY_STARVED,
     )
 )
 # Faults that leave the gateways in contact with the control group.
@@ -161,6 +166,26 @@
     return _draw_each(random, (FaultKind.SERVER_RESTART,) * RESTARTED_SERVERS)
 
 
+def draw_starvations(random):
+    """Draw the gateways that get little processor time in one run.
+
+    They come on top of those of :func:`draw_plan`.
+
+    :param random: random number generator of its own, seeded with the run's
+        seed.
+    :return: a tuple of :class:`PlannedFault`.
+    """
+    return tuple(
+        _draw_fault(
+            random,
+            random.uniform(0, FAULT_PHASE_S - STARVED_SPAN_RANGE_S[1]),
+            (FaultKind.GATEWAY_STARVED,),
+            STARVED_SPAN_RANGE_S,
+        )
+        for _ in range(STARVED_GATEWAYS)
+    )
+
+
 def _draw_each(random, kinds):
     """Draw one fault of each kind, at any time of the fault phase."""
     return tuple(
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -4,6 +4,7 @@
 from asyncio import gather
 from asyncio import sleep
 from contextlib import contextmanager
+from random import Random
 from time import monotonic
 
 from soak.fault_plans import FaultKind
@@ -17,6 +18,9 @@
 from soak.servers import LeaveForm
 from soak.servers import ServerMode
 
+# Times for which a starved process does not run, and runs.
+IDLE_RANGE_S = (0.05, 0.9)
+SLICE_RANGE_S = (0.005, 0.05)
 CLOCK_OFFSETS_S = (-2.0, 2.0)
 SYNC_DELAY_S = 0.3
 LINK_DELAY_S = 0.15
@@ -177,6 +181,8 @@
             gateway.start()
         elif fault.kind is FaultKind.GATEWAY_PAUSE:
             await self._pause(gateway, fault)
+        elif fault.kind is FaultKind.GATEWAY_STARVED:
+            await self._starve(gateway, fault)
         elif fault.kind is FaultKind.GATEWAY_RESET:
             for link in gateway.links.values():
                 link.reset()
@@ -267,6 +273,16 @@
         await sleep(fault.span_s)
         process.resume()
 
+    async def _starve(self, process, fault):
+        """Let a process run for short moments only."""
+        random = Random(f'{fault.at_s} {fault.variant}')
+        until_s = monotonic() + fault.span_s
+        while monotonic() < until_s:
+            process.pause()
+            await sleep(random.uniform(*IDLE_RANGE_S))
+            process.resume()
+            await sleep(random.uniform(*SLICE_RANGE_S))
+
     async def _cut(self, process, fault):
         state = CUT_STATES[fault.variant % len(CUT_STATES)]
         process.set_links(state)
--- a/soak/ledger.py
+++ b/soak/ledger.py
@@ -13,6 +13,7 @@
 from soak.accounts import WINDOW_S
 from soak.body_limits import find_limit_error
 from soak.body_limits import is_large
+from soak.late_arrivals import find_late_arrivals
 from soak.processes import REGIONS
 from soak.records import NEVER_S
 from soak.records import Order
@@ -63,6 +64,8 @@
         self.statements = StatementLedger()
         self.proper_quarantined = 0
         self.violations = []
+        # Earlier builds do not bound the age of what a gateway knows.
+        self.bounds_arrivals = True
 
     def record_violation(self, promise, detail):
         """Record a broken promise."""
@@ -141,6 +144,8 @@
             self._check_retry_budget()
             self._check_crashing_request()
             self._check_statements()
+            if self.bounds_arrivals:
+                self._check_arrivals()
             for cut in self.cuts:
                 self._check_cut(cut)
         for stop in self.stops:
@@ -221,6 +226,17 @@
                     f' {refusal.retry_after_s} s at {refusal.at_s:.3f}',
                 )
 
+    def _check_arrivals(self):
+        """Check that no request reached a server long after it had left."""
+        for sent, run, late_s in find_late_arrivals(
+            self.requests.values(), self.drains_acked_s, self._stalled_s
+        ):
+            self.record_violation(
+                'DRAIN',
+                f'{sent.request_id} reached {run.server} {late_s:.2f} s too'
+                f' late, sent to {sent.gateway}',
+            )
+
     def _was_cut(self, refusal):
         """Return True if a gateway was cut off while a server refused it."""
         return any(
--- a/soak/runs.py
+++ b/soak/runs.py
@@ -32,6 +32,7 @@
 from soak.fault_plans import draw_plan
 from soak.fault_plans import draw_server_cuts
 from soak.fault_plans import draw_server_restarts
+from soak.fault_plans import draw_starvations
 from soak.fault_plans import draw_statements
 from soak.faults import FaultInjector
 from soak.large_callers import LargeCaller
@@ -91,6 +92,7 @@
             draw_plan(Random(seed))
             + draw_server_cuts(Random(f'server cuts {seed}'))
             + draw_statements(Random(f'statements {seed}'))
+            + draw_starvations(Random(f'starvations {seed}'))
             + draw_server_restarts(Random(f'server restarts {seed}')),
             key=lambda fault: fault.at_s,
         )
@@ -106,6 +108,7 @@
         self.ports = Ports.find_free(self.network.private_address(1))
         self.folder = Path(mkdtemp(prefix=f'fuchsiacart-soak-{seed}-'))
         self.ledger = Ledger(self._was_disturbed)
+        self.ledger.bounds_arrivals = not commit
         self.faults_are_over = False
         self.is_finished = False
         self.servers = []
