--- a/tools/seeded_faults/gateway.py
+++ b/tools/seeded_faults/gateway.py
@@ -1,5 +1,6 @@
 """Faults of gateways."""
 
+from tools.seeded_faults.faults import Edit
 from tools.seeded_faults.faults import Fault
 
 GATEWAY_FAULTS = (
@@ -115,6 +116,13 @@
         'if self.freshness.needs_wait(boot_ms()):',
         'if False:',
         'view_ages',
+        more=(
+            Edit(
+                'gateway/forwarding.py',
+                'if self._chooser.is_outdated(server):',
+                'if False:',
+            ),
+        ),
     ),
     Fault(
         'a gateway that is cut off sends requests to servers unasked',
