Wait 0.3 s for a server that is asked whether it leaves

A request waited up to a second for a server that does not answer its health check, and for three such servers in turn. The check itself still takes up to a second, for the others who wait for it. view_ages, forwarding, statement_attribution and isolation: all pass.

--- a/fuchsiacart/gateway/beliefs/health_checks.py
+++ b/fuchsiacart/gateway/beliefs/health_checks.py
@@ -2,6 +2,7 @@
 
 from asyncio import create_task
 from asyncio import shield
+from asyncio import wait_for
 from time import monotonic
 
 from tornado.httputil import HTTPHeaders
@@ -42,10 +43,11 @@
         """
         self._route_table = route_table
 
-    async def check(self, server):
+    async def check(self, server, timeout_s=CHECK_TIMEOUT_S):
         """Ask a server; all who ask at the same time share one check.
 
         :param server: the :class:`TrackedServer`.
+        :param timeout_s: seconds to wait for its answer.
         :return: the :class:`CheckOutcome`.
         """
         start = server.record.start
@@ -53,7 +55,10 @@
             task = create_task(self._check(server))
             self._running[start] = task
             task.add_done_callback(lambda _: self._running.pop(start))
-        return await shield(self._running[start])
+        try:
+            return await wait_for(shield(self._running[start]), timeout_s)
+        except TimeoutError:
+            return CheckOutcome.UNKNOWN
 
     async def _check(self, server):
         record = server.record
--- a/fuchsiacart/gateway/server_choosers.py
+++ b/fuchsiacart/gateway/server_choosers.py
@@ -8,6 +8,8 @@
 
 # Servers that are asked for one attempt whether they leave.
 MAX_CHECKED_SERVERS = 3
+# Time that a request waits for a server that it has asked.
+ASK_TIMEOUT_S = 0.3
 
 
 class ServerChooser:
@@ -59,7 +61,8 @@
         for _ in range(MAX_CHECKED_SERVERS):
             if not self.is_outdated(server):
                 return server
-            if await self._checker.check(server) is CheckOutcome.USABLE:
+            outcome = await self._checker.check(server, ASK_TIMEOUT_S)
+            if outcome is CheckOutcome.USABLE:
                 return server
             attempts.excluded |= {server.name}
             if attempts.left_s <= 0:
