Wait for a newer view after a pause only

Without a pause the renewals have had their time, so servers are asked at once. PauseWatch, which control hosts have, tells; the pause of two scenarios of forwarding is told to it now, and the one of a gateway that is cut off says that it was paused.

--- a/features/forwarding.feature
+++ b/features/forwarding.feature
@@ -91,7 +91,7 @@
     Then the caller gets 200 after 1 attempts
     And the first server got no request
 
-  Scenario: a gateway that is cut off from the control group waits once
+  Scenario: a gateway that is cut off from the control group after a pause waits once
     Given a gateway with 2 servers, of which the first answers
-    When it was cut off for 5 s
+    When it was paused for 5 s and is cut off
     Then the first of two requests waits 0.3 s and the second does not wait
--- a/features/steps/forwarding_steps.py
+++ b/features/steps/forwarding_steps.py
@@ -457,7 +457,7 @@
 def when_paused(context, pause_s, delay_s):
     fixture = context.forwarding
     freshness = fixture.forwarder.freshness
-    freshness.record_lease(boot_ms() - pause_s * 1000, inf, False)
+    _pause(fixture.forwarder, pause_s)
 
     async def pull():
         await sleep(delay_s)
@@ -476,11 +476,16 @@
     assert context.forwarding.servers[0].served == 0
 
 
-@when('it was cut off for {pause_s:d} s')
+@when('it was paused for {pause_s:d} s and is cut off')
 def when_cut_off(context, pause_s):
-    context.forwarding.forwarder.freshness.record_lease(
-        boot_ms() - pause_s * 1000, inf, False
-    )
+    _pause(context.forwarding.forwarder, pause_s)
+
+
+def _pause(forwarder, pause_s):
+    """Let a process have been paused until now."""
+    began_ms = boot_ms() - pause_s * 1000
+    forwarder.freshness.record_lease(began_ms, inf, False)
+    forwarder.pauses.tick(began_ms)
 
 
 @then(
--- a/features/steps/view_age_steps.py
+++ b/features/steps/view_age_steps.py
@@ -48,6 +48,7 @@
 from fuchsiacart.gateway.placing.placement_requests import PlacementRequest
 from fuchsiacart.messages import KeepAliveReply
 from fuchsiacart.messages import PullReply
+from fuchsiacart.pauses import watch_pauses
 from fuchsiacart.platform.headers import ATTEMPT_ID
 from fuchsiacart.platform.headers import INSTANCE_ID
 from fuchsiacart.platform.headers import NOT_RUN
@@ -498,3 +499,10 @@
     fixture.run(serve())
     assert fixture.statuses == ['200'] * 10, fixture.statuses
     assert monotonic() - started_s < NO_WAIT_S, monotonic() - started_s
+
+
+@given('its process goes on running')
+def given_unpaused(context):
+    fixture = context.ages
+    watch = watch_pauses(fixture.gateway.forwarder.pauses)
+    fixture.tasks.append(fixture.loop.create_task(watch))
--- a/features/view_ages.feature
+++ b/features/view_ages.feature
@@ -48,3 +48,9 @@
     And servers that refuse health checks while they are full
     When it hears nothing of its leader for 2.6 s, but its servers answer requests
     Then ten more get 200 without a wait
+
+  Scenario: requests wait for a renewal though the process was not paused
+    Given a gateway in touch with its leader and two servers
+    And its process goes on running
+    When it hears nothing of its leader for 2.6 s
+    Then ten more get 200 without a wait
--- a/fuchsiacart/gateway/beliefs/view_freshness.py
+++ b/fuchsiacart/gateway/beliefs/view_freshness.py
@@ -33,9 +33,12 @@
     ``age`` is the :class:`ViewAge`.  All times are those of :func:`boot_ms`.
 
     :param limit_ms: age from which the view is outdated.
+    :param was_paused: takes the current time and returns True if the process
+        may have been paused just before.
     """
 
-    def __init__(self, limit_ms=inf):
+    def __init__(self, limit_ms=inf, was_paused=lambda now_ms: True):
+        self._was_paused = was_paused
         self.age = ViewAge(limit_ms)
         self._limit_ms = limit_ms
         self._outdated_listener = None
@@ -126,9 +129,16 @@
     def needs_wait(self, now_ms):
         """Return True if a request should wait for a newer view.
 
+        Without a pause the renewals have had their time, so that a wait would
+        be in vain.
+
         :param now_ms: the current time.
         """
-        return not self._has_waited and self.age.is_outdated(now_ms)
+        return (
+            not self._has_waited
+            and self.age.is_outdated(now_ms)
+            and self._was_paused(now_ms)
+        )
 
     async def refresh(self):
         """Wait for a newer view where this one is outdated.
--- a/fuchsiacart/gateway/forwarding.py
+++ b/fuchsiacart/gateway/forwarding.py
@@ -38,10 +38,13 @@
 from fuchsiacart.gateway.start_checks import StartChecker
 from fuchsiacart.gateway.suspects import SuspectTracker
 from fuchsiacart.gateway.trials import TrialSchedule
+from fuchsiacart.pauses import PauseWatch
 from fuchsiacart.randomness import make_random
 
 # Time in which a configuration that another gateway has comes to this one.
 MAX_VERSION_WAIT_MS = 200.0
+# Shortest pause of this process after which its view may be outdated.
+MIN_PAUSE_MS = 250.0
 
 
 class Forwarder:
@@ -70,7 +73,10 @@
             self.selector.backoffs,
             self.selector.doubtful,
         )
-        self.freshness = ViewFreshness(settings.routes.max_view_age_ms)
+        self.pauses = PauseWatch(boot_ms(), MIN_PAUSE_MS)
+        self.freshness = ViewFreshness(
+            settings.routes.max_view_age_ms, self.pauses.was_paused
+        )
         self.demands = DemandMeter()
         self._checker = HealthChecker(dialect, self._pool, self.statements)
         self._chooser = ServerChooser(
--- a/fuchsiacart/gateway/hosts.py
+++ b/fuchsiacart/gateway/hosts.py
@@ -27,8 +27,6 @@
 from fuchsiacart.supervisors import Supervisor
 
 STOP_POLL_S = 0.05
-# Shortest pause of this process that is logged.
-MIN_PAUSE_MS = 250.0
 # Time after which callers have learned of the stop and use other gateways.
 ACCEPT_AFTER_STOP_S = 3.0
 # Reserved for closing before the process is killed.
@@ -129,7 +127,7 @@
         tree.add('prober', self._prober.run)
         tree.add('callers', self.caller_server.watch)
         tree.add('start_checker', self.forwarder.start_checker.run)
-        tree.add('pauses', lambda: watch_pauses(MIN_PAUSE_MS))
+        tree.add('pauses', lambda: watch_pauses(self.forwarder.pauses))
         return tree
 
     def loads(self):
--- a/fuchsiacart/pauses.py
+++ b/fuchsiacart/pauses.py
@@ -58,12 +58,11 @@
         return now_ms - self._ended_ms < CATCH_UP_MS
 
 
-async def watch_pauses(min_pause_ms):
-    """Log the pauses of this process until cancelled.
+async def watch_pauses(watch):
+    """Detect and log the pauses of this process until cancelled.
 
-    :param min_pause_ms: shortest pause that is logged, in milliseconds.
+    :param watch: the :class:`PauseWatch`.
     """
-    watch = PauseWatch(boot_ms(), min_pause_ms)
     while True:
         watch.tick(boot_ms(), process_time() * MILLISECONDS)
         await sleep(TICK_S)
--- a/models/release_worlds.py
+++ b/models/release_worlds.py
@@ -13,6 +13,7 @@
 from random import Random
 
 from fuchsiacart.leases import Lease
+from fuchsiacart.pauses import CATCH_UP_MS
 from fuchsiacart.settings import TRANSIT_S
 
 SPAN_MS = 60_000.0
@@ -51,6 +52,13 @@
                 at_ms = end_ms
         return at_ms
 
+    def covers_any(self, start_ms, end_ms):
+        """Return True if a span covers a moment between two."""
+        return any(
+            since_ms <= end_ms and until_ms >= start_ms
+            for since_ms, until_ms in self._spans
+        )
+
     def covers(self, at_ms):
         """Return True if a span covers a time."""
         return self.end_of(at_ms) > at_ms
@@ -114,6 +122,10 @@
         """Return when the gateway's process runs next."""
         return self.stopped.end_of(at_ms)
 
+    def was_paused(self, at_ms):
+        """Return True if a pause has ended up to a second before."""
+        return self.stopped.covers_any(at_ms - CATCH_UP_MS, at_ms)
+
     def delay_ms(self, at_ms):
         """Return how long a packet sent now is under way."""
         if self.slow.covers(at_ms):
--- a/tools/seeded_faults/gateway.py
+++ b/tools/seeded_faults/gateway.py
@@ -78,8 +78,8 @@
     Fault(
         'a gateway that starts serves by any view',
         'gateway/hosts.py',
-        'if not self._lease.has_confirmed_view:',
-        'if False:',
+        'return\n        self._is_view_confirmed',
+        'pass\n        self._is_view_confirmed',
         'gateway_starts',
     ),
     Fault(
