Test what crowds of clients make processes hold, failing

Clients that we do not control can make a process hold bodies in tiny chunks, heads of many fields, answers that they do not read, messages at the peer address and connections that they do not use. The users' trial ended a process; which of these did so is not known.

The scenarios start our own processes on loopback. They check that the process lives, that its peak memory and what the kernel holds for it stay within 200 MB, the memory of the smallest machine, that its descriptors stay under their limit, and that one ordinary request is answered afterwards. Crowds and bounds are fixed here.

--- a/features/steps/caller_memory_steps.py
+++ b/features/steps/caller_memory_steps.py
@@ -34,22 +34,26 @@
 # Time in which a crowd that is not refused has sent all.
 CROWD_TIMEOUT_S = 60.0
 SETTLE_S = 1.0
+WAITING_S = 120.0
 ANSWER_BYTES = 1 * MIB
 LARGE_PATH = '/stock/large'
+WAITING_PATH = '/stock/waits'
 CLOSED = (ConnectionError, IncompleteReadError, TimeoutError)
 
 
 class ReadingHandler(InstanceHandler):
     """Reads a body and answers its size, or answers with a large body."""
 
-    def post(self):
+    async def post(self):
         """Answer the size of the body."""
+        await self._wait()
         self.set_header('X-Attempt-Id', self.request.headers['X-Attempt-Id'])
         self.set_header('X-Server-Stamp', 'stamp')
         self.finish(str(len(self.request.body)))
 
     async def get(self):
         """Answer, with ``ANSWER_BYTES`` on one path."""
+        await self._wait()
         if self.request.path != LARGE_PATH:
             await super().get()
             return
@@ -57,6 +61,11 @@
         self.set_header('X-Server-Stamp', 'stamp')
         self.finish(b'x' * ANSWER_BYTES)
 
+    async def _wait(self):
+        """Wait on ``WAITING_PATH`` for longer than the scenario takes."""
+        if self.request.path == WAITING_PATH:
+            await sleep(WAITING_S)
+
 
 class ReadingInstance(Instance):
     """An instance that takes bodies of any size that is allowed."""
--- a/features/steps/platform_path_steps.py
+++ b/features/steps/platform_path_steps.py
@@ -110,6 +110,7 @@
 
     address = '127.0.0.1'
     zone = 'cymru-a'
+    slots = 4
     handler = InstanceHandler
 
     def __init__(self, name, fixture):
@@ -155,7 +156,7 @@
             'service': 'stock',
             'address': f'{self.address}:{self.port}',
             'zone': self.zone,
-            'slots': 4,
+            'slots': self.slots,
             'state': self.state,
             'cold_left_s': 0,
             'seq': self._sequence,
--- a/tools/check.py
+++ b/tools/check.py
@@ -44,7 +44,7 @@
 )
 # These bound the memory of processes and run one after the other, when nothing
 # else does.
-EXCLUSIVE_FEATURES = ('caller_memory',)
+EXCLUSIVE_FEATURES = ('caller_memory', 'client_crowds')
 KNOWN_RED = Path('KNOWN-RED.txt')
 LINT_COMMANDS = (
     ('isort', '--check-only', '--quiet', *SOURCES),
