--- a/fuchsiacart/adapters.py
+++ b/fuchsiacart/adapters.py
@@ -12,9 +12,11 @@
 from grpc.aio import insecure_channel
 from grpc.aio import secure_channel
 from grpc.aio import server as grpc_server
+from grpc.aio import ServerInterceptor
 from grpc import ssl_channel_credentials
 from grpc import ssl_server_credentials
 from grpc import StatusCode
+from grpc import stream_unary_rpc_method_handler
 from msgspec.msgpack import encode
 
 from fuchsiacart.answer_notices import AnswerNotices
@@ -41,6 +43,7 @@
 MESSAGE_LIMIT_BYTES = 256 * 1024 * 1024
 SILENCE_LIMIT_S = 2.0
 TOKEN_METADATA_KEY = 'peer-token'
+CONNECTION_LIMIT_OPTION = 'grpc.max_allowed_incoming_connections'
 GRPC_OPTIONS = (
     ('grpc.max_receive_message_length', MESSAGE_LIMIT_BYTES),
     ('grpc.max_send_message_length', MESSAGE_LIMIT_BYTES),
@@ -212,10 +215,9 @@
 
 
 class _Servicer(PeeringServicer):
-    """Checks the token of each call and passes it to its handler."""
+    """Passes each call to its handler."""
 
-    def __init__(self, token, handlers):
-        self._token = token
+    def __init__(self, handlers):
         self._reports = PeerReports()
         for method in Method:
             handler = handlers.get(method)
@@ -224,10 +226,6 @@
 
     def _make_method(self, method, handler):
         async def answer(packet, context):
-            metadata = dict(context.invocation_metadata() or ())
-            token = str(metadata.get(TOKEN_METADATA_KEY, ''))
-            if not compare_digest(token.encode(), self._token.encode()):
-                await context.abort(StatusCode.UNAUTHENTICATED, 'token')
             self._report_notices(context)
             reply = await self._run_handler(method, handler, packet, context)
             return Packet(body=encode(reply))
@@ -265,17 +263,47 @@
     return context.peer().rpartition(':')[0]
 
 
+class _TokenCheck(ServerInterceptor):
+    """Refuses calls with a wrong token before their message is received.
+
+    :param token: token shared by all processes.
+    """
+
+    def __init__(self, token):
+        self._token = token.encode()
+
+    async def intercept_service(self, continuation, handler_call_details):
+        """See :class:`grpc.aio.ServerInterceptor`."""
+        metadata = dict(handler_call_details.invocation_metadata or ())
+        token = str(metadata.get(TOKEN_METADATA_KEY, ''))
+        if compare_digest(token.encode(), self._token):
+            return await continuation(handler_call_details)
+        # A handler of streams reads no message that it does not ask for.
+        return stream_unary_rpc_method_handler(_refuse_stranger)
+
+
+async def _refuse_stranger(messages, context):
+    await context.abort(StatusCode.UNAUTHENTICATED, 'token')
+
+
 class PeerServer:
     """Server for the calls of other processes.
 
     :param token: token shared by all processes.
     :param handlers: handler for each :class:`Method` this process offers.
     :param tls: the :class:`TlsSettings`.
+    :param connection_limit: how many connections there may be; None for any
+        number.
     """
 
-    def __init__(self, token, handlers, tls):
-        self._server = grpc_server(options=GRPC_OPTIONS)
-        servicer = _Servicer(token, handlers)
+    def __init__(self, token, handlers, tls, connection_limit=None):
+        options = GRPC_OPTIONS
+        if connection_limit is not None:
+            options += ((CONNECTION_LIMIT_OPTION, connection_limit),)
+        self._server = grpc_server(
+            interceptors=(_TokenCheck(token),), options=options
+        )
+        servicer = _Servicer(handlers)
         add_PeeringServicer_to_server(servicer, self._server)
         self._tls = tls
 
