Charge all that clients hold at what it takes in memory, at each listener

Seen by callers: none, once a process had no memory or no descriptors left.

Cause: the budget counted the bytes of bodies. A part of two bytes takes 56, a field of a head some 200 parsed and as much again for the server. Heads, unread bytes, answers of control hosts and connections were charged to nothing, requests that run could fill the budget to its last byte, the bound was a constant, and connections were bounded at the callers' listener only. Who lost was who held most, whether it went on or not.

Change: one budget for bodies, heads, answers, connections, what is buffered and what the kernel holds, over all HTTP listeners. Its bound is a part of the machine's memory (host.memory_mb, else what the system states). Small parts of bodies are copied into pieces. Who stands still loses first, by bytes and time; a trickle does not count as going on; for a relayed request its caller's address counts. An eighth is for small holders. Descriptors are bounded over all listeners. Decoded documents of control hosts are charged before they are decoded.

Ruled out: refusing tiny chunks or many fields, which are legal; a bound for each connection, as 64 MiB must pass.

--- a/features/steps/body_budget_steps.py
+++ b/features/steps/body_budget_steps.py
@@ -16,8 +16,8 @@
 from features.steps.exchange_steps import send_endless_chunks
 from fuchsiacart.entry.backends import BackendClient
 from fuchsiacart.entry.backends import ProbeResult
-from fuchsiacart.gateway.budgets.body_budgets import BodyBudget
-from fuchsiacart.gateway.budgets.body_budgets import BodyHolder
+from fuchsiacart.gateway.budgets.memory_budgets import MemoryBudget
+from fuchsiacart.gateway.budgets.memory_budgets import MemoryHolder
 from fuchsiacart.messages import ForwardRequest
 from fuchsiacart.messages import Header
 from fuchsiacart.models import BackendServer
@@ -32,7 +32,7 @@
 RESET_PEAK = '5'
 
 
-class Reader(BodyHolder):
+class Reader(MemoryHolder):
     """Receives a body.
 
     :param size: bytes of the body.
@@ -44,7 +44,7 @@
 
     @property
     def peer_name(self):
-        """See :class:`BodyHolder`."""
+        """See :class:`MemoryHolder`."""
         return f'server-{self.size}'
 
     def abort(self):
@@ -61,7 +61,7 @@
 
 @given('a budget of {limit:d} bytes for all bodies in flight')
 def given_budget(context, limit):
-    context.budget = BodyBudget(limit)
+    context.budget = MemoryBudget(limit)
 
 
 @when(
--- a/features/steps/planned_stop_steps.py
+++ b/features/steps/planned_stop_steps.py
@@ -93,7 +93,7 @@
         """See :meth:`Edge.dialect`."""
         return PlainDialect()
 
-    async def open_control(self, control):
+    async def open_control(self, control, connections):
         """See :meth:`Edge.open_control`."""
 
     async def open_gateway(self, gateway):
--- a/features/steps/platform_path_steps.py
+++ b/features/steps/platform_path_steps.py
@@ -50,6 +50,7 @@
 name = "{name}"
 region = "{region}"
 failure_domain = "{domain}"
+memory_mb = 200
 [listen]
 address = "{ip}"
 peer_port = {ports[peer]}
--- a/fuchsiacart/daemon.py
+++ b/fuchsiacart/daemon.py
@@ -32,8 +32,6 @@
 from docopt import docopt
 from msgspec.json import encode
 from msgspec import Struct
-from tornado.httpserver import HTTPServer
-from tornado.netutil import bind_sockets
 from tornado.web import Application
 
 from fuchsiacart.adapters import GrpcAdapter
@@ -41,9 +39,18 @@
 from fuchsiacart.builds import build_name
 from fuchsiacart.exceptions import FuchsiacartError
 from fuchsiacart.exceptions import SettingsError
-from fuchsiacart.gateway.budgets.body_budgets import BodyBudget
-from fuchsiacart.gateway.budgets.bounded_applications import BODY_TIMEOUT_S
-from fuchsiacart.gateway.budgets.bounded_applications import BoundedApplication
+from fuchsiacart.gateway.budgets.bounded_servers import BoundedServer
+from fuchsiacart.gateway.budgets.bounded_servers import watch_connections
+from fuchsiacart.gateway.budgets.client_connections import ClientConnections
+from fuchsiacart.gateway.budgets.client_connections import listen
+from fuchsiacart.gateway.budgets.connection_limits import CLIENT_PART
+from fuchsiacart.gateway.budgets.connection_limits import connection_limit
+from fuchsiacart.gateway.budgets.connection_limits import CONTROL_CLIENT_PART
+from fuchsiacart.gateway.budgets.connection_limits import CONTROL_PEER_PART
+from fuchsiacart.gateway.budgets.connection_limits import PEER_PART
+from fuchsiacart.gateway.budgets.memory_budgets import MemoryBudget
+from fuchsiacart.gateway.budgets.memory_limits import CLIENT_SOCKET_BYTES
+from fuchsiacart.gateway.budgets.memory_limits import compute_limit_bytes
 from fuchsiacart.logs import log_error
 from fuchsiacart.logs import log_event
 from fuchsiacart.logs import start_logging
@@ -88,6 +95,14 @@
         self._edge = edge
         self._settings_path = settings_path
         self._stop_requested = Event()
+        is_control = settings.role is DaemonRole.CONTROL
+        client_part = CONTROL_CLIENT_PART if is_control else CLIENT_PART
+        peer_part = CONTROL_PEER_PART if is_control else PEER_PART
+        self._peer_limit = connection_limit(peer_part)
+        self._connections = ClientConnections(
+            MemoryBudget(compute_limit_bytes(settings.host.machine_bytes)),
+            connection_limit(client_part),
+        )
 
     async def run(self):
         """Run until SIGTERM or SIGINT, or until the supervisor fails.
@@ -119,6 +134,7 @@
         supervisor.add('replica', replica.run)
         watch = Supervisor('control_watch')
         watch.add('watch', service.watch)
+        watch.add('connections', self._watch_connections)
         supervisor.add('watch', watch.run)
         leave = None
         if self._edge is not None:
@@ -145,7 +161,7 @@
         tasks.add('shares', shares.run)
         self._add_settings_watch(tasks, members.add_seeds)
         supervisor.add('routes', tasks.run)
-        await self._edge.open_control(control)
+        await self._edge.open_control(control, self._connections)
 
     def _add_settings_watch(self, supervisor, on_seeds):
         if self._settings_path is not None:
@@ -157,7 +173,10 @@
         from fuchsiacart.gateway.operators.handlers import ExplainHandler
 
         gateway = GatewayHost(
-            self._settings, self._adapter, self._edge.dialect()
+            self._settings,
+            self._adapter,
+            self._edge.dialect(),
+            self._connections,
         )
         operators = {
             'service': gateway,
@@ -176,6 +195,7 @@
         )
         await self._edge.open_gateway(gateway)
         supervisor = gateway.supervisor()
+        supervisor.add('connections', self._watch_connections)
         self._add_settings_watch(supervisor, gateway.add_seeds)
         code = await self._run_supervisor(
             supervisor, lambda: gateway.stop(self._edge)
@@ -191,11 +211,16 @@
             entry.application(), entry.handlers()
         )
         entry.start(ports.http_address, ports.peer_address)
-        code = await self._run_supervisor(entry.supervisor(), entry.stop)
+        supervisor = entry.supervisor()
+        supervisor.add('connections', self._watch_connections)
+        code = await self._run_supervisor(supervisor, entry.stop)
         entry.close()
         await self._close(http, peer)
         return code
 
+    async def _watch_connections(self):
+        await watch_connections(self._connections)
+
     async def _run_supervisor(self, supervisor, stop=None):
         running = create_task(supervisor.run())
         stopping = create_task(self._stop_requested.wait())
@@ -213,26 +238,31 @@
 
     async def _listen(self, application, handlers):
         _end_imports()
-        listen = self._settings.listen
+        addresses = self._settings.listen
         peer = PeerServer(
-            self._settings.tokens.peer, handlers, self._settings.tls
+            self._settings.tokens.peer,
+            handlers,
+            self._settings.tls,
+            self._peer_limit,
         )
-        peer_port = await peer.start(listen.address, listen.peer_port)
-        http = HTTPServer(
-            BoundedApplication(application, BodyBudget()),
+        peer_port = await peer.start(addresses.address, addresses.peer_port)
+        http = BoundedServer(
+            application,
+            self._connections,
+            HTTP_BODY_LIMIT_BYTES,
+            reads_documents=self._settings.role is DaemonRole.CONTROL,
             ssl_options=self._ssl_context(),
-            body_timeout=BODY_TIMEOUT_S,
-            max_body_size=HTTP_BODY_LIMIT_BYTES,
-            max_buffer_size=HTTP_BODY_LIMIT_BYTES,
         )
-        sockets = bind_sockets(
-            listen.http_port, listen.address, backlog=LISTEN_BACKLOG
+        http_port = listen(
+            http,
+            addresses.http_port,
+            addresses.address,
+            LISTEN_BACKLOG,
+            CLIENT_SOCKET_BYTES,
         )
-        http.add_sockets(sockets)
-        http_port = sockets[0].getsockname()[1]
         ports = Ports(
-            listen.advertise(f':{http_port}'),
-            listen.advertise(f':{peer_port}'),
+            addresses.advertise(f':{http_port}'),
+            addresses.advertise(f':{peer_port}'),
         )
         log_event(
             'listening',
@@ -242,10 +272,10 @@
             http=ports.http_address,
             peer=ports.peer_address,
         )
-        if listen.ports_file:
-            draft = Path(f'{listen.ports_file}.draft')
+        if addresses.ports_file:
+            draft = Path(f'{addresses.ports_file}.draft')
             draft.write_bytes(encode(ports))
-            draft.rename(listen.ports_file)
+            draft.rename(addresses.ports_file)
         return http, peer, ports
 
     def _ssl_context(self):
--- a/fuchsiacart/entry/backends.py
+++ b/fuchsiacart/entry/backends.py
@@ -15,8 +15,9 @@
 from fuchsiacart.exceptions import ErrorKind
 from fuchsiacart.exceptions import Run
 from fuchsiacart.failure_kinds import FailureKind
-from fuchsiacart.gateway.budgets.body_budgets import BodyBudget
-from fuchsiacart.gateway.budgets.body_budgets import BodyHolder
+from fuchsiacart.gateway.budgets.bodies import BodyBuffer
+from fuchsiacart.gateway.budgets.memory_budgets import MemoryBudget
+from fuchsiacart.gateway.budgets.memory_budgets import MemoryHolder
 from fuchsiacart.gateway.hop_headers import HOP_HEADERS
 from fuchsiacart.messages import ForwardReply
 from fuchsiacart.messages import Header
@@ -77,8 +78,8 @@
     )
 
 
-class _BodyReader(BodyHolder):
-    """Collects the body of a response within a :class:`BodyBudget`.
+class _BodyReader(MemoryHolder):
+    """Collects the body of a response within a :class:`MemoryBudget`.
 
     :param server_name: name of the server.
     :param budget: the budget.
@@ -89,12 +90,12 @@
     def __init__(self, server_name, budget):
         self._server_name = server_name
         self._budget = budget
-        self._chunks = []
+        self._buffer = BodyBuffer()
         self._is_aborted = False
 
     @property
     def peer_name(self):
-        """See :class:`BodyHolder`."""
+        """See :class:`MemoryHolder`."""
         return self._server_name
 
     def receive(self, chunk):
@@ -104,19 +105,18 @@
             the connection.
         """
         if not self._is_aborted:
-            self._chunks.append(chunk)
-            self._budget.add(self, len(chunk))
+            self._budget.add(self, self._buffer.add(chunk))
         if self._is_aborted:
             raise HTTPInputError('the response is too large')
 
     def abort(self):
         """Give the body up; the next piece closes the connection."""
         self._is_aborted = True
-        self._chunks = []
+        self._buffer.clear()
 
     def read_body(self):
         """Return the whole body."""
-        return b''.join(self._chunks)
+        return b''.join(self._buffer.take())
 
 
 class BackendClient:
@@ -135,7 +135,7 @@
             max_clients=MAX_CLIENTS,
             max_body_size=BODY_LIMIT_BYTES,
         )
-        self._budget = BodyBudget(BODY_LIMIT_BYTES)
+        self._budget = MemoryBudget(BODY_LIMIT_BYTES, small_part=0)
 
     @property
     def held_bytes(self):
@@ -279,7 +279,7 @@
 
     :return: the :class:`_BodyReader` of its body.
     """
-    reader = _BodyReader(server.name, BodyBudget(PROBE_LIMIT_BYTES))
+    reader = _BodyReader(server.name, MemoryBudget(PROBE_LIMIT_BYTES))
     request.streaming_callback = reader.receive
     return reader
 
--- a/fuchsiacart/exceptions.py
+++ b/fuchsiacart/exceptions.py
@@ -74,7 +74,7 @@
         408, 7, 'The request did not arrive in time'
     ),
     ErrorKind.NO_MEMORY: Answer(
-        503, 7, 'The bodies of all requests are too large together'
+        503, 7, 'All requests hold too much memory together'
     ),
     ErrorKind.UNAUTHORIZED: Answer(401, 4, 'The bearer token is not known'),
     ErrorKind.NO_CONTRACT: Answer(403, 4, 'No contract covers this request'),
--- a/fuchsiacart/gateway/budgets/bodies.py
+++ b/fuchsiacart/gateway/budgets/bodies.py
@@ -5,6 +5,12 @@
 all of them together.
 """
 
+from sys import getsizeof
+
+PIECE_BYTES = 64 * 1024
+# What arrives in parts under this is copied into pieces.
+SMALL_BYTES = 16 * 1024
+
 
 class Body:
     """The body of a request.
@@ -20,6 +26,50 @@
         return self._size
 
 
+class BodyBuffer:
+    """Collects a body as it arrives.
+
+    Many small parts would each take several times their bytes.
+    """
+
+    def __init__(self):
+        self._pieces = []
+        self._end = bytearray()
+
+    def add(self, part):
+        """Add a part.
+
+        :param part: the bytes that follow.
+        :return: by how many bytes the memory in use has grown.
+        """
+        if len(part) >= SMALL_BYTES:
+            self._close_piece()
+            self._pieces.append(part)
+            return getsizeof(part)
+        before_bytes = getsizeof(self._end)
+        self._end += part
+        grown_bytes = getsizeof(self._end) - before_bytes
+        if len(self._end) >= PIECE_BYTES:
+            self._close_piece()
+        return grown_bytes
+
+    def take(self):
+        """Return the pieces, and keep nothing."""
+        self._close_piece()
+        pieces, self._pieces = self._pieces, []
+        return pieces
+
+    def clear(self):
+        """Keep nothing."""
+        self._pieces = []
+        self._end = bytearray()
+
+    def _close_piece(self):
+        if self._end:
+            self._pieces.append(bytes(self._end))
+            self._end = bytearray()
+
+
 def pieces_of(body):
     """Return the pieces of a body.
 
--- a/fuchsiacart/gateway/budgets/connection_limits.py
+++ b/fuchsiacart/gateway/budgets/connection_limits.py
@@ -14,20 +14,27 @@
 from fuchsiacart.logs import log_event
 from fuchsiacart.metrics import CONNECTIONS_CLOSED
 
-# Part of the descriptors of the process that callers may use.
-DESCRIPTOR_PART = 0.75
+# Parts of the descriptors of a process for connections of its clients and of
+# other processes.  A control host has more of the latter.
+CLIENT_PART = 0.75
+PEER_PART = 0.125
+CONTROL_CLIENT_PART = 0.5
+CONTROL_PEER_PART = 0.375
 # Bound where the process has any number of descriptors.
 MAX_CONNECTIONS = 65_536
 # Before the first configuration sets the idle timeout.
 DEFAULT_STALL_S = 30.0
 
 
-def connection_limit():
-    """Return how many connections callers may have."""
+def connection_limit(part=CLIENT_PART):
+    """Return how many connections may be open.
+
+    :param part: part of the descriptors of the process.
+    """
     descriptors, _ = getrlimit(RLIMIT_NOFILE)
     if descriptors == RLIM_INFINITY:
         return MAX_CONNECTIONS
-    return min(MAX_CONNECTIONS, int(descriptors * DESCRIPTOR_PART))
+    return min(MAX_CONNECTIONS, int(descriptors * part))
 
 
 def find_surplus(connections, limit):
--- a/fuchsiacart/gateway/caller_connections.py
+++ b/fuchsiacart/gateway/caller_connections.py
@@ -19,11 +19,13 @@
 from tornado.ioloop import IOLoop
 from tornado.iostream import StreamClosedError
 
+from fuchsiacart.gateway.budgets.client_connections import ClientConnection
+from fuchsiacart.gateway.budgets.client_connections import unwritten_bytes
 from fuchsiacart.gateway.caller_exchanges import Exchange
 from fuchsiacart.logs import log_event
 
 # Requests of one connection that are served at the same time, and the bytes of
-# their bodies beyond which no further request is read.
+# their heads and bodies beyond which no further request is read.
 MAX_PIPELINED_REQUESTS = 16
 MAX_PIPELINED_BYTES = 1024 * 1024
 # Time in which a caller reads the last response.  Closing earlier, with
@@ -35,7 +37,7 @@
 DISCARD_BYTES = 65_536
 
 
-class CallerConnection:
+class CallerConnection(ClientConnection):
     """One connection of a caller.
 
     :param server: the :class:`CallerServer`.
@@ -44,9 +46,8 @@
     """
 
     def __init__(self, server, stream, remote_ip):
+        super().__init__(server.connections, stream, remote_ip)
         self._server = server
-        self._stream = stream
-        self.remote_ip = remote_ip
         # Requests that are not answered yet, in the order of their arrival.
         self._exchanges = deque()
         self._receiving = None
@@ -73,11 +74,9 @@
         return bool(self._exchanges)
 
     @property
-    def active_s(self):
-        """Time at which the last bytes of a body came, or it became idle."""
-        if self._receiving is None:
-            return self._idle_since_s
-        return max(self._idle_since_s, self._receiving.progress_s)
+    def is_receiving(self):
+        """True while a request with a complete head arrives."""
+        return self._is_receiving
 
     @property
     def is_closed(self):
@@ -131,16 +130,32 @@
         exchange.task = self._server.start_refusal(exchange)
 
     def charge(self, exchange, size):
-        """Charge bytes of a body to the budget.
+        """Charge bytes of a request or its answer to the budget.
 
         :param exchange: the :class:`Exchange` that holds them.
         :param size: the bytes.
         """
-        self._server.body_budget.add(exchange, size)
+        self.measure()
+        self._server.connections.budget.add(exchange, size)
 
     def release(self, exchange):
-        """Release what the bodies of a request hold."""
-        self._server.body_budget.release(exchange)
+        """Release what a request holds."""
+        self._server.connections.budget.release(exchange)
+
+    def find_owner(self, exchange):
+        """Return the address of the client that a request comes from."""
+        return self._server.find_owner(exchange)
+
+    def measure_socket(self):
+        """See :class:`ClientConnection`; a response shrinks as it is read."""
+        super().measure_socket()
+        if not self._exchanges or not self._exchanges[0].is_writing:
+            return
+        exchange = self._exchanges[0]
+        left_bytes = unwritten_bytes(self._stream)
+        self._server.connections.budget.set(
+            exchange, exchange.held_bytes + left_bytes
+        )
 
     def record_discarded(self):
         """Note that the caller sends on what nobody reads."""
@@ -208,10 +223,6 @@
             return
         self.close()
 
-    def close(self):
-        """Close the connection at once."""
-        self._stream.close()
-
     async def _receive(self):
         """Read one request.
 
@@ -232,7 +243,7 @@
     def _is_full(self):
         if len(self._exchanges) >= MAX_PIPELINED_REQUESTS:
             return True
-        held_bytes = sum(len(each.body) for each in self._exchanges)
+        held_bytes = sum(each.held_bytes for each in self._exchanges)
         return held_bytes > MAX_PIPELINED_BYTES
 
     async def _next_answer(self):
@@ -290,7 +301,7 @@
                 exchange.task.cancel()
 
     def _restart_idle_timer(self):
-        self._idle_since_s = monotonic()
+        self._idle_since_s = self.active_s = monotonic()
         self._stop_idle_timer()
         if self._server.idle_timeout_s is None or self._stream.closed():
             return
--- a/fuchsiacart/gateway/caller_exchanges.py
+++ b/fuchsiacart/gateway/caller_exchanges.py
@@ -12,7 +12,11 @@
 from fuchsiacart.exceptions import ErrorKind
 from fuchsiacart.exceptions import RequestError
 from fuchsiacart.gateway.budgets.bodies import Body
-from fuchsiacart.gateway.budgets.body_budgets import BodyHolder
+from fuchsiacart.gateway.budgets.bodies import BodyBuffer
+from fuchsiacart.gateway.budgets.heads import compute_head_bytes
+from fuchsiacart.gateway.budgets.heads import keep_framing
+from fuchsiacart.gateway.budgets.memory_budgets import MemoryHolder
+from fuchsiacart.gateway.hop_headers import RELAYED_FOR
 from fuchsiacart.gateway.message_streams import MessageStream
 from fuchsiacart.problems import problem_document
 from fuchsiacart.problems import PROBLEM_TYPE
@@ -27,11 +31,11 @@
 COPIED_BYTES = 65_536
 
 
-class Exchange(HTTPMessageDelegate, BodyHolder):
+class Exchange(HTTPMessageDelegate, MemoryHolder):
     """One request of a connection and the place of its response.
 
-    Its bodies are charged to the budget of the server from their first byte
-    until the response is written.
+    Its head and its bodies are charged to the budget of the process until the
+    response is written.
 
     :param connection: the :class:`CallerConnection`.
     :param stream: tornado's stream.
@@ -49,7 +53,8 @@
         self.start_line = None
         self.headers = None
         self.body = b''
-        self._pieces = []
+        self._buffer = BodyBuffer()
+        self._head_bytes = 0
         self.received_s = monotonic()
         self.progress_s = self.received_s
         # True once it is refused although it has not arrived yet.
@@ -65,12 +70,29 @@
 
     @property
     def owner(self):
-        """See :class:`BodyHolder`."""
-        return self.connection.remote_ip
+        """See :class:`MemoryHolder`."""
+        return self.connection.find_owner(self)
+
+    @property
+    def is_writing(self):
+        """True while its response is written."""
+        return self._is_answering and self.message.is_open
+
+    @property
+    def relayed_for(self):
+        """Address that another gateway names as that of the caller, or ''."""
+        if self.headers is None:
+            return ''
+        return self.headers.get(RELAYED_FOR, '')
+
+    @property
+    def held_bytes(self):
+        """Bytes that the request takes."""
+        return self._head_bytes + len(self.body)
 
     @property
     def peer_name(self):
-        """See :class:`BodyHolder`."""
+        """See :class:`MemoryHolder`."""
         return self.connection.remote_ip
 
     @property
@@ -85,7 +107,7 @@
             return
         self.give_up(
             RequestError(
-                'the bodies of all requests are too large together',
+                'all requests hold too much memory together',
                 ErrorKind.NO_MEMORY,
                 retry_after_ms=RETRY_AFTER_MS,
             )
@@ -97,7 +119,9 @@
         :param error: the :class:`RequestError`.
         """
         self.is_given_up = True
-        self._pieces = []
+        self._buffer.clear()
+        if self.headers is not None:
+            keep_framing(self.headers)
         self.connection.release(self)
         self.message.refusal = error
         self.connection.refuse(self)
@@ -127,6 +151,10 @@
         self.message.expect_body(size, limit_bytes)
         if size > limit_bytes:
             return None
+        self._head_bytes = compute_head_bytes(self.message.take_head())
+        self.connection.charge(self, self._head_bytes)
+        if self.is_given_up:
+            return None
         if headers.get('Expect') == CONTINUE:
             return self._wait_until_first()
         return None
@@ -137,8 +165,7 @@
         if self.is_given_up:
             self.connection.record_discarded()
             return
-        self._pieces.append(chunk)
-        self.connection.charge(self, len(chunk))
+        self.connection.charge(self, self._buffer.add(chunk))
 
     def finish(self):
         """Release the parser and start to serve the request."""
@@ -146,7 +173,7 @@
         if self.is_given_up:
             return
         self._is_received = True
-        pieces, self._pieces = self._pieces, []
+        pieces = self._buffer.take()
         body = Body(pieces)
         is_small = len(body) <= COPIED_BYTES
         self.body = b''.join(pieces) if is_small else body
--- a/fuchsiacart/gateway/callers.py
+++ b/fuchsiacart/gateway/callers.py
@@ -19,10 +19,10 @@
 from fuchsiacart.exceptions import RequestError
 from fuchsiacart.exceptions import Run
 from fuchsiacart.gateway.attempts import InboundRequest
-from fuchsiacart.gateway.budgets.body_budgets import BodyBudget
-from fuchsiacart.gateway.budgets.connection_limits import close_surplus
+from fuchsiacart.gateway.budgets.client_connections import ClientConnections
 from fuchsiacart.gateway.budgets.connection_limits import connection_limit
 from fuchsiacart.gateway.budgets.connection_limits import refuse_stalled
+from fuchsiacart.gateway.budgets.memory_budgets import MemoryBudget
 from fuchsiacart.gateway.caller_connections import CallerConnection
 from fuchsiacart.gateway.caller_connections import close_idle_connections
 from fuchsiacart.gateway.hop_headers import end_to_end_headers
@@ -60,13 +60,15 @@
 
     :param forwarder: the :class:`Forwarder`.
     :param dialect: the :class:`Dialect` of callers.
-    :param body_budget: the :class:`BodyBudget` of all bodies of the process.
+    :param connections: the :class:`ClientConnections` of the process.
     """
 
-    def __init__(self, forwarder, dialect, body_budget=None):
+    def __init__(self, forwarder, dialect, connections=None):
         super().__init__(max_buffer_size=BODY_LIMIT_BYTES)
         self._forwarder = forwarder
-        self.body_budget = body_budget or BodyBudget()
+        self.connections = connections or ClientConnections(
+            MemoryBudget(), connection_limit()
+        )
         self._dialect = dialect
         self._tasks = set()
         self._connections = set()
@@ -115,12 +117,13 @@
         """See :class:`TCPServer`."""
         connection = CallerConnection(self, stream, address[0])
         self._connections.add(connection)
-        close_surplus(self._connections, connection_limit())
+        self.connections.add(connection)
         try:
             await connection.serve()
         finally:
             self._connections.discard(connection)
             connection.close()
+            connection.end()
 
     async def watch(self):
         """Refuse requests that do not go on, until cancelled."""
@@ -150,6 +153,19 @@
             connection.close()
         await gather(*self._tasks, return_exceptions=True)
 
+    def find_owner(self, exchange):
+        """Return the address of the client that a request comes from.
+
+        Another gateway relays for many of them.
+
+        :param exchange: the :class:`Exchange`.
+        """
+        remote_ip = exchange.connection.remote_ip
+        if not exchange.relayed_for:
+            return remote_ip
+        is_gateway = self._forwarder.relay.selector.is_gateway(remote_ip)
+        return exchange.relayed_for if is_gateway else remote_ip
+
     def start(self, exchange):
         """Start to serve a request.
 
--- a/fuchsiacart/gateway/connection_pools.py
+++ b/fuchsiacart/gateway/connection_pools.py
@@ -5,7 +5,7 @@
 from time import monotonic
 
 from fuchsiacart.failure_kinds import FailureKind
-from fuchsiacart.gateway.budgets.body_budgets import BodyBudget
+from fuchsiacart.gateway.budgets.memory_budgets import MemoryBudget
 from fuchsiacart.gateway.exchanges import ExchangeResult
 from fuchsiacart.gateway.exchanges import ServerConnection
 from fuchsiacart.gateway.reachability import ServerReachability
@@ -23,13 +23,13 @@
 
     :param reachability: the :class:`ServerReachability` that is told which
         connections could be opened.
-    :param budget: the :class:`BodyBudget` of all bodies of the process.
+    :param budget: the :class:`MemoryBudget` of all bodies of the process.
     """
 
     def __init__(self, reachability=None, budget=None):
         self._reachability = reachability or ServerReachability()
         self._idle = defaultdict(list)
-        self._budget = budget or BodyBudget()
+        self._budget = budget or MemoryBudget()
 
     async def exchange(self, record, request, limits):
         """Send a request to a server and read the complete response.
--- a/fuchsiacart/gateway/edges.py
+++ b/fuchsiacart/gateway/edges.py
@@ -12,10 +12,11 @@
         """Return the :class:`Dialect` of callers and backend servers."""
 
     @abstractmethod
-    async def open_control(self, control):
+    async def open_control(self, control, connections):
         """Open the listeners of a control host.
 
         :param control: the :class:`RouteControl` that serves the calls.
+        :param connections: the :class:`ClientConnections` of the process.
         """
 
     @abstractmethod
--- a/fuchsiacart/gateway/exchanges.py
+++ b/fuchsiacart/gateway/exchanges.py
@@ -32,9 +32,10 @@
 from fuchsiacart.clocks import MILLISECONDS
 from fuchsiacart.failure_kinds import FailureKind
 from fuchsiacart.gateway.budgets.bodies import Body
+from fuchsiacart.gateway.budgets.bodies import BodyBuffer
 from fuchsiacart.gateway.budgets.bodies import pieces_of
-from fuchsiacart.gateway.budgets.body_budgets import BodyHolder
-from fuchsiacart.gateway.budgets.body_budgets import RESPONSE_LIMIT_BYTES
+from fuchsiacart.gateway.budgets.memory_budgets import MemoryHolder
+from fuchsiacart.gateway.budgets.memory_budgets import RESPONSE_LIMIT_BYTES
 from fuchsiacart.gateway.hop_headers import IDLE_LIMIT_S
 from fuchsiacart.gateway.hop_headers import read_idle_timeout_s
 from fuchsiacart.gateway.response_checks import is_own_response
@@ -138,7 +139,7 @@
         return False
 
 
-class _ResponseReader(HTTPMessageDelegate, BodyHolder):
+class _ResponseReader(HTTPMessageDelegate, MemoryHolder):
     """Collects a response; it is complete once ``finished`` is set.
 
     :param connection: the :class:`ServerConnection`.
@@ -153,18 +154,18 @@
         self._is_aborted = False
         self.start_line = None
         self.headers = None
-        self.chunks = []
+        self._buffer = BodyBuffer()
         self.finished = False
 
     @property
     def peer_name(self):
-        """See :class:`BodyHolder`."""
+        """See :class:`MemoryHolder`."""
         return self._connection.server_name
 
     def abort(self):
         """Give the response up and close its connection."""
         self._is_aborted = True
-        self.chunks = []
+        self._buffer.clear()
         self._connection.close()
 
     def headers_received(self, start_line, headers):
@@ -183,8 +184,8 @@
             self._request.on_headers(start_line.code, headers)
 
     def data_received(self, chunk):
-        self.chunks.append(chunk)
-        self._connection.budget.add(self, len(chunk))
+        if not self._is_aborted:
+            self._connection.budget.add(self, self._buffer.add(chunk))
 
     def finish(self):
         self.finished = not self._is_aborted
@@ -206,12 +207,11 @@
 
     def to_response(self):
         """Return the :class:`ServerResponse`, and keep no part of it."""
-        chunks, self.chunks = self.chunks, []
         return ServerResponse(
             self.start_line.code,
             self.start_line.reason,
             self.headers,
-            b''.join(chunks),
+            b''.join(self._buffer.take()),
         )
 
 
@@ -219,7 +219,7 @@
     """One connection to a backend server.
 
     :param server_name: name of the server.
-    :param budget: the :class:`BodyBudget` of all connections.
+    :param budget: the :class:`MemoryBudget` of all connections.
     """
 
     def __init__(self, server_name, budget):
--- a/fuchsiacart/gateway/forwarding.py
+++ b/fuchsiacart/gateway/forwarding.py
@@ -19,7 +19,7 @@
 from fuchsiacart.gateway.beliefs.restarts import log_restarts
 from fuchsiacart.gateway.beliefs.view_freshness import ViewFreshness
 from fuchsiacart.gateway.budgets.account_quotas import AccountQuotas
-from fuchsiacart.gateway.budgets.body_budgets import BodyBudget
+from fuchsiacart.gateway.budgets.memory_budgets import MemoryBudget
 from fuchsiacart.gateway.budgets.retry_budgets import SharedRetryBudget
 from fuchsiacart.gateway.connection_pools import ConnectionPool
 from fuchsiacart.gateway.demands import DemandMeter
@@ -52,14 +52,16 @@
 
     :param settings: the settings of the process.
     :param dialect: the :class:`Dialect` of callers and backend servers.
+    :param memory_budget: the :class:`MemoryBudget` of the process; None for
+        one with the default limit.
     """
 
-    def __init__(self, settings, dialect: Dialect):
+    def __init__(self, settings, dialect: Dialect, memory_budget=None):
         self._settings = settings
         self._splitter = TargetSplitter()
         self.reachability = ServerReachability()
-        self.body_budget = BodyBudget()
-        self._pool = ConnectionPool(self.reachability, self.body_budget)
+        self.memory_budget = memory_budget or MemoryBudget()
+        self._pool = ConnectionPool(self.reachability, self.memory_budget)
         self._retry_budgets = {}
         self._started_ms = steady_ms()
         self._gateway_count = 1
@@ -88,7 +90,7 @@
             GatewaySelector(settings.host, random),
             dialect,
             self.statements,
-            self.body_budget,
+            self.memory_budget,
         )
         self._admission = RankedAdmission()
         self.revision = 0
--- a/fuchsiacart/gateway/hosts.py
+++ b/fuchsiacart/gateway/hosts.py
@@ -11,6 +11,9 @@
 from fuchsiacart.control_clients import ControlClient
 from fuchsiacart.control_clients import rotate_addresses
 from fuchsiacart.entry.limits import ContractLimiter
+from fuchsiacart.gateway.budgets.client_connections import ClientConnections
+from fuchsiacart.gateway.budgets.connection_limits import connection_limit
+from fuchsiacart.gateway.budgets.memory_budgets import MemoryBudget
 from fuchsiacart.gateway.callers import CallerServer
 from fuchsiacart.gateway.forwarding import Forwarder
 from fuchsiacart.gateway.probes import ReachabilityProber
@@ -39,16 +42,21 @@
     :param settings: the settings of the process.
     :param adapter: transport to other processes.
     :param dialect: the :class:`Dialect` of callers and backend servers.
+    :param connections: the :class:`ClientConnections` of the process; None
+        for some with the default limits.
     """
 
-    def __init__(self, settings, adapter, dialect):
+    def __init__(self, settings, adapter, dialect, connections=None):
         self._settings = settings
         addresses = rotate_addresses(
             settings.control_addresses, settings.host.name
         )
         self._control = ControlClient(adapter, addresses)
         self._views = ViewReplicator(adapter, addresses)
-        self.forwarder = Forwarder(settings, dialect)
+        self.connections = connections or ClientConnections(
+            MemoryBudget(), connection_limit()
+        )
+        self.forwarder = Forwarder(settings, dialect, self.connections.budget)
         self._lease = LeaseClient(
             settings,
             self._control,
@@ -58,7 +66,7 @@
         )
         self.forwarder.freshness.on_outdated(self._lease.renew_soon)
         self.caller_server = CallerServer(
-            self.forwarder, dialect, self.forwarder.body_budget
+            self.forwarder, dialect, self.connections
         )
         self._demands_read_s = monotonic()
         self.is_stopping = False
--- a/fuchsiacart/gateway/relays.py
+++ b/fuchsiacart/gateway/relays.py
@@ -57,7 +57,7 @@
     :param selector: the :class:`GatewaySelector`.
     :param dialect: the :class:`Dialect` of callers and backend servers.
     :param statements: the :class:`ServerStatements`.
-    :param budget: the :class:`BodyBudget` of all bodies of the process.
+    :param budget: the :class:`MemoryBudget` of all bodies of the process.
     """
 
     def __init__(self, selector, dialect, statements, budget=None):
--- a/fuchsiacart/metrics.py
+++ b/fuchsiacart/metrics.py
@@ -67,13 +67,13 @@
     'Health checks of servers whose start was in doubt, by outcome',
     ['outcome'],
 )
-BODY_BYTES = Gauge(
+HELD_BYTES = Gauge(
     'fuchsiacart_body_bytes',
-    'Bytes of the bodies of requests and responses that are held',
+    'Bytes held for clients: bodies, heads, answers and connections',
 )
-BODIES_GIVEN_UP = Counter(
+HOLDERS_GIVEN_UP = Counter(
     'fuchsiacart_bodies_given_up_total',
-    'Bodies given up as all of them together were too large, by kind',
+    'Holders given up as all of them together held too much, by kind',
     ['kind'],
 )
 CONNECTIONS_CLOSED = Counter(
--- a/fuchsiacart/platform/edge.py
+++ b/fuchsiacart/platform/edge.py
@@ -1,11 +1,10 @@
 """HTTP servers for the platform's calls, by role."""
 
-from tornado.httpserver import HTTPServer
-
 from fuchsiacart.clocks import MILLISECONDS
-from fuchsiacart.gateway.budgets.body_budgets import BodyBudget
-from fuchsiacart.gateway.budgets.bounded_applications import BODY_TIMEOUT_S
-from fuchsiacart.gateway.budgets.bounded_applications import BoundedApplication
+from fuchsiacart.gateway.budgets.bounded_servers import BoundedServer
+from fuchsiacart.gateway.budgets.client_connections import listen
+from fuchsiacart.gateway.budgets.memory_limits import CALLER_SOCKET_BYTES
+from fuchsiacart.gateway.budgets.memory_limits import CLIENT_SOCKET_BYTES
 from fuchsiacart.gateway.edges import Edge
 from fuchsiacart.logs import log_event
 from fuchsiacart.platform.calls import make_control_application
@@ -30,28 +29,37 @@
         self._routes = settings.routes
         self._dialect = PlatformDialect()
         self._servers = []
-        self._budget = BodyBudget()
         self._caller_server = None
 
     def dialect(self):
         """See :meth:`Edge.dialect`."""
         return self._dialect
 
-    async def open_control(self, control):
+    async def open_control(self, control, connections):
         """See :meth:`Edge.open_control`."""
         self._listen(
-            make_control_application(control), self._routes.control_address
+            make_control_application(control),
+            self._routes.control_address,
+            connections,
         )
         self._listen(
-            make_directory_application(control), self._routes.directory_address
+            make_directory_application(control),
+            self._routes.directory_address,
+            connections,
         )
 
     async def open_gateway(self, gateway):
         """See :meth:`Edge.open_gateway`."""
         self._caller_server = gateway.caller_server
-        _open(self._caller_server, self._routes.caller_address)
+        _open(
+            self._caller_server,
+            self._routes.caller_address,
+            CALLER_SOCKET_BYTES,
+        )
         self._listen(
-            make_ready_application(gateway), self._routes.ready_address
+            make_ready_application(gateway),
+            self._routes.ready_address,
+            gateway.connections,
         )
         gateway.on_limits(self._apply_limits)
 
@@ -80,19 +88,16 @@
             limits.header_bytes, limits.body_bytes, idle_s + IDLE_MARGIN_S
         )
 
-    def _listen(self, application, address):
-        server = HTTPServer(
-            BoundedApplication(application, self._budget),
-            body_timeout=BODY_TIMEOUT_S,
-            max_body_size=BODY_LIMIT_BYTES,
-            max_buffer_size=BODY_LIMIT_BYTES,
+    def _listen(self, application, address, connections):
+        server = BoundedServer(
+            application, connections, BODY_LIMIT_BYTES, reads_documents=True
         )
-        _open(server, address)
+        _open(server, address, CLIENT_SOCKET_BYTES)
         self._servers.append(server)
 
 
-def _open(server, address):
+def _open(server, address, socket_bytes):
     """Let a server listen at an address."""
     host, _, port = address.rpartition(':')
-    server.listen(int(port), host, backlog=LISTEN_BACKLOG)
+    listen(server, int(port), host, LISTEN_BACKLOG, socket_bytes)
     log_event('edge_listening', address=address)
--- a/fuchsiacart/settings.py
+++ b/fuchsiacart/settings.py
@@ -14,6 +14,7 @@
 from pydantic import ValidationError
 
 from fuchsiacart.exceptions import SettingsError
+from fuchsiacart.gateway.budgets.memory_limits import read_machine_bytes
 
 # Time for which a request may be under way; unacknowledged data closes its
 # connection then.
@@ -64,6 +65,18 @@
     name: Name = Field(description='name of this host, unique')
     region: Name = Field(description='region that this host is in')
     failure_domain: Name = Field(description='failure domain of this host')
+    memory_mb: Annotated[int, Field(gt=0)] | None = Field(
+        None,
+        description='memory of this host in megabytes, which bounds what is'
+        ' held for clients; absent: that of the machine',
+    )
+
+    @property
+    def machine_bytes(self):
+        """Return the memory of this host in bytes."""
+        if self.memory_mb is None:
+            return read_machine_bytes()
+        return self.memory_mb * 1_000_000
 
 
 class ListenSettings(Section):
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -8,7 +8,7 @@
 from tornado.httputil import HTTPHeaders
 
 from fuchsiacart.failure_kinds import FailureKind
-from fuchsiacart.gateway.budgets.body_budgets import BodyBudget
+from fuchsiacart.gateway.budgets.memory_budgets import MemoryBudget
 from fuchsiacart.gateway.exchanges import OutboundRequest
 from fuchsiacart.gateway.exchanges import request_line
 from fuchsiacart.gateway.exchanges import ServerConnection
@@ -179,7 +179,7 @@
             await sleep(PAUSE_RANGE_S[1])
             return False
         address = self._soak.random.choice(self._addresses)
-        connection = ServerConnection(address, BodyBudget())
+        connection = ServerConnection(address, MemoryBudget())
         try:
             await connection.connect(address, CONNECT_TIMEOUT_S)
         except (OSError, TimeoutError):
--- a/tools/seeded_faults/accounts.py
+++ b/tools/seeded_faults/accounts.py
@@ -70,8 +70,8 @@
     Fault(
         'bodies that arrive are not charged',
         'gateway/caller_exchanges.py',
-        'self.connection.charge(self, len(chunk))',
-        'pass',
+        'self.connection.charge(self, self._buffer.add(chunk))',
+        'self._buffer.add(chunk)',
         'caller_memory',
     ),
     Fault(
--- a/tools/seeded_faults/entry.py
+++ b/tools/seeded_faults/entry.py
@@ -77,8 +77,8 @@
     Fault(
         'bodies without end are collected by an entry host',
         'entry/backends.py',
-        'self._budget.add(self, len(chunk))',
-        'pass',
+        'self._budget.add(self, self._buffer.add(chunk))',
+        'self._buffer.add(chunk)',
         'body_budgets',
     ),
     Fault(
--- a/tools/seeded_faults/gateway.py
+++ b/tools/seeded_faults/gateway.py
@@ -140,9 +140,9 @@
     ),
     Fault(
         'bodies in flight have no common limit',
-        'gateway/budgets/body_budgets.py',
-        'while self._total_bytes > self._limit_bytes:',
-        'while False:',
+        'gateway/budgets/memory_budgets.py',
+        'is_small = hold.size <= SMALL_BYTES',
+        'return',
         'body_budgets',
     ),
     Fault(
