Share calls between reads of the configuration

Each read of the configuration asked the leader for a copy of its own: 600 at once, of 1,000 routes, took a control host to 559 MB, of 200, before an answer was written; with the answers charged still to 542 MB.

--- a/fuchsiacart/control/route_control.py
+++ b/fuchsiacart/control/route_control.py
@@ -14,6 +14,7 @@
 from fuchsiacart.control.directory import find_gateways
 from fuchsiacart.control.order_checks import CLOSE_NOTICE_S
 from fuchsiacart.control.order_checks import confirm_caller
+from fuchsiacart.control.read_batches import ReadBatches
 from fuchsiacart.exceptions import ChangeError
 from fuchsiacart.exceptions import ErrorKind
 from fuchsiacart.exceptions import FuchsiacartError
@@ -51,6 +52,7 @@
         self._settings = settings
         self._replica = replica
         self._service = service
+        self._reads = ReadBatches(self._read_configuration)
         self._last_heartbeat_ms = {}
         self._unreported_names = set()
         self._watching_since_ms = None
@@ -95,8 +97,7 @@
 
         :raises ChangeError: if no quorum confirms that it is current in time.
         """
-        reply = await self._call_leader(ConfigurationQuery())
-        return reply.configuration
+        return await self._reads.read()
 
     async def set_evacuation(self, domain, evacuated, has_left):
         """Start or end the evacuation of a failure domain.
@@ -234,6 +235,10 @@
         await self._replica.confirm_leadership(ANSWER_TIMEOUT_S)
         return ConfigurationReply(self.routes.configuration)
 
+    async def _read_configuration(self):
+        reply = await self._call_leader(ConfigurationQuery())
+        return reply.configuration
+
     async def _commit_current(self, command, has_left):
         """Commit an order without version or age if its caller still waits.
 
