Let clients of the soak hold memory, and bound it

Twelve clients stop in heads and bodies, send tiny chunks, read no answers or send nothing, at the caller, ready, order and look-up addresses. Each process stays within the memory of its machine, 200 MB.

--- a/soak/processes.py
+++ b/soak/processes.py
@@ -47,6 +47,7 @@
 name = "{name}"
 region = "{region}"
 failure_domain = "{domain}"
+{memory}
 [listen]
 address = "{private}"
 advertised_address = "{public}"
@@ -235,6 +236,11 @@
         self._should_run = True
         self._record_halt()
 
+    @property
+    def process_id(self):
+        """The process id, or None while the process does not run."""
+        return self._process.pid if self.is_running else None
+
     def set_conditions(self, conditions):
         """Set the faults of the clock and the disk of the process."""
         conditions = replace(
@@ -348,6 +354,7 @@
             name=self.name,
             region=REGIONS[self.domain],
             domain=self.domain,
+            memory=self._soak.memory_setting,
             private=private,
             public=self.public_address,
             ports=self._soak.ports,
--- a/soak/runs.py
+++ b/soak/runs.py
@@ -35,6 +35,10 @@
 from soak.fault_plans import draw_starvations
 from soak.fault_plans import draw_statements
 from soak.faults import FaultInjector
+from soak.holding_clients import CLIENTS as HOLDING_CLIENTS
+from soak.holding_clients import HoldingClient
+from soak.holding_clients import MEMORY_MB
+from soak.holding_clients import watch_memory
 from soak.large_callers import LargeCaller
 from soak.ledger import Ledger
 from soak.member_faults import draw_member_plan
@@ -101,8 +105,11 @@
         self.restart_random = Random(f'restarts {seed}')
         # The build in production cannot read accounts.
         self.accounts = None
+        # Nor does it know the memory of its machine.
+        self.memory_setting = ''
         if not commit:
             self.accounts = AccountPlan(Random(f'accounts {seed}'))
+            self.memory_setting = f'memory_mb = {MEMORY_MB}'
         self.builds = BuildPlan(commit, Random(f'builds {seed}'))
         self.network = Network(slot)
         self.ports = Ports.find_free(self.network.private_address(1))
@@ -204,6 +211,7 @@
             callers = self._start_callers()
             await self._wait_until_served(START_TIMEOUT_S)
             callers.append(self._start_crashing_caller())
+            callers += self._start_holding_clients()
             orders = create_task(self.operator.run())
             await self.injector.inject_all(self.plan)
             await self.member_injector.inject_all()
@@ -283,6 +291,16 @@
         )
         return create_task(caller.run())
 
+    def _start_holding_clients(self):
+        if not self.memory_setting:
+            return []
+        self._tasks.append(create_task(watch_memory(self)))
+        clients = [
+            HoldingClient(self, Random(f'holding {self.seed} {number}'))
+            for number in range(HOLDING_CLIENTS)
+        ]
+        return [create_task(client.run()) for client in clients]
+
     async def _record_loop_stalls(self):
         """Record spans in which the event loop was blocked.
 
