--- a/features/memory_budgets.feature
+++ b/features/memory_budgets.feature
@@ -8,7 +8,7 @@
 
   Scenario: who sends a byte now and then counts as one that goes on
     Given a memory budget of 80 units
-    And 7 clients that hold 10 units each and send a byte each 0.5 s for 3 s
+    And 7 clients that hold 10 units each and send a byte each 0.5 s from 3 s ago on
     When another client sends 40 units without a pause
     Then it keeps them, and clients that stand still lose theirs
 
@@ -73,3 +73,12 @@
   Scenario: a document of many items takes more than it is charged at
     When an order of 1 MiB in items of one byte is decoded
     Then it takes no more than it is charged at
+
+  Scenario Outline: requests that a gateway relays count as those of one client
+    When a request comes from <sender>, and names 10.0.0.7 as its caller
+    Then it counts as a request of <owner>
+
+    Examples:
+      | sender          | owner    |
+      | another gateway | 10.0.0.7 |
+      | a caller        | 10.0.0.9 |
--- a/features/steps/memory_budget_steps.py
+++ b/features/steps/memory_budget_steps.py
@@ -16,12 +16,14 @@
 from fuchsiacart.gateway.budgets.memory_budgets import MemoryHolder
 from fuchsiacart.gateway.budgets.memory_limits import compute_document_bytes
 from fuchsiacart.gateway.budgets.memory_limits import compute_limit_bytes
+from fuchsiacart.gateway.callers import CallerServer
 from fuchsiacart.platform.documents import PutBody
 
 UNIT_BYTES = 1024 * 1024
 MIB = 1024 * 1024
 PART_BYTES = 65_536
 PART_S = 0.01
+TRICKLE_PARTS = 50
 BODY_BYTES = 2 * MIB
 HEAD_COUNT = 50
 
@@ -66,12 +68,21 @@
 
 def send(context, client, size):
     """Let a client send bytes, unless it is given up on the way."""
-    for start in range(0, size, PART_BYTES):
+    for index, start in enumerate(range(0, size, PART_BYTES)):
         context.clock.now_s += PART_S
+        if context.are_trickling and index % TRICKLE_PARTS == 0:
+            trickle(context)
         if not client.is_aborted:
             context.budget.add(client, min(PART_BYTES, size - start))
 
 
+def trickle(context):
+    """Let each client that has not lost its bytes send one."""
+    for client in context.clients:
+        if not client.is_aborted:
+            context.budget.add(client, 1)
+
+
 def hold(context, count, size, may_run=False):
     """Let clients of addresses of their own hold bytes from now on."""
     context.clients = [
@@ -86,6 +97,7 @@
     context.clock = Clock()
     context.budget = MemoryBudget(size * UNIT_BYTES, context.clock)
     context.others = []
+    context.are_trickling = False
 
 
 @given(
@@ -107,14 +119,14 @@
 
 @given(
     '{count:d} clients that hold {size:d} units each and send a byte each'
-    ' 0.5 s for 3 s'
+    ' 0.5 s from 3 s ago on'
 )
 def given_trickling(context, count, size):
     hold(context, count, size)
     for _ in range(6):
         context.clock.now_s += 0.5
-        for client in context.clients:
-            context.budget.add(client, 1)
+        trickle(context)
+    context.are_trickling = True
 
 
 @given('{count:d} clients of one address that hold {size:d} units each')
@@ -250,3 +262,39 @@
 def then_charged(context):
     taken, charged = context.taken_bytes, context.charged_bytes
     assert taken <= charged, (taken, charged)
+
+
+class FakeRelay:
+    """Knows which addresses are those of gateways."""
+
+    def __init__(self, gateways):
+        self.selector = self
+        self.relay = self
+        self._gateways = gateways
+
+    def is_gateway(self, address):
+        """Return True if a gateway has the address."""
+        return address in self._gateways
+
+
+class RelayedExchange:
+    """A request with the address that its sender names."""
+
+    def __init__(self, sender, relayed_for):
+        self.connection = self
+        self.remote_ip = sender
+        self.relayed_for = relayed_for
+
+
+@when('a request comes from {sender}, and names {caller} as its caller')
+def when_relayed(context, sender, caller):
+    addresses = {'another gateway': '10.0.0.8', 'a caller': '10.0.0.9'}
+    server = CallerServer(FakeRelay({'10.0.0.8'}), None)
+    context.found = server.find_owner(
+        RelayedExchange(addresses[sender], caller)
+    )
+
+
+@then('it counts as a request of {owner}')
+def then_owner(context, owner):
+    assert context.found == owner, context.found
