Keep nothing of a request once it is answered, and large answers in pieces

A connection whose last response was written kept the request, its head and its body for the second in which its caller may read, and what was answered stayed in cycles until the next full collection: charged to nothing.

--- a/fuchsiacart/gateway/budgets/bodies.py
+++ b/fuchsiacart/gateway/budgets/bodies.py
@@ -70,6 +70,15 @@
             self._end = bytearray()
 
 
+def make_body(pieces):
+    """Return a body: bytes if it is small, else a :class:`Body`.
+
+    :param pieces: each part of it as bytes.
+    """
+    body = Body(pieces)
+    return b''.join(pieces) if len(body) <= PIECE_BYTES else body
+
+
 def pieces_of(body):
     """Return the pieces of a body.
 
--- a/fuchsiacart/gateway/budgets/bounded_applications.py
+++ b/fuchsiacart/gateway/budgets/bounded_applications.py
@@ -157,6 +157,9 @@
         self._budget.release(self)
         self._client.is_receiving = False
         self._client.has_requests = False
+        if self._is_received:
+            # Both hold the request, and are part of cycles.
+            self.delegate = self._headers = None
 
     def abort(self):
         """Refuse the request, or close a connection that reads too slowly."""
@@ -201,15 +204,17 @@
         self._is_received = True
         self._client.is_receiving = False
         self._client.has_requests = True
+        delegate = self.delegate
         for piece in pieces:
-            self.delegate.data_received(piece)
-        self.delegate.finish()
+            delegate.data_received(piece)
+        delegate.finish()
 
     def on_connection_close(self):
         """See :class:`HTTPMessageDelegate`."""
+        delegate = self.delegate
         self.release()
-        if not self._is_given_up:
-            self.delegate.on_connection_close()
+        if delegate is not None and not self._is_given_up:
+            delegate.on_connection_close()
 
     def _charge_document(self, pieces):
         """Charge a document, or refuse one that never has room."""
--- a/fuchsiacart/gateway/caller_connections.py
+++ b/fuchsiacart/gateway/caller_connections.py
@@ -174,6 +174,7 @@
     def complete(self, exchange):
         """Remove a request that was answered or given up."""
         self._exchanges.remove(exchange)
+        exchange.clear()
         self.release(exchange)
         if self._exchanges:
             self._exchanges[0].turn.set()
--- a/fuchsiacart/gateway/caller_exchanges.py
+++ b/fuchsiacart/gateway/caller_exchanges.py
@@ -11,8 +11,9 @@
 from fuchsiacart.clocks import MILLISECONDS
 from fuchsiacart.exceptions import ErrorKind
 from fuchsiacart.exceptions import RequestError
-from fuchsiacart.gateway.budgets.bodies import Body
 from fuchsiacart.gateway.budgets.bodies import BodyBuffer
+from fuchsiacart.gateway.budgets.bodies import make_body
+from fuchsiacart.gateway.budgets.bodies import pieces_of
 from fuchsiacart.gateway.budgets.heads import compute_head_bytes
 from fuchsiacart.gateway.budgets.heads import keep_framing
 from fuchsiacart.gateway.budgets.memory_budgets import MemoryHolder
@@ -173,10 +174,7 @@
         if self.is_given_up:
             return
         self._is_received = True
-        pieces = self._buffer.take()
-        body = Body(pieces)
-        is_small = len(body) <= COPIED_BYTES
-        self.body = b''.join(pieces) if is_small else body
+        self.body = make_body(self._buffer.take())
         self.connection.start(self)
 
     async def read(self):
@@ -193,7 +191,7 @@
         :param status: HTTP status.
         :param reason: its text.
         :param headers: headers, to which those of the connection are added.
-        :param body: bytes of the body.
+        :param body: the body, a :class:`Body` or bytes.
         """
         self._is_answering = True
         self.connection.charge(self, len(body))
@@ -211,8 +209,9 @@
         if len(body) <= COPIED_BYTES:
             written = self._parser.write_headers(line, headers, body)
         else:
-            self._parser.write_headers(line, headers)
-            written = self._parser.write(body)
+            written = self._parser.write_headers(line, headers)
+            for piece in pieces_of(body):
+                written = self._parser.write(piece)
         # Cancellation by a caller that disconnects must not stop the write.
         await shield(written)
 
@@ -235,6 +234,17 @@
         # The parser may still read the request, and answer what is malformed.
         self.message.is_open = False
 
+    def clear(self):
+        """Keep nothing of the request once it is answered.
+
+        Its connection may live on, and is part of cycles.
+        """
+        self._buffer.clear()
+        self.body = b''
+        self.headers = None
+        if self._is_received:
+            self._parser = None
+
     async def _wait_until_first(self):
         """Wait until an interim response can belong to no other request."""
         await self.connection.wait_until_idle()
--- a/fuchsiacart/gateway/callers.py
+++ b/fuchsiacart/gateway/callers.py
@@ -189,6 +189,11 @@
         return task
 
     async def _run(self, exchange):
+        await self._serve(exchange)
+        # The process goes on until the caller has read the last response.
+        await exchange.connection.wait_if_ended()
+
+    async def _serve(self, exchange):
         request = InboundRequest(
             exchange.start_line.method,
             exchange.start_line.path,
@@ -211,8 +216,6 @@
         finally:
             exchange.connection.complete(exchange)
             self._record_outcome(request, outcome, exchange)
-        # The process goes on until the caller has read the last response.
-        await exchange.connection.wait_if_ended()
 
     async def _refuse(self, exchange):
         outcome = exchange.refusal.kind.value
--- a/fuchsiacart/gateway/exchanges.py
+++ b/fuchsiacart/gateway/exchanges.py
@@ -33,6 +33,7 @@
 from fuchsiacart.failure_kinds import FailureKind
 from fuchsiacart.gateway.budgets.bodies import Body
 from fuchsiacart.gateway.budgets.bodies import BodyBuffer
+from fuchsiacart.gateway.budgets.bodies import make_body
 from fuchsiacart.gateway.budgets.bodies import pieces_of
 from fuchsiacart.gateway.budgets.memory_budgets import MemoryHolder
 from fuchsiacart.gateway.budgets.memory_budgets import RESPONSE_LIMIT_BYTES
@@ -67,13 +68,14 @@
 class ServerResponse(Struct, frozen=True):
     """A complete response of a backend server.
 
+    ``body`` is a :class:`Body`, or bytes if it is small.
     ``leaving`` is the start of the server if the response says that it leaves.
     """
 
     status: int
     reason: str
     headers: HTTPHeaders
-    body: bytes
+    body: Body | bytes
     leaving: ServerStart | None = None
 
 
@@ -211,7 +213,7 @@
             self.start_line.code,
             self.start_line.reason,
             self.headers,
-            b''.join(self._buffer.take()),
+            make_body(self._buffer.take()),
         )
 
 
