--- a/fuchsiacart/gateway/budgets/memory_budgets.py
+++ b/fuchsiacart/gateway/budgets/memory_budgets.py
@@ -14,7 +14,7 @@
 from fuchsiacart.logs import log_warning
 from fuchsiacart.metrics import HOLDERS_GIVEN_UP
 
-# Bound of a single response.  It is copied once on its way to the caller.
+# Bound of a single response.
 RESPONSE_LIMIT_BYTES = 32 * 1024 * 1024
 # A request of the largest size that is allowed, 64 MiB, fits in.
 DEFAULT_LIMIT_BYTES = 76 * 1024 * 1024
