Log a missing leader, learners that lag behind and sends that fail

Change: each control host logs each second that it hears no leader (`no_leader_heard`, with its position); a leader logs learners that lack committed entries (`learner_behind`) and what became of the messages to each replica (`replica_sends`). Which messages are sent while others are pending is a class without I/O, `PendingSends`; its limits are as before.

--- a/fuchsiacart/control/replica_events.py
+++ b/fuchsiacart/control/replica_events.py
@@ -11,6 +11,8 @@
 from fuchsiacart.exceptions import ErrorKind
 from fuchsiacart.exceptions import Run
 
+BATCH_EVENTS = 512
+
 
 class InboundMessage(Struct, frozen=True):
     """A message from another replica.
@@ -156,3 +158,14 @@
 def set_error(future, detail, run=Run.NO, kind=ErrorKind.NO_QUORUM):
     if not future.done():
         future.set_exception(ChangeError(detail, kind, run))
+
+
+async def take_batch(inbox):
+    """Wait for an event and return it with those that are there already.
+
+    :param inbox: the :class:`asyncio.Queue` of a replica.
+    """
+    events = [await inbox.get()]
+    while len(events) < BATCH_EVENTS and not inbox.empty():
+        events.append(inbox.get_nowait())
+    return events
--- a/fuchsiacart/control/replica_senders.py
+++ b/fuchsiacart/control/replica_senders.py
@@ -6,14 +6,11 @@
 
 from fuchsiacart.adapters import Method
 from fuchsiacart.control.addresses import host_of
+from fuchsiacart.control.pending_sends import PendingSends
 from fuchsiacart.control.replica_messages import SnapshotRequest
 from fuchsiacart.exceptions import FuchsiacartError
 from fuchsiacart.messages import Deliver
 
-MAX_PENDING_SENDS = 64
-SEND_TIMEOUT_S = 2.0
-SNAPSHOT_TIMEOUT_S = 30.0
-
 
 class ReplicaSender:
     """Sends messages to other replicas and owns the pending calls.
@@ -31,13 +28,11 @@
         self._adapter = adapter
         self._addresses = addresses
         self._on_response = on_response
-        self._pending_counts = {}
+        self._pending = PendingSends()
         self._tasks = set()
 
     def send(self, outbound, snapshot):
-        """Send a message, unless too many calls to its replica are pending.
-
-        Snapshots have a limit of their own: one at a time per replica.
+        """Send a message, unless :class:`PendingSends` holds it back.
 
         :param outbound: the :class:`OutboundMessage`.
         :param snapshot: body of the latest snapshot.
@@ -45,35 +40,39 @@
         address = self._addresses.get(host_of(outbound.to))
         if not address:
             return
+        pending_send = self._pending.start(outbound)
+        if pending_send is None:
+            return
         message = outbound.message
-        is_snapshot = isinstance(message, SnapshotRequest)
-        if is_snapshot:
+        if isinstance(message, SnapshotRequest):
             message = replace(message, body=snapshot)
-        channel = f'{outbound.to}/snapshot' if is_snapshot else outbound.to
-        limit = 1 if is_snapshot else MAX_PENDING_SENDS
-        if self._pending_counts.get(channel, 0) >= limit:
-            return
-        self._pending_counts[channel] = (
-            self._pending_counts.get(channel, 0) + 1
+        task = create_task(
+            self._call(outbound, pending_send, address, message)
         )
-        timeout_s = SNAPSHOT_TIMEOUT_S if is_snapshot else SEND_TIMEOUT_S
-        task = create_task(self._call(channel, address, message, timeout_s))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    def take_counts(self):
+        """See :meth:`PendingSends.take_counts`."""
+        return self._pending.take_counts()
+
     def close(self):
         """Cancel all pending calls."""
         for task in self._tasks:
             task.cancel()
 
-    async def _call(self, channel, address, message, timeout_s):
+    async def _call(self, outbound, pending_send, address, message):
+        answer = None
         try:
             answer = await self._adapter.call(
-                address, Method.DELIVER, Deliver(message), timeout_s
+                address,
+                Method.DELIVER,
+                Deliver(message),
+                pending_send.timeout_s,
             )
         except FuchsiacartError:
             return
         finally:
-            self._pending_counts[channel] -= 1
+            self._pending.end(outbound, pending_send, answer is not None)
         if isinstance(answer, Deliver):
             self._on_response(answer.message)
--- a/fuchsiacart/control/replicas.py
+++ b/fuchsiacart/control/replicas.py
@@ -27,6 +27,7 @@
 from fuchsiacart.control.proposals import ProposalProcessor
 from fuchsiacart.control.pulls import ViewPacker
 from fuchsiacart.control.replica_events import Barrier
+from fuchsiacart.control.replica_events import BATCH_EVENTS
 from fuchsiacart.control.replica_events import Bootstrap
 from fuchsiacart.control.replica_events import GroupProposal
 from fuchsiacart.control.replica_events import InboundMessage
@@ -37,6 +38,7 @@
 from fuchsiacart.control.replica_events import set_error
 from fuchsiacart.control.replica_events import set_result
 from fuchsiacart.control.replica_events import split_response
+from fuchsiacart.control.replica_events import take_batch
 from fuchsiacart.control.replica_events import Tick
 from fuchsiacart.control.replica_messages import OutboundMessage
 from fuchsiacart.control.replica_messages import SnapshotRequest
@@ -56,7 +58,6 @@
 from fuchsiacart.revision_notifiers import RevisionNotifier
 
 TICK_S = 0.02
-BATCH_EVENTS = 512
 
 
 class ReplicaTask:
@@ -72,7 +73,7 @@
     def __init__(self, settings, adapter):
         self._settings = settings
         self._addresses = make_address_book(settings)
-        self._sender = ReplicaSender(adapter, self._addresses, self.deliver)
+        self.sender = ReplicaSender(adapter, self._addresses, self.deliver)
         self._inbox = Queue()
         self._is_founder = bool(founding_voters(settings))
         self._journal = Journal(
@@ -157,6 +158,10 @@
         """See :meth:`TimedConsensus.ready_learners`."""
         return self._steps.ready_learners(self._state, steady_ms())
 
+    def learner_positions(self):
+        """See :meth:`TimedConsensus.learner_positions`."""
+        return self._steps.learner_positions(self._state, steady_ms())
+
     def deliver(self, message):
         """Queue a message from another replica; does not wait."""
         self._inbox.put_nowait(InboundMessage(message))
@@ -222,10 +227,10 @@
         ticker = create_task(self._tick())
         try:
             while True:
-                await self._process_batch(await self._next_batch())
+                await self._process_batch(await take_batch(self._inbox))
         finally:
             ticker.cancel()
-            self._sender.close()
+            self.sender.close()
             self._journal.close()
 
     def _recover(self):
@@ -271,12 +276,6 @@
             if self._inbox.qsize() < BATCH_EVENTS:
                 self._inbox.put_nowait(Tick())
 
-    async def _next_batch(self):
-        events = [await self._inbox.get()]
-        while len(events) < BATCH_EVENTS and not self._inbox.empty():
-            events.append(self._inbox.get_nowait())
-        return events
-
     async def _process_batch(self, events):
         state = before = self._state
         outbound = []
@@ -354,9 +353,7 @@
             message = self._steps.add_silences(
                 self._state, each.message, now_ms
             )
-            self._sender.send(
-                OutboundMessage(each.to, message), self._snapshot
-            )
+            self.sender.send(OutboundMessage(each.to, message), self._snapshot)
 
     def _on_role_change(self, before, after):
         if after.role is before.role and after.term == before.term:
--- a/fuchsiacart/control/timed_consensus.py
+++ b/fuchsiacart/control/timed_consensus.py
@@ -4,6 +4,7 @@
 that a whole group can be run in simulated time.
 """
 
+from msgspec import Struct
 from msgspec.structs import replace
 
 from fuchsiacart.control.commit_times import CommitTimes
@@ -23,11 +24,24 @@
 from fuchsiacart.logs import log_warning
 from fuchsiacart.metrics import ELECTIONS
 from fuchsiacart.metrics import VOTES_REFUSED
+from fuchsiacart.models import ReplicaId
 
 # Part of the election timeout within which a learner gets a new entry.
 READY_LAG = 0.25
 
 
+class LearnerPosition(Struct, frozen=True):
+    """How far a learner is, as the leader knows it.
+
+    ``is_ready`` is True if it can become a voter now.
+    """
+
+    learner: ReplicaId
+    match_index: int
+    silent_ms: int
+    is_ready: bool
+
+
 class TimedConsensus:
     """Decides when a replica sends heartbeats, votes and is elected.
 
@@ -150,6 +164,18 @@
         group waits for the answers of its voters.  The newest entries may be
         on their way at any time.  A leader that is a learner is one of them.
 
+        :param state: the leader's :class:`ReplicaState`.
+        :param now_ms: the current time.
+        """
+        return frozenset(
+            position.learner
+            for position in self.learner_positions(state, now_ms)
+            if position.is_ready
+        )
+
+    def learner_positions(self, state, now_ms):
+        """Return a :class:`LearnerPosition` for each learner.
+
         :param state: the leader's :class:`ReplicaState`.
         :param now_ms: the current time.
         """
@@ -157,12 +183,18 @@
         index = self._commits.index_before(
             now_ms - limit_ms * READY_LAG, state.commit_index
         )
-        return frozenset(
-            learner
-            for learner in state.group.learners
-            if self.rules.has_entries(state, learner, index)
-            and self._silence_ms(state, learner, now_ms) < limit_ms
-        )
+        positions = []
+        for learner in state.group.learners:
+            silent_ms = self._silence_ms(state, learner, now_ms)
+            is_ready = silent_ms < limit_ms and self.rules.has_entries(
+                state, learner, index
+            )
+            progress = state.progress_of(learner)
+            match_index = progress.match_index if progress else 0
+            positions.append(
+                LearnerPosition(learner, match_index, int(silent_ms), is_ready)
+            )
+        return positions
 
     def add_silences(self, state, message, now_ms):
         """Return a message of the leader with the members that are silent.
--- a/fuchsiacart/daemon.py
+++ b/fuchsiacart/daemon.py
@@ -149,6 +149,7 @@
 
     async def _add_route_tasks(self, supervisor, replica, service, members):
         """Add the tasks for routes and for the membership of the group."""
+        from fuchsiacart.control.group_reports import GroupReporter
         from fuchsiacart.control.region_share_tasks import RegionShareTask
         from fuchsiacart.control.route_control import RouteControl
 
@@ -157,6 +158,7 @@
         tasks = Supervisor('routes')
         tasks.add('join', members.join)
         tasks.add('members', members.maintain_group)
+        tasks.add('reports', GroupReporter(replica).run)
         tasks.add('servers', control.run)
         tasks.add('shares', shares.run)
         self._add_settings_watch(tasks, members.add_seeds)
