--- a/features/steps/simulated_group_steps.py
+++ b/features/steps/simulated_group_steps.py
@@ -196,17 +196,16 @@
         self.states[name] = step.state
         for each in step.outbound:
             message = steps.add_silences(step.state, each.message, self.now_ms)
-            delay_ms = self._delay_ms(message)
-            if delay_ms is None:
-                continue
-            delay_ms += self.extra_ms.get(name, 0)
-            entry = (
-                self.now_ms + delay_ms + self.extra_ms.get(each.to, 0),
-                next(self._order),
-                each.to,
-                message,
-            )
-            heappush(self._messages, entry)
+            self._send(name, each.to, message)
+
+    def _send(self, name, to, message):
+        """Send a message of a host; it arrives after its delay."""
+        delay_ms = self._delay_ms(message)
+        if delay_ms is None:
+            return
+        delay_ms += self.extra_ms.get(name, 0) + self.extra_ms.get(to, 0)
+        entry = (self.now_ms + delay_ms, next(self._order), to, message)
+        heappush(self._messages, entry)
 
 
 @given(
