Send one full message of entries at a time to each replica

What callers saw: after two disks and all power were lost, the group had no leader for good; gateways served by the configuration before the last one, and reads failed.

Cause: the leader put up to 256 entries of any size into one message, and sent a further copy of them after each response that lacked them, 64 at a time. A host with an empty disk answers each heartbeat and each confirmation of the leader so. With a log of some MB the copies shared the link, each took longer than the 2 s after which it was given up, and the host stayed blank, with the term of the leader, long after it counted as back. The same held for a voter that was far behind.

Change: a message has 512 KiB of entries, or one larger entry; while entries that fill this limit are under way to a replica, others for it are held back, and the leader notes that they were not sent. A message gets more time by its size.

A limit for each host in place of each replica was slower: the entries that the leader still sends to the lost replica used it up. long_logs passes, two of its examples failed before; its three seeded faults are found.

--- a/features/steps/narrow_link_steps.py
+++ b/features/steps/narrow_link_steps.py
@@ -65,9 +65,9 @@
         self.run(MILLISECONDS)
 
     def _advance(self):
-        super()._advance()
         self._carry()
         self._end_calls()
+        super()._advance()
         if self.now_ms % ROUND_INTERVAL_MS == 0:
             for name in self.names:
                 self._apply(
@@ -89,6 +89,8 @@
         sends = self._sends.setdefault(name, PendingSends())
         pending = sends.start(outbound)
         if pending is None:
+            rules = self.steps[name].rules
+            self.states[name] = rules.take_back(self.states[name], outbound)
             return
         size_bytes = HEADER_BYTES + entry_bytes(message)
         until_ms = self.now_ms + pending.timeout_s * MILLISECONDS
--- a/fuchsiacart/control/consensus.py
+++ b/fuchsiacart/control/consensus.py
@@ -24,6 +24,9 @@
 from fuchsiacart.control.replica_states import Role
 
 BATCH_ENTRIES = 256
+# A message of this size crosses the link between two regions well within the
+# time for which a sender waits.
+BATCH_BYTES = 512 * 1024
 
 
 class Consensus(ElectionRules):
@@ -166,6 +169,22 @@
             state.round,
         )
 
+    def take_back(self, state, outbound):
+        """Note that a message was not sent, so that its entries go out later.
+
+        :param state: the leader's state.
+        :param outbound: the :class:`OutboundMessage`.
+        :return: the state.
+        """
+        progress = state.progress_of(outbound.to)
+        if progress is None or not isinstance(outbound.message, AppendRequest):
+            return state
+        next_index = max(progress.match_index, outbound.message.prev_index) + 1
+        if next_index >= progress.next_index:
+            return state
+        progress = replace(progress, next_index=next_index)
+        return self._update_progress(state, progress)
+
     def has_entries(self, state, replica, index):
         """Return True if a replica is known to hold the entries to an index.
 
@@ -204,12 +223,9 @@
         outbound = []
         tracked = []
         for progress in state.progress:
-            outbound.append(
-                OutboundMessage(
-                    progress.replica, self._next_request(state, progress)
-                )
-            )
-            tracked.append(self._advance_next_index(state, progress))
+            request = self._next_request(state, progress)
+            outbound.append(OutboundMessage(progress.replica, request))
+            tracked.append(self._advance_next_index(progress, request))
         state = replace(state, progress=tuple(tracked))
         return Step(state, tuple(outbound))
 
@@ -222,20 +238,21 @@
             state.term,
             previous,
             state.term_at(previous),
-            state.entries_from(progress.next_index, self._batch_entries),
+            state.entries_from(
+                progress.next_index, self._batch_entries, BATCH_BYTES
+            ),
             state.commit_index,
             state.round,
         )
 
-    def _advance_next_index(self, state, progress):
+    def _advance_next_index(self, progress, request):
         """Advance ``next_index`` as if the entries had arrived.
 
         A response that rejects them moves it back.
         """
-        if progress.next_index <= state.base_index:
+        if isinstance(request, SnapshotRequest):
             return progress
-        next_index = progress.next_index + self._batch_entries
-        next_index = min(state.last_index + 1, next_index)
+        next_index = progress.next_index + len(request.entries)
         return replace(progress, next_index=next_index)
 
     def _on_append(self, state, message):
@@ -340,11 +357,10 @@
             return Step(state)
         if progress.next_index <= state.base_index and message.ok:
             return Step(state)
-        request = OutboundMessage(
-            progress.replica, self._next_request(state, progress)
-        )
-        progress = self._advance_next_index(state, progress)
-        return Step(self._update_progress(state, progress), (request,))
+        request = self._next_request(state, progress)
+        progress = self._advance_next_index(progress, request)
+        outbound = OutboundMessage(progress.replica, request)
+        return Step(self._update_progress(state, progress), (outbound,))
 
     def _update_progress(self, state, progress):
         tracked = tuple(
--- a/fuchsiacart/control/pending_sends.py
+++ b/fuchsiacart/control/pending_sends.py
@@ -9,14 +9,23 @@
 from fuchsiacart.control.replica_messages import SnapshotRequest
 
 MAX_PENDING_SENDS = 64
+# Copies of the same entries would slow each other down until all time out.
+MAX_PENDING_BYTES = 512 * 1024
 SEND_TIMEOUT_S = 2.0
+# Large messages get more time on slow links.
+SLOWEST_BYTES_PER_S = 512 * 1024
 SNAPSHOT_TIMEOUT_S = 30.0
 
 
 class PendingSend(Struct, frozen=True):
-    """A message under way: its channel, and how long it may take."""
+    """A message under way.
+
+    ``channel`` names the messages that count together, ``size_bytes`` is that
+    of its entries.
+    """
 
     channel: str
+    size_bytes: int
     timeout_s: float
 
 
@@ -32,11 +41,16 @@
 class PendingSends:
     """Limits the messages that are under way to each replica.
 
-    Snapshots have a limit of their own: one at a time per replica.
+    Messages without entries are always sent unless there are very many, as
+    they keep the leader in contact.  Entries are held back while others for
+    the same replica are under way that fill the limit in bytes; the leader
+    sends them again once it has an answer.  Snapshots have a limit of their
+    own: one at a time per replica.
     """
 
     def __init__(self):
         self._pending_counts = {}
+        self._pending_bytes = {}
         self._counts = {}
 
     def start(self, outbound):
@@ -49,16 +63,22 @@
         channel = f'{outbound.to}/snapshot' if is_snapshot else outbound.to
         limit = 1 if is_snapshot else MAX_PENDING_SENDS
         counts = self._counts.setdefault(outbound.to, SendCounts())
-        if self._pending_counts.get(channel, 0) >= limit:
+        size_bytes = entry_bytes(outbound.message)
+        pending_count = self._pending_counts.get(channel, 0)
+        pending_bytes = self._pending_bytes.get(outbound.to, 0)
+        is_full = pending_bytes + size_bytes > MAX_PENDING_BYTES
+        waits = size_bytes > 0 and pending_bytes > 0 and is_full
+        if waits or pending_count >= limit:
             counts.held_back += 1
             return None
-        self._pending_counts[channel] = (
-            self._pending_counts.get(channel, 0) + 1
-        )
+        self._pending_counts[channel] = pending_count + 1
+        self._pending_bytes[outbound.to] = pending_bytes + size_bytes
         counts.sent += 1
-        counts.entry_bytes += entry_bytes(outbound.message)
-        timeout_s = SNAPSHOT_TIMEOUT_S if is_snapshot else SEND_TIMEOUT_S
-        return PendingSend(channel, timeout_s)
+        counts.entry_bytes += size_bytes
+        timeout_s = SEND_TIMEOUT_S + size_bytes / SLOWEST_BYTES_PER_S
+        if is_snapshot:
+            timeout_s = SNAPSHOT_TIMEOUT_S
+        return PendingSend(channel, size_bytes, timeout_s)
 
     def end(self, outbound, send, is_answered):
         """Record that a message was answered, or that it failed.
@@ -68,6 +88,7 @@
         :param is_answered: False if no answer came in time.
         """
         self._pending_counts[send.channel] -= 1
+        self._pending_bytes[outbound.to] -= send.size_bytes
         if not is_answered:
             counts = self._counts.setdefault(outbound.to, SendCounts())
             counts.failed += 1
--- a/fuchsiacart/control/replica_senders.py
+++ b/fuchsiacart/control/replica_senders.py
@@ -36,13 +36,14 @@
 
         :param outbound: the :class:`OutboundMessage`.
         :param snapshot: body of the latest snapshot.
+        :return: True unless it is held back.
         """
         address = self._addresses.get(host_of(outbound.to))
         if not address:
-            return
+            return True
         pending_send = self._pending.start(outbound)
         if pending_send is None:
-            return
+            return False
         message = outbound.message
         if isinstance(message, SnapshotRequest):
             message = replace(message, body=snapshot)
@@ -51,6 +52,7 @@
         )
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+        return True
 
     def take_counts(self):
         """See :meth:`PendingSends.take_counts`."""
--- a/fuchsiacart/control/replica_states.py
+++ b/fuchsiacart/control/replica_states.py
@@ -136,11 +136,23 @@
             commit_index=1,
         )
 
-    def entries_from(self, index, limit=None):
-        """Return the entries from ``index`` on, at most ``limit``."""
+    def entries_from(self, index, limit=None, limit_bytes=None):
+        """Return the entries from ``index`` on, at most ``limit``.
+
+        Their bodies have ``limit_bytes`` together; one that is larger is
+        returned alone.
+        """
         start = index - self.base_index - 1
         stop = None if limit is None else start + limit
-        return self.log[start:stop]
+        entries = self.log[start:stop]
+        if limit_bytes is None:
+            return entries
+        size_bytes = 0
+        for count, entry in enumerate(entries):
+            size_bytes += len(entry.body)
+            if count and size_bytes > limit_bytes:
+                return entries[:count]
+        return entries
 
     def progress_of(self, replica):
         """Return the :class:`Progress` of a replica, or None."""
--- a/tools/seeded_faults/control.py
+++ b/tools/seeded_faults/control.py
@@ -542,4 +542,25 @@
         '    if len(near) < MIN_GATEWAYS:\n',
         'home_regions',
     ),
+    Fault(
+        'copies of the same entries slow each other down',
+        'control/pending_sends.py',
+        'is_full = pending_bytes + size_bytes > MAX_PENDING_BYTES',
+        'is_full = False',
+        'long_logs',
+    ),
+    Fault(
+        'a message has entries of any size',
+        'control/consensus.py',
+        'progress.next_index, self._batch_entries, BATCH_BYTES',
+        'progress.next_index, self._batch_entries',
+        'long_logs',
+    ),
+    Fault(
+        'entries that were held back wait for a message that fails',
+        'control/consensus.py',
+        'if next_index >= progress.next_index:',
+        'if True:',
+        'long_logs',
+    ),
 )
