Tell the leader what its sender holds back, and send the rest of the message

Only the simulated groups told it. A message whose entries are held back was not sent at all, so a replica behind a slow link heard no leader meanwhile.

Change: the leader takes the entries back, and the message goes out without them.

--- a/features/long_logs.feature
+++ b/features/long_logs.feature
@@ -43,3 +43,9 @@
     And the message to that follower is held back
     And that follower answers that it has the first 2 entries
     Then it sends 2 entries to that follower
+
+  Scenario: a leader does not go on behind entries that were held back
+    Given 3 control hosts on a network that can be cut
+    And a leader has been elected
+    When 8 changes of 200000 bytes are given at once on links of 20 ms
+    Then all are accepted and no follower has rejected a message
--- a/features/steps/long_log_steps.py
+++ b/features/steps/long_log_steps.py
@@ -1,9 +1,16 @@
 """Steps for the limits of the messages between replicas."""
 
+from asyncio import create_task
+from asyncio import gather
+from asyncio import sleep
+
 from behave import given
 from behave import then
 from behave import when
 
+from fuchsiacart.clocks import MILLISECONDS
+from fuchsiacart.control.commands import Change
+from fuchsiacart.control.commands import PutContract
 from fuchsiacart.control.consensus import Consensus
 from fuchsiacart.control.pending_sends import PendingSends
 from fuchsiacart.control.pending_sends import SEND_TIMEOUT_S
@@ -15,6 +22,7 @@
 from fuchsiacart.control.replica_states import Progress
 from fuchsiacart.control.replica_states import ReplicaState
 from fuchsiacart.control.replica_states import Role
+from fuchsiacart.models import Contract
 
 VOTERS = ('c0:1/old', 'c1:1/old', 'c2:1/old')
 RULES = Consensus()
@@ -34,29 +42,30 @@
 
 @when('a message with {size_bytes:d} bytes of entries is sent to "{replica}"')
 def when_sent(context, size_bytes, replica):
-    context.outbound = make_append(replica, size_bytes)
-    context.pending = context.sends.start(context.outbound)
-    assert context.pending is not None
+    context.send = context.sends.start(make_append(replica, size_bytes))
+    assert context.send.is_whole
 
 
 @when('the message fails')
 def when_fails(context):
-    context.sends.end(context.outbound, context.pending, False)
+    context.sends.end(context.send, False)
 
 
 @then('one with {size_bytes:d} bytes of entries for "{replica}" is held back')
 def then_held_back(context, size_bytes, replica):
-    assert context.sends.start(make_append(replica, size_bytes)) is None
+    send = context.sends.start(make_append(replica, size_bytes))
+    assert not send.is_whole
+    assert not send.outbound.message.entries
 
 
 @then('one with {size_bytes:d} bytes of entries for "{replica}" is sent')
 def then_sent(context, size_bytes, replica):
-    assert context.sends.start(make_append(replica, size_bytes)) is not None
+    assert context.sends.start(make_append(replica, size_bytes)).is_whole
 
 
 @then('it may take longer than one without entries')
 def then_more_time(context):
-    assert context.pending.timeout_s > SEND_TIMEOUT_S
+    assert context.send.timeout_s > SEND_TIMEOUT_S
 
 
 @given('a leader whose log has {count:d} entries of {size_bytes:d} bytes')
@@ -107,3 +116,38 @@
     entries = context.outbound.message.entries
     sized = [entry for entry in entries if entry.body]
     assert len(sized) == count, len(sized)
+
+
+@when(
+    '{count:d} changes of {size_bytes:d} bytes are given at once on links of'
+    ' {delay_ms:d} ms'
+)
+def when_large_changes(context, count, size_bytes, delay_ms):
+    """Propose each change in a batch of its own."""
+    network = context.control.network
+    leader = network.replicas[context.control.first_leader]
+
+    async def propose_all():
+        network.delay_s = delay_ms / MILLISECONDS
+        proposals = []
+        for number in range(count):
+            change = Change(f'change-{number}', 'a' * size_bytes, 1000)
+            contract = Contract(f'shop-{number}', (), (), ())
+            command = PutContract(change, 0, contract)
+            proposals.append(create_task(leader.propose(command)))
+            await sleep(network.delay_s / count)
+        await gather(*proposals)
+
+    network.delivered.clear()
+    context.control.run(propose_all())
+
+
+@then('all are accepted and no follower has rejected a message')
+def then_none_rejected(context):
+    responses = [
+        message
+        for _, message in context.control.network.delivered
+        if isinstance(message, AppendResponse)
+    ]
+    assert responses
+    assert all(response.ok for response in responses), responses
--- a/features/steps/narrow_link_steps.py
+++ b/features/steps/narrow_link_steps.py
@@ -12,7 +12,6 @@
 from features.steps.simulated_group_steps import TICK_MS
 from fuchsiacart.clocks import MILLISECONDS
 from fuchsiacart.control.addresses import host_of
-from fuchsiacart.control.pending_sends import entry_bytes
 from fuchsiacart.control.pending_sends import PendingSend
 from fuchsiacart.control.pending_sends import PendingSends
 from fuchsiacart.control.replica_messages import OutboundMessage
@@ -27,8 +26,7 @@
 class Transfer(Struct):
     """A message that a link carries, and the bytes of it that are left."""
 
-    outbound: OutboundMessage
-    pending: PendingSend
+    send: PendingSend
     left_bytes: float
     until_ms: float
 
@@ -87,15 +85,16 @@
             return
         outbound = OutboundMessage(to, message)
         sends = self._sends.setdefault(name, PendingSends())
-        pending = sends.start(outbound)
-        if pending is None:
+        send = sends.start(outbound)
+        if send is None or not send.is_whole:
             rules = self.steps[name].rules
             self.states[name] = rules.take_back(self.states[name], outbound)
+        if send is None:
             return
-        size_bytes = HEADER_BYTES + entry_bytes(message)
-        until_ms = self.now_ms + pending.timeout_s * MILLISECONDS
+        size_bytes = HEADER_BYTES + send.size_bytes
+        until_ms = self.now_ms + send.timeout_s * MILLISECONDS
         link = self._links.setdefault((name, host_of(to)), [])
-        link.append(Transfer(outbound, pending, size_bytes, until_ms))
+        link.append(Transfer(send, size_bytes, until_ms))
 
     def _carry(self):
         """Carry what the links can carry in a millisecond."""
@@ -107,9 +106,7 @@
                     self._arrive(name, host, transfer)
                 elif self.now_ms >= transfer.until_ms:
                     link.remove(transfer)
-                    self._sends[name].end(
-                        transfer.outbound, transfer.pending, False
-                    )
+                    self._sends[name].end(transfer.send, False)
 
     def _arrive(self, name, host, transfer):
         """Deliver a message to whichever replica runs on the host."""
@@ -123,17 +120,16 @@
         )
         end_ms = transfer.until_ms
         if receiver is not None:
-            super()._send(name, receiver, transfer.outbound.message)
+            super()._send(name, receiver, transfer.send.outbound.message)
             end_ms = self.now_ms + 2 * DELAY_MS
-        self._calls.append((end_ms, name, transfer, receiver is not None))
+        is_answered = receiver is not None
+        self._calls.append((end_ms, name, transfer.send, is_answered))
 
     def _end_calls(self):
         ended = [call for call in self._calls if call[0] <= self.now_ms]
         self._calls = [call for call in self._calls if call[0] > self.now_ms]
-        for _, name, transfer, is_answered in ended:
-            self._sends[name].end(
-                transfer.outbound, transfer.pending, is_answered
-            )
+        for _, name, send, is_answered in ended:
+            self._sends[name].end(send, is_answered)
 
 
 @given(
--- a/fuchsiacart/control/consensus.py
+++ b/fuchsiacart/control/consensus.py
@@ -170,7 +170,7 @@
         )
 
     def take_back(self, state, outbound):
-        """Note that a message was not sent, so that its entries go out later.
+        """Note that the entries of a message were held back.
 
         :param state: the leader's state.
         :param outbound: the :class:`OutboundMessage`.
--- a/fuchsiacart/control/pending_sends.py
+++ b/fuchsiacart/control/pending_sends.py
@@ -4,8 +4,10 @@
 """
 
 from msgspec import Struct
+from msgspec.structs import replace
 
 from fuchsiacart.control.replica_messages import AppendRequest
+from fuchsiacart.control.replica_messages import OutboundMessage
 from fuchsiacart.control.replica_messages import SnapshotRequest
 
 MAX_PENDING_SENDS = 64
@@ -20,13 +22,14 @@
 class PendingSend(Struct, frozen=True):
     """A message under way.
 
-    ``channel`` names the messages that count together, ``size_bytes`` is that
-    of its entries.
+    ``outbound`` is what is sent, ``size_bytes`` the size of its entries.
+    ``is_whole`` is False if the entries were held back.
     """
 
-    channel: str
+    outbound: OutboundMessage
     size_bytes: int
     timeout_s: float
+    is_whole: bool = True
 
 
 class SendCounts(Struct):
@@ -41,11 +44,10 @@
 class PendingSends:
     """Limits the messages that are under way to each replica.
 
-    Messages without entries are always sent unless there are very many, as
-    they keep the leader in contact.  Entries are held back while others for
-    the same replica are under way that fill the limit in bytes; the leader
-    sends them again once it has an answer.  Snapshots have a limit of their
-    own: one at a time per replica.
+    Entries are held back while others for the same replica are under way that
+    fill the limit in bytes; the message is sent without them, as it keeps the
+    leader in contact.  Snapshots have a limit of their own: one at a time per
+    replica.
     """
 
     def __init__(self):
@@ -57,41 +59,50 @@
         """Record a message that is about to be sent.
 
         :param outbound: the :class:`OutboundMessage`.
-        :return: the :class:`PendingSend`, None if it must not be sent now.
+        :return: the :class:`PendingSend`, None if nothing must be sent now.
         """
-        is_snapshot = isinstance(outbound.message, SnapshotRequest)
-        channel = f'{outbound.to}/snapshot' if is_snapshot else outbound.to
-        limit = 1 if is_snapshot else MAX_PENDING_SENDS
         counts = self._counts.setdefault(outbound.to, SendCounts())
         size_bytes = entry_bytes(outbound.message)
+        is_whole = self._has_room(outbound.to, size_bytes)
+        if not is_whole:
+            counts.held_back += 1
+            size_bytes = 0
+            message = replace(outbound.message, entries=())
+            outbound = OutboundMessage(outbound.to, message)
+        is_snapshot = isinstance(outbound.message, SnapshotRequest)
+        channel = _channel(outbound)
         pending_count = self._pending_counts.get(channel, 0)
-        pending_bytes = self._pending_bytes.get(outbound.to, 0)
-        is_full = pending_bytes + size_bytes > MAX_PENDING_BYTES
-        waits = size_bytes > 0 and pending_bytes > 0 and is_full
-        if waits or pending_count >= limit:
+        if pending_count >= (1 if is_snapshot else MAX_PENDING_SENDS):
             counts.held_back += 1
             return None
         self._pending_counts[channel] = pending_count + 1
-        self._pending_bytes[outbound.to] = pending_bytes + size_bytes
+        self._pending_bytes[outbound.to] = (
+            self._pending_bytes.get(outbound.to, 0) + size_bytes
+        )
         counts.sent += 1
         counts.entry_bytes += size_bytes
         timeout_s = SEND_TIMEOUT_S + size_bytes / SLOWEST_BYTES_PER_S
         if is_snapshot:
             timeout_s = SNAPSHOT_TIMEOUT_S
-        return PendingSend(channel, size_bytes, timeout_s)
+        return PendingSend(outbound, size_bytes, timeout_s, is_whole)
 
-    def end(self, outbound, send, is_answered):
+    def end(self, send, is_answered):
         """Record that a message was answered, or that it failed.
 
-        :param outbound: the :class:`OutboundMessage`.
-        :param send: what :meth:`start` returned for it.
+        :param send: the :class:`PendingSend`.
         :param is_answered: False if no answer came in time.
         """
-        self._pending_counts[send.channel] -= 1
-        self._pending_bytes[outbound.to] -= send.size_bytes
+        replica = send.outbound.to
+        self._pending_counts[_channel(send.outbound)] -= 1
+        self._pending_bytes[replica] -= send.size_bytes
         if not is_answered:
-            counts = self._counts.setdefault(outbound.to, SendCounts())
-            counts.failed += 1
+            self._counts.setdefault(replica, SendCounts()).failed += 1
+
+    def _has_room(self, replica, size_bytes):
+        pending_bytes = self._pending_bytes.get(replica, 0)
+        if not size_bytes or not pending_bytes:
+            return True
+        return pending_bytes + size_bytes <= MAX_PENDING_BYTES
 
     def take_counts(self):
         """Return the :class:`SendCounts` by replica since the last call."""
@@ -104,3 +115,10 @@
     if not isinstance(message, AppendRequest):
         return 0
     return sum(len(entry.body) for entry in message.entries)
+
+
+def _channel(outbound):
+    """Return the name of the messages that are limited together."""
+    if isinstance(outbound.message, SnapshotRequest):
+        return f'{outbound.to}/snapshot'
+    return outbound.to
--- a/fuchsiacart/control/replica_senders.py
+++ b/fuchsiacart/control/replica_senders.py
@@ -32,27 +32,25 @@
         self._tasks = set()
 
     def send(self, outbound, snapshot):
-        """Send a message, unless :class:`PendingSends` holds it back.
+        """Send as much of a message as :class:`PendingSends` allows.
 
         :param outbound: the :class:`OutboundMessage`.
         :param snapshot: body of the latest snapshot.
-        :return: True unless it is held back.
+        :return: True if nothing of it is held back.
         """
         address = self._addresses.get(host_of(outbound.to))
         if not address:
             return True
-        pending_send = self._pending.start(outbound)
-        if pending_send is None:
+        send = self._pending.start(outbound)
+        if send is None:
             return False
-        message = outbound.message
+        message = send.outbound.message
         if isinstance(message, SnapshotRequest):
             message = replace(message, body=snapshot)
-        task = create_task(
-            self._call(outbound, pending_send, address, message)
-        )
+        task = create_task(self._call(send, address, message))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
-        return True
+        return send.is_whole
 
     def take_counts(self):
         """See :meth:`PendingSends.take_counts`."""
@@ -63,18 +61,15 @@
         for task in self._tasks:
             task.cancel()
 
-    async def _call(self, outbound, pending_send, address, message):
+    async def _call(self, send, address, message):
         answer = None
         try:
             answer = await self._adapter.call(
-                address,
-                Method.DELIVER,
-                Deliver(message),
-                pending_send.timeout_s,
+                address, Method.DELIVER, Deliver(message), send.timeout_s
             )
         except FuchsiacartError:
             return
         finally:
-            self._pending.end(outbound, pending_send, answer is not None)
+            self._pending.end(send, answer is not None)
         if isinstance(answer, Deliver):
             self._on_response(answer.message)
--- a/fuchsiacart/control/replicas.py
+++ b/fuchsiacart/control/replicas.py
@@ -353,7 +353,9 @@
             message = self._steps.add_silences(
                 self._state, each.message, now_ms
             )
-            self.sender.send(OutboundMessage(each.to, message), self._snapshot)
+            addressed = OutboundMessage(each.to, message)
+            if not self.sender.send(addressed, self._snapshot):
+                self._state = self._steps.rules.take_back(self._state, each)
 
     def _on_role_change(self, before, after):
         if after.role is before.role and after.term == before.term:
--- a/tools/seeded_faults/control.py
+++ b/tools/seeded_faults/control.py
@@ -545,8 +545,8 @@
     Fault(
         'copies of the same entries slow each other down',
         'control/pending_sends.py',
-        'is_full = pending_bytes + size_bytes > MAX_PENDING_BYTES',
-        'is_full = False',
+        'return pending_bytes + size_bytes <= MAX_PENDING_BYTES',
+        'return True',
         'long_logs',
     ),
     Fault(
@@ -563,4 +563,11 @@
         'if True:',
         'long_logs',
     ),
+    Fault(
+        'the leader is not told what its sender holds back',
+        'control/replicas.py',
+        'if not self.sender.send(addressed, self._snapshot):',
+        'if not self.sender.send(addressed, self._snapshot) and False:',
+        'long_logs',
+    ),
 )
