Give runs of the soak long logs, and links a capacity apart from their delay

The proxies passed one chunk of 64 KiB on after the other's delay, which is 0.8 MB/s at 80 ms; they hold 16 of them now.

--- a/soak/operators.py
+++ b/soak/operators.py
@@ -24,6 +24,9 @@
 HOMES = tuple(dict.fromkeys(REGIONS.values()))
 REFUSAL_STATUSES = range(400, 500)
 RACE_PROBABILITY = 0.2
+# Runs whose configurations have many routes have long logs.
+MANY_ROUTES_PROBABILITY = 0.5
+MANY_ROUTES = 120
 # Of an order that changes the limits of callers.
 LIMIT_PROBABILITY = 0.15
 EVACUATION_PROBABILITY = 0.2
@@ -34,7 +37,7 @@
 
 
 def make_configuration(
-    version, parent_version, service, home, body_bytes, keys
+    version, parent_version, service, home, body_bytes, keys, idle_routes=0
 ):
     """Return a configuration document.
 
@@ -46,11 +49,16 @@
         same in all versions.
     :param body_bytes: limit of the bodies of callers.
     :param keys: the account of each key.
+    :param idle_routes: number of further routes, which nobody uses.
     """
     routes = [('stock', 'stock', 'idempotent')]
     routes.append(('orders', 'orders', 'non_idempotent'))
     routes.append(('move', service, 'non_idempotent'))
     routes.append(('home', 'stock', 'idempotent'))
+    routes += [
+        (f'idle{number}', 'stock', 'idempotent')
+        for number in range(idle_routes)
+    ]
     resources = [
         {
             'type': 'routes',
@@ -102,6 +110,9 @@
         self._home = HOMES[0]
         self._home_random = Random(f'homes {soak.seed}')
         self._limits = list(BODY_LIMITS)
+        random = Random(f'routes {soak.seed}')
+        has_many = random.random() < MANY_ROUTES_PROBABILITY
+        self._idle_routes = MANY_ROUTES if has_many else 0
 
     async def put_first_configuration(self):
         """Put a configuration that has no base version."""
@@ -158,6 +169,7 @@
             self._home,
             self._limits[0],
             keys,
+            self._idle_routes,
         )
         return Order(
             self._version,
--- a/soak/proxies.py
+++ b/soak/proxies.py
@@ -1,10 +1,12 @@
 """TCP proxy that delays, blocks and resets connections on loopback."""
 
 from asyncio import CancelledError
+from asyncio import create_task
 from asyncio import Event
 from asyncio import gather
 from asyncio import get_running_loop
 from asyncio import open_connection
+from asyncio import Queue
 from asyncio import sleep
 from asyncio import start_server
 from enum import Enum
@@ -16,8 +18,11 @@
 from socket import socket
 from socket import SOL_SOCKET
 from struct import pack
+from time import monotonic
 
 CHUNK_BYTES = 65_536
+# Chunks that a link holds while they are delayed.
+QUEUED_CHUNKS = 16
 # Closing a socket with a linger time of 0 sends a reset.
 RESET_LINGER = pack('ii', 1, 0)
 
@@ -132,16 +137,23 @@
         return await open_connection(sock=own_socket)
 
     async def _forward(self, reader, writer, is_response):
-        while True:
-            chunk = await reader.read(CHUNK_BYTES)
-            await self._wait_until_open(is_response)
-            if self.delay_s:
-                await sleep(self.delay_s)
-            if not chunk:
-                writer.write_eof()
-                return
-            writer.write(chunk)
-            await writer.drain()
+        """Forward bytes, each of them after the delay."""
+        chunks = Queue(QUEUED_CHUNKS)
+        reading = create_task(_read_chunks(reader, chunks))
+        try:
+            while True:
+                chunk, read_s = await chunks.get()
+                await self._wait_until_open(is_response)
+                await sleep(max(0.0, read_s + self.delay_s - monotonic()))
+                if isinstance(chunk, OSError):
+                    raise chunk
+                if not chunk:
+                    writer.write_eof()
+                    return
+                writer.write(chunk)
+                await writer.drain()
+        finally:
+            reading.cancel()
 
     async def _wait_until_open(self, is_response):
         """Wait until the link forwards bytes in this direction."""
@@ -151,6 +163,17 @@
             await self._opened.wait()
 
 
+async def _read_chunks(reader, chunks):
+    """Queue what is read with the time, until the end or an error."""
+    chunk = b' '
+    while chunk and not isinstance(chunk, OSError):
+        try:
+            chunk = await reader.read(CHUNK_BYTES)
+        except OSError as error:
+            chunk = error
+        await chunks.put((chunk, monotonic()))
+
+
 def _abort(writer):
     own_socket = writer.get_extra_info('socket')
     if own_socket is not None and own_socket.fileno() >= 0:
