Wait until all pieces of an answer are written before its connection ends

Cause: since answers are written in pieces, and the parser's future of the last piece is done with an earlier one. The connection was shut down for writing with the rest still in the stream's buffer.

Change: wait for what the stream was given, not for the parser's futures.

--- a/features/callers.feature
+++ b/features/callers.feature
@@ -52,3 +52,12 @@
   Scenario: a request that ends with an unforeseen error leaves no caller without an answer
     Given a gateway in which a request ends with an unforeseen error
     Then its caller gets 500, and the next one on the connection too
+
+  Scenario: a connection that ends after its answer truncates no answer in pieces
+    Given a gateway whose answers have 8000000 bytes in pieces of 65536
+    And a caller whose only request is sent, and who reads nothing yet
+    When the caller has read the head of the answer
+    And the answer has waited for 50 ms
+    Then the gateway has a request in flight
+    And the caller reads the whole answer
+    And the gateway has no request in flight
--- a/features/steps/caller_steps.py
+++ b/features/steps/caller_steps.py
@@ -18,6 +18,8 @@
 from tornado.httputil import HTTPHeaders
 from tornado.netutil import bind_sockets
 
+from fuchsiacart.clocks import MILLISECONDS
+from fuchsiacart.gateway.budgets.bodies import Body
 from fuchsiacart.gateway.callers import CallerServer
 from fuchsiacart.gateway.dialects import RequestMetadata
 from fuchsiacart.gateway.exchanges import ServerResponse
@@ -94,10 +96,12 @@
         self.callers.add_sockets(sockets)
         self.address = sockets[0].getsockname()
 
-    async def send(self):
+    async def send(self, request=REQUEST):
         """Send a request over a connection with small buffers.
 
         Returns once the gateway has started to serve it.
+
+        :param request: its bytes.
         """
         client_socket = socket(AF_INET, SOCK_STREAM)
         client_socket.setsockopt(SOL_SOCKET, SO_RCVBUF, SMALL_BUFFER_BYTES)
@@ -106,7 +110,7 @@
         self.reader, self.writer = await open_connection(
             sock=client_socket, limit=SMALL_BUFFER_BYTES
         )
-        self.writer.write(REQUEST)
+        self.writer.write(request)
         while not self.forwarder.served:
             await sleep(POLL_S)
         for _ in range(10):
@@ -231,6 +235,34 @@
     assert all(head.split()[1] == str(status) for head in heads), heads
 
 
+@given(
+    'a gateway whose answers have {size:d} bytes in pieces of {piece_bytes:d}'
+)
+def given_gateway_with_pieces(context, size, piece_bytes):
+    """Keep the whole body beside the pieces that the gateway gets."""
+    given_gateway(context, size)
+    forwarder = context.caller.forwarder
+    starts = range(0, size, piece_bytes)
+    body = Body(forwarder.body[at : at + piece_bytes] for at in starts)
+
+    async def serve(request):
+        forwarder.served += 1
+        return ServerResponse(200, 'OK', HTTPHeaders(), body)
+
+    forwarder.serve = serve
+
+
+@given('a caller whose only request is sent, and who reads nothing yet')
+def given_single_request(context):
+    request = REQUEST.replace(b'\r\n\r\n', b'\r\nConnection: close\r\n\r\n')
+    context.caller.run(context.caller.send(request))
+
+
+@when('the answer has waited for {time_ms:d} ms')
+def when_waited(context, time_ms):
+    context.caller.run(sleep(time_ms / MILLISECONDS))
+
+
 @given('a caller that sends a request and reads nothing yet')
 def given_slow_caller(context):
     context.caller.run(context.caller.send())
--- a/fuchsiacart/gateway/caller_exchanges.py
+++ b/fuchsiacart/gateway/caller_exchanges.py
@@ -207,13 +207,14 @@
             headers['Connection'] = 'close'
         line = ResponseStartLine('HTTP/1.1', status, reason)
         if len(body) <= COPIED_BYTES:
-            written = self._parser.write_headers(line, headers, body)
+            self._parser.write_headers(line, headers, body)
         else:
-            written = self._parser.write_headers(line, headers)
+            self._parser.write_headers(line, headers)
             for piece in pieces_of(body):
-                written = self._parser.write(piece)
+                self._parser.write(piece)
+        # The futures of the parser may be done before all is written.
         # Cancellation by a caller that disconnects must not stop the write.
-        await shield(written)
+        await shield(self.message.write(b''))
 
     async def send_refusal(self):
         """Tell in its turn why the request was not read."""
--- a/tools/seeded_faults/gateway.py
+++ b/tools/seeded_faults/gateway.py
@@ -476,4 +476,11 @@
         '',
         'home_regions',
     ),
+    Fault(
+        'a connection ends while its answer is still written',
+        'gateway/caller_exchanges.py',
+        "await shield(self.message.write(b''))",
+        'pass',
+        'callers',
+    ),
 )
