Send nothing further after an answer that brings nothing new

Cause: since a message whose entries are held back goes out without them. Its answer made the leader send the next one at once, which was held back too, and so on: a chain for each heartbeat and each round, up to 64 side by side, until the entries that were under way had arrived.

Change: after an answer that confirms no further entry the leader waits for the next heartbeat or round, which sends what can be sent.

--- a/features/long_logs.feature
+++ b/features/long_logs.feature
@@ -49,3 +49,9 @@
     And a leader has been elected
     When its sender holds all entries back and a change is given
     Then the leader sends that change to its followers next
+
+  Scenario: messages whose entries are held back do not follow each other without end
+    Given a leader whose log has 10 entries of 200000 bytes
+    When it finds that a follower has none of them
+    And the message to that follower is held back
+    Then an answer that brings nothing new is followed by no message
--- a/features/steps/long_log_steps.py
+++ b/features/steps/long_log_steps.py
@@ -108,6 +108,14 @@
     answer_append(context, True, count)
 
 
+@then('an answer that brings nothing new is followed by no message')
+def then_no_message(context):
+    response = AppendResponse(
+        VOTERS[1], context.state.term, True, 0, context.state.round
+    )
+    assert not RULES.receive(context.state, response).outbound
+
+
 @then('it sends {count:d} entries to that follower')
 def then_entries(context, count):
     assert context.outbound.to == VOTERS[1]
--- a/fuchsiacart/control/consensus.py
+++ b/fuchsiacart/control/consensus.py
@@ -339,6 +339,7 @@
         if progress is None:
             return Step(state)
         progress = replace(progress, round=max(progress.round, message.round))
+        brings_news = message.match_index > progress.match_index
         if message.ok:
             match_index = max(progress.match_index, message.match_index)
             next_index = max(progress.next_index, match_index + 1)
@@ -355,6 +356,9 @@
         state = self._advance_commit(state)
         if progress.next_index > state.last_index:
             return Step(state)
+        if message.ok and not brings_news:
+            # Entries are under way; each answer would be followed by another.
+            return Step(state)
         if progress.next_index <= state.base_index and message.ok:
             return Step(state)
         request = self._next_request(state, progress)
--- a/tools/seeded_faults/control.py
+++ b/tools/seeded_faults/control.py
@@ -570,4 +570,11 @@
         'if not self.sender.send(addressed, self._snapshot) and False:',
         'long_logs',
     ),
+    Fault(
+        'each answer is followed by a further message',
+        'control/consensus.py',
+        'if message.ok and not brings_news:',
+        'if False:',
+        'long_logs',
+    ),
 )
