Keep the float of a gateway that has ended for one window

Cause: the float, what gateways spend before it is granted, was divided by the gateways of the view. One that ended had spent its part, and the others had it again at once.

Change: the float is divided by the most gateways there were in the last window.

--- a/features/quotas.feature
+++ b/features/quotas.feature
@@ -34,6 +34,8 @@
       | 32   | 68       | 0.5  | half of the gateways freezes for 3 s        |
       | 32   | 68       | 0.5  | all gateways start again                    |
       | 200  | 68       | 0.5  | all gateways start again                    |
+      | 5    | 5        | 0.5  | gateways end one after the other            |
+      | 32   | 6        | 0.5  | gateways end one after the other            |
       | 32   | 68       | 0.5  | a third is cut off while the leader changes |
       | 200  | 68       | 0.5  | half starts again while no leader is heard  |
 
--- a/features/steps/quota_steps.py
+++ b/features/steps/quota_steps.py
@@ -77,7 +77,7 @@
         ]
         self.ledger = QuotaLedger(TERMS, LEASE_MS, -60_000.0)
         for gateway in self.gateways:
-            gateway.book.set_gateway_count(gateways)
+            gateway.book.set_gateway_count(gateways, self.now_ms)
             self.plan(self.random.uniform(0, RENEWAL_MS), self.renew, gateway)
         self.plan(0.0, self.arrive)
 
@@ -199,9 +199,15 @@
         """Kill a part of the gateways and start them again."""
         for gateway in self.gateways[: round(part * len(self.gateways))]:
             gateway.restart(self.now_ms)
-            gateway.book.set_gateway_count(len(self.gateways))
+            gateway.book.set_gateway_count(len(self.gateways), self.now_ms)
             self.plan(ONE_WAY_MS, self.renew, gateway)
 
+    def leave(self):
+        """Let a gateway end for good, which the others learn at once."""
+        self.gateways.pop().is_frozen = True
+        for gateway in self.gateways:
+            gateway.book.set_gateway_count(len(self.gateways), self.now_ms)
+
     def set_quota(self, rate_per_s, burst):
         """Change the quota in the configuration."""
         self.account = ClientAccount(ACCOUNT, (), rate_per_s, burst)
@@ -242,6 +248,12 @@
         (4.0, 'mend', ()),
     ),
     'all gateways start again': ((2.0, 'restart', (1.0,)),),
+    'gateways end one after the other': (
+        (1.0, 'leave', ()),
+        (1.5, 'leave', ()),
+        (2.0, 'leave', ()),
+        (2.5, 'leave', ()),
+    ),
     'a third is cut off while the leader changes': (
         (1.0, 'cut', (0.34,)),
         (1.5, 'lose_leader', ()),
--- a/fuchsiacart/accounts/quota_books.py
+++ b/fuchsiacart/accounts/quota_books.py
@@ -6,6 +6,7 @@
 asking; in any failure the sum over all gateways keeps to the quota.
 """
 
+from collections import deque
 from enum import Enum
 from enum import unique
 from math import floor
@@ -98,13 +99,26 @@
         # What an earlier process of this host has spent has left the window.
         self._float_from_ms = started_ms + terms.window_s * MILLISECONDS
         self._gateway_count = 1
+        # Each number that was higher than the next, and until when it counts.
+        self._earlier_counts = deque()
         self._balances = {}
         self._answered_ms = None
         self._flushed_ms = started_ms
 
-    def set_gateway_count(self, count):
-        """Set the number of gateways among which tokens are spread."""
-        self._gateway_count = max(1, count)
+    def set_gateway_count(self, count, now_ms):
+        """Set the number of gateways among which tokens are spread.
+
+        What a gateway that has ended spent before it was granted leaves the
+        window only later, so its part is not spent by others before.
+
+        :param count: the number.
+        :param now_ms: the current time.
+        """
+        count = max(1, count)
+        if count < self._gateway_count:
+            until_ms = now_ms + self._terms.window_s * MILLISECONDS
+            self._earlier_counts.append((until_ms, self._gateway_count))
+        self._gateway_count = count
 
     def record_arrival(self, account, now_ms):
         """Record that a request of an account needs a token.
@@ -236,9 +250,16 @@
         if now_ms < self._float_from_ms:
             return 0
         return self._terms.float_tokens(
-            account, self._gateway_count, balance.float_position
+            account, self._count_gateways(now_ms), balance.float_position
         )
 
+    def _count_gateways(self, now_ms):
+        """Return the most gateways there were in the last window."""
+        while self._earlier_counts and self._earlier_counts[0][0] <= now_ms:
+            self._earlier_counts.popleft()
+        earlier = (count for _, count in self._earlier_counts)
+        return max((self._gateway_count, *earlier))
+
     def _wanted(self, balance, now_ms):
         """Return how many requests need a token that is not granted yet.
 
--- a/fuchsiacart/gateway/budgets/account_quotas.py
+++ b/fuchsiacart/gateway/budgets/account_quotas.py
@@ -46,7 +46,7 @@
 
     def set_gateway_count(self, count):
         """See :meth:`QuotaBook.set_gateway_count`."""
-        self._book.set_gateway_count(count)
+        self._book.set_gateway_count(count, steady_ms())
 
     def left(self, account):
         """See :meth:`QuotaBook.left`."""
--- a/tools/quota_costs.py
+++ b/tools/quota_costs.py
@@ -73,7 +73,7 @@
     now_ms = 10_000.0
     for _ in range(ROUNDS):
         for host, book in zip(hosts, books):
-            book.set_gateway_count(gateways)
+            book.set_gateway_count(gateways, 0.0)
             now_ms += 1000 / RENEWALS_PER_S / gateways
             for account in random.choices(accounts, weights, k=REQUESTS):
                 book.record_arrival(account, now_ms)
--- a/tools/seeded_faults/accounts.py
+++ b/tools/seeded_faults/accounts.py
@@ -95,4 +95,11 @@
             ),
         ),
     ),
+    Fault(
+        'the part of a gateway that ends is spent by others at once',
+        'accounts/quota_books.py',
+        'if count < self._gateway_count:',
+        'if False:',
+        'quotas',
+    ),
 )
