Bound the pattern that finds the end of a head

Cause: MessageStream puts the limit into a pattern as a repetition count; re takes none from 2**32 - 1 on. By the traceback the OverflowError ended CallerServer.handle_stream. ChunkReader does the same with that limit.

Change: the limit of a head is 16 MiB at most. A larger head gets 431; before, one that did not fit into the buffer of 64 MiB closed its connection. A connection that ends for an unexpected error is logged as caller_connection_failed.

--- a/fuchsiacart/gateway/callers.py
+++ b/fuchsiacart/gateway/callers.py
@@ -49,6 +49,10 @@
 WATCH_INTERVAL_S = 1.0
 # Before the first configuration sets its own limits.
 BODY_LIMIT_BYTES = 64 * 1024 * 1024
+# Largest head that is read, whatever the configuration allows.  A stream looks
+# for the end of a head whenever its buffer has doubled, so this is well below
+# the size of that buffer.
+HEADER_LIMIT_BYTES = BODY_LIMIT_BYTES // 4
 
 
 class CallerServer(TCPServer):
@@ -96,12 +100,14 @@
 
         The idle timeout counts for connections that are idle now, too.
 
-        :param header_bytes: bytes of the head of a request.
+        :param header_bytes: bytes of the head of a request; of more than
+            ``HEADER_LIMIT_BYTES``, those are used.
         :param body_bytes: bytes of its body.
         :param idle_timeout_s: see :class:`CallerServer`.
         """
         self._parameters = HTTP1ConnectionParameters(
-            max_header_size=header_bytes, max_body_size=body_bytes
+            max_header_size=min(header_bytes, HEADER_LIMIT_BYTES),
+            max_body_size=body_bytes,
         )
         if idle_timeout_s == self.idle_timeout_s:
             return
@@ -120,6 +126,14 @@
         self.connections.add(connection)
         try:
             await connection.serve()
+        except Exception as error:
+            # No response can be sent: what was read is not known.
+            log_error(
+                'caller_connection_failed',
+                caller=connection.remote_ip,
+                error=repr(error),
+            )
+            raise
         finally:
             self._connections.discard(connection)
             connection.close()
