Take numbers of headers up to 2**53

Callers saw: a request that may run once got 502 where a server had refused it with Retry-After: 1e308, a finite number, although another server could take it.

Cause: its milliseconds are infinite, and the log line of the back-off makes a whole number of them (OverflowError). Found with the limit of heads: a number that is valid where it is read and too large where it is used.

Change: a larger number of a header counts as 2**53, which is exact.

Red before (features/value_limits.feature): a number in a refusal @1.1. All other lines of headers there, at their largest values, were green before.

--- a/features/value_limits.feature
+++ b/features/value_limits.feature
@@ -27,6 +27,20 @@
     When the limit of heads is 9223372036854775807 bytes
     Then a head of 17000000 bytes gets 431
 
+  Scenario Outline: a number in a refusal of a server ends a request that another server can answer
+    Given a gateway of the platform before a backend server
+    And another instance refuses each request that may run once with "<line>"
+    Then each of 10 such requests is served
+
+    Examples:
+      | line                                     |
+      | Retry-After: 1e308                       |
+      | Retry-After: 9223372036854775807         |
+      | Retry-After: 1e999                       |
+      | X-Server-Load: 65535,65535,65535,1e308   |
+      | X-Server-Load: 0,0,9223372036854775807   |
+      | Keep-Alive: timeout=9223372036854775807  |
+
   Scenario Outline: a number in a header of a caller ends its request
     Given a gateway of the platform before a backend server
     Then a request with "<line>" gets <status>
--- a/fuchsiacart/platform/headers.py
+++ b/fuchsiacart/platform/headers.py
@@ -3,6 +3,7 @@
 from tornado.httputil import HTTPHeaders
 from tornado.httputil import parse_cookie
 
+from fuchsiacart.bounds import MAX_AMOUNT
 from fuchsiacart.bounds import MAX_SLOTS
 from fuchsiacart.clocks import MILLISECONDS
 from fuchsiacart.gateway.dialects import Dialect
@@ -86,12 +87,15 @@
 
 
 def _read_number(text):
-    """Parse a finite number of at least 0; return None for any other text."""
+    """Parse a finite number of at least 0, to ``MAX_AMOUNT`` at most.
+
+    :return: the number; None for any other text.
+    """
     try:
         number = float(text)
     except (TypeError, ValueError):
         return None
-    return number if 0 <= number < float('inf') else None
+    return min(number, MAX_AMOUNT) if 0 <= number < float('inf') else None
 
 
 def _read_load(text):
