Read each start that a gateway names in a relayed answer

Cause: the start was read with up to 18 digits, while heartbeats may hold 63 bits.

Change: starts and versions of the headers between gateways are read as all other counts are. What is written is the same, so earlier builds read it as before.

Red before (features/value_limits.feature): a relayed answer of the latest start.

--- a/features/value_limits.feature
+++ b/features/value_limits.feature
@@ -52,6 +52,9 @@
       | X-Deadline-Ms: 1e999                 | 200    |
       | Content-Length: 9223372036854775807  | 413    |
 
+  Scenario: a relayed answer of the latest start names no server that leaves
+    Then each start and version up to the largest is read as it was written
+
   Scenario: a heartbeat with the largest numbers is refused, or its server is not used
     Given a gateway of the platform before a backend server
     When its server sends a heartbeat in which all numbers have their largest valid value
--- a/fuchsiacart/gateway/hop_headers.py
+++ b/fuchsiacart/gateway/hop_headers.py
@@ -4,6 +4,7 @@
 
 from tornado.httputil import HTTPHeaders
 
+from fuchsiacart.bounds import parse_count
 from fuchsiacart.servers import ServerStart
 
 # The caller for which a gateway relays a request.
@@ -22,9 +23,6 @@
 IDLE_MARGIN_S = 1.0
 # Nine digits are far more than ``IDLE_LIMIT_S``.
 KEEP_ALIVE_TIMEOUT = compile_pattern(r'timeout=([0-9]{1,9})')
-BORN_MS = compile_pattern('[0-9]{1,18}')
-# Those of the largest version.
-MAX_VERSION_DIGITS = 19
 HOP_HEADERS = frozenset(
     (
         'connection',
@@ -57,9 +55,11 @@
     :param text: the value of ``RELAYED_LEAVING``.
     """
     born, _, name = text.partition(' ')
-    if not BORN_MS.fullmatch(born) or not name:
+    try:
+        born_ms = parse_count(born)
+    except ValueError:
         return None
-    return ServerStart(name, int(born))
+    return ServerStart(name, born_ms) if name else None
 
 
 def parse_version(text):
@@ -67,9 +67,10 @@
 
     :param text: the value of ``RELAYED_VERSION``.
     """
-    if not text.isdecimal() or not text.isascii():
+    try:
+        return parse_count(text)
+    except ValueError:
         return 0
-    return int(text) if len(text) <= MAX_VERSION_DIGITS else 0
 
 
 def end_to_end_headers(headers):
