Check the times of routes as the figures that were sent

Cause: the bound was compared on milliseconds, which are products of floating point numbers: 64.1 x 1000 - 4.1 x 1000 is 59999.99999999999. The comparisons that are exact in milliseconds were refused, which rules out the bound itself.

Change: timeout and objective are read as decimal figures too, and checked on all their digits before the order is proposed; their milliseconds are such that the check on them, which replicas apply to the log, agrees. That check is unchanged, as the build in production applies it to the same entries.

--- a/fuchsiacart/configurations.py
+++ b/fuchsiacart/configurations.py
@@ -223,6 +223,9 @@
 def find_validation_error(configuration):
     """Return a message about the first invalid item, or None.
 
+    All replicas have to come to the same result, so what this refuses must
+    not differ between builds that run side by side.
+
     :param configuration: the :class:`Configuration` to validate.
     """
     services = {service.name for service in configuration.services}
--- a/fuchsiacart/platform/documents.py
+++ b/fuchsiacart/platform/documents.py
@@ -1,5 +1,6 @@
 """JSON documents in which operators send and read configurations."""
 
+from decimal import Decimal
 from hashlib import sha256
 from typing import Literal
 
@@ -30,6 +31,7 @@
 from fuchsiacart.configurations import ServiceTerms
 from fuchsiacart.exceptions import ChangeError
 from fuchsiacart.exceptions import ErrorKind
+from fuchsiacart.route_times import make_route_times
 
 VERSION_PREFIX = 'r'
 Seconds = Amount
@@ -76,6 +78,13 @@
     public: bool = False
 
 
+class RouteFigures(Struct):
+    """The times of a :class:`RouteSpec` with all their digits."""
+
+    timeout_s: Decimal
+    slo_s: Decimal
+
+
 class ServiceSpec(Struct):
     """Specification of a service.
 
@@ -226,7 +235,10 @@
     name = resource.metadata.name
     spec = decode(resource.spec)
     if resource.type == 'routes':
-        return _read_route(name, convert(spec, RouteSpec))
+        route = convert(spec, RouteSpec)
+        return _read_route(
+            name, route, decode(resource.spec, type=RouteFigures)
+        )
     if resource.type == 'services':
         return _read_service(name, convert(spec, ServiceSpec))
     if resource.type == 'tenants':
@@ -238,14 +250,15 @@
     )
 
 
-def _read_route(name, spec):
+def _read_route(name, spec, figures):
+    times = _read_times(name, figures)
     return PathRoute(
         name,
         spec.host,
         spec.path_prefix,
         RequestKind(spec.kind),
-        spec.timeout_s * MILLISECONDS,
-        spec.slo_s * MILLISECONDS,
+        times.timeout_ms,
+        times.objective_ms,
         spec.priority,
         _read_targets(spec),
         spec.max_attempts,
@@ -255,6 +268,15 @@
     )
 
 
+def _read_times(name, figures):
+    try:
+        return make_route_times(figures.timeout_s, figures.slo_s)
+    except ChangeError as error:
+        raise ChangeError(
+            f'route {name}: {error.detail}', error.kind
+        ) from error
+
+
 def _read_targets(spec):
     """Return each :class:`RouteTarget` of a route.
 
