Let a start that leaves end for good, whatever is known of it

Cause: the leader had removed the server for its silence, so the departure found none to remove and left no trace; after a removal for silence a later heartbeat of the start registers it again.

Change: a departure is written as a draining record that no call of the start comes after, and its removal. The record has an address of its own, since another server may use that of the start. The same class: a start that was unknown, or behind an earlier one; a draining server that falls silent, now removed as one that left; a report of gateways, now after all calls of the start.

--- a/features/compatibility.feature
+++ b/features/compatibility.feature
@@ -34,3 +34,20 @@
   Scenario: a commit that is not in the history is named
     When a build of 0000000 is laid out
     Then the error names the commit
+
+  Scenario Outline: a departure leads to other states in builds that run side by side
+    Given a control group to which a start of a server is <known>
+    And a control host that has applied nothing
+    When the start leaves by that host
+    Then no call of it registers the server, however late
+    And a later start registers it
+    And the build in production comes to the same state by these commands
+
+    Examples:
+      | known                                  |
+      | unknown                                |
+      | registered                             |
+      | unknown, but an earlier one registered |
+      | draining                               |
+      | removed for its silence                |
+      | removed, its address used by another   |
--- a/features/steps/platform_path_steps.py
+++ b/features/steps/platform_path_steps.py
@@ -122,7 +122,7 @@
         self.acknowledged_s = 0.0
         self.is_down = False
         self._fixture = fixture
-        self._born_ms = int(time() * 1000)
+        self.born_ms = int(time() * 1000)
         self._sequence = 0
         application = Application([('.*', self.handler)], instance=self)
         self._server = HTTPServer(application)
@@ -137,7 +137,7 @@
 
     def restart(self):
         """Start again under the same name and address."""
-        self._born_ms = int(time() * 1000)
+        self.born_ms = int(time() * 1000)
         self._sequence = 0
 
     async def end_connections(self):
@@ -161,7 +161,7 @@
             'state': self.state,
             'cold_left_s': 0,
             'seq': self._sequence,
-            'born': self._born_ms,
+            'born': self.born_ms,
         }
         reply = await self._fixture.control(
             'PUT', f'/api/instances/{self.name}', body
--- a/fuchsiacart/control/departures.py
+++ b/fuchsiacart/control/departures.py
@@ -8,6 +8,7 @@
 from fuchsiacart.control.commands import RecordServer
 from fuchsiacart.exceptions import ChangeError
 from fuchsiacart.logs import log_event
+from fuchsiacart.servers import LAST_SEQUENCE
 from fuchsiacart.servers import ServerState
 
 # Reports that the leader keeps until it has proposed their change.
@@ -37,8 +38,8 @@
     def take_records(self, records):
         """Return the records to store, and forget the reports.
 
-        The record of a departure comes after the last call of that start, so
-        calls that the server has sent before do not undo it.
+        The record of a departure comes after all calls of that start, so that
+        none undoes it, not even after the server is removed for its silence.
 
         :param records: each registered :class:`ServerRecord`, by name.
         :return: a list of :class:`ServerRecord`.
@@ -49,7 +50,7 @@
             replace(
                 record,
                 state=ServerState.DRAINING,
-                sequence=record.sequence + 1,
+                sequence=LAST_SEQUENCE,
             )
             for record in known
             if record is not None
--- a/fuchsiacart/control/route_control.py
+++ b/fuchsiacart/control/route_control.py
@@ -12,6 +12,8 @@
 from fuchsiacart.control.commands import RecordServer
 from fuchsiacart.control.commands import SetEvacuation
 from fuchsiacart.control.directory import find_gateways
+from fuchsiacart.control.ended_starts import plan_departure
+from fuchsiacart.control.ended_starts import plan_expiry
 from fuchsiacart.control.order_checks import CLOSE_NOTICE_S
 from fuchsiacart.control.order_checks import confirm_caller
 from fuchsiacart.control.read_batches import ReadBatches
@@ -25,7 +27,9 @@
 from fuchsiacart.messages import Done
 from fuchsiacart.messages import ProposeRequest
 from fuchsiacart.messages import ServersHeard
+from fuchsiacart.models import BackendServerId
 from fuchsiacart.servers import is_redundant
+from fuchsiacart.servers import ServerStart
 
 # Clients of the control interface time out after one second, later if they
 # have sent a large body.
@@ -156,12 +160,17 @@
         :raises ChangeError: if the change may be outdated (not run) or
             cannot be committed.
         """
-        command = ForgetServer(name, born_ms, True, wall_ms())
-        if born_ms:
-            outcome = await self._commit(command)
-        else:
-            outcome = await self._commit_current(command, has_left)
-        log_event('server_left', server=name, revision=outcome.revision)
+        if not born_ms:
+            command = ForgetServer(name, born_ms, True, wall_ms())
+            await self._commit_current(command, has_left)
+            born_ms = self.routes.latest_born_ms(name)
+        start = ServerStart(BackendServerId(name), born_ms)
+        is_known = not born_ms or self.routes.has_ended(start)
+        if not is_known:
+            await self._commit_departure(start)
+        log_event(
+            'server_left', server=name, born_ms=born_ms, was_known=is_known
+        )
 
     def find_gateways(self, region, domain, caller):
         """Return the addresses of the gateways nearest to a caller.
@@ -213,11 +222,8 @@
                 continue
             if not self._replica.has_contact():
                 return
-            command = ForgetServer(
-                record.name, record.born_ms, False, wall_ms()
-            )
             try:
-                await self._replica.propose(command)
+                await self._replica.propose(plan_expiry(record, wall_ms()))
             except ChangeError as error:
                 log_event('server_not_expired', detail=error.detail)
                 return
@@ -266,6 +272,12 @@
                 if not is_outdated or left_s < 2 * CLOSE_NOTICE_S:
                     raise
 
+    async def _commit_departure(self, start):
+        """Commit that a start has ended, see :func:`plan_departure`."""
+        deadline_s = monotonic() + ANSWER_TIMEOUT_S
+        for command in plan_departure(self.routes, start, wall_ms()):
+            await self._commit(command, deadline_s - monotonic())
+
     async def _commit(self, command, timeout_s=ANSWER_TIMEOUT_S):
         reply = await self._call_leader(ProposeRequest(command), timeout_s)
         return reply.outcome
--- a/fuchsiacart/control/route_states.py
+++ b/fuchsiacart/control/route_states.py
@@ -15,6 +15,7 @@
 from fuchsiacart.configurations import without_texts
 from fuchsiacart.control.region_shares import RegionShare
 from fuchsiacart.models import FailureDomainId
+from fuchsiacart.servers import LAST_SEQUENCE
 from fuchsiacart.servers import ServerRecord
 from fuchsiacart.servers import ServerState
 from fuchsiacart.servers import Tombstone
@@ -170,6 +171,26 @@
             return None
         return self._remove(existing, has_left)
 
+    def latest_born_ms(self, name):
+        """Return the start time of a server's latest start, 0 if unknown.
+
+        :param name: the server.
+        """
+        latest = self.servers.get(name) or self.tombstones.get(name)
+        return latest.born_ms if latest is not None else 0
+
+    def has_ended(self, start):
+        """Return True if no call of a start can register it any more.
+
+        :param start: the :class:`ServerStart`.
+        """
+        if start.born_ms < self.latest_born_ms(start.name):
+            return True
+        tombstone = self.tombstones.get(start.name)
+        if tombstone is None or tombstone.born_ms != start.born_ms:
+            return False
+        return tombstone.has_left or tombstone.sequence >= LAST_SEQUENCE
+
     def _is_outdated(self, record):
         existing = self.servers.get(record.name)
         if existing is not None:
--- a/fuchsiacart/servers.py
+++ b/fuchsiacart/servers.py
@@ -10,6 +10,7 @@
 
 from msgspec import Struct
 
+from fuchsiacart.bounds import MAX_INTEGER
 from fuchsiacart.models import Address
 from fuchsiacart.models import BackendServerId
 from fuchsiacart.models import FailureDomainId
@@ -18,6 +19,8 @@
 # Names of departed servers that are kept, so that calls which arrive late do
 # not register them again.
 TOMBSTONE_LIMIT = 4096
+# Sequence of a record after which no call of its start counts.
+LAST_SEQUENCE = MAX_INTEGER
 # An increase of the remaining cold time is replicated to the entry hosts only
 # if it is larger than this.
 MIN_COLD_INCREASE_MS = 500.0
--- a/models/check.py
+++ b/models/check.py
@@ -16,6 +16,12 @@
 from models import changes
 from models.changes import ChangesModel
 from models.changes import ClaimsModel
+from models import departures
+from models.departures import DEPARTURES
+from models.departures import DeparturesModel
+from models.departures import EXPIRIES
+from models.departures import OTHER_DEPARTURE
+from models.departures import REPORTS
 from models import orders
 from models.orders import OrdersModel
 from models import replication
@@ -96,6 +102,35 @@
 )
 
 
+HEARTBEAT_CALLS = ('first heartbeat', 'second heartbeat', 'third heartbeat')
+SILENCE_CALLS = (*HEARTBEAT_CALLS, *EXPIRIES, *DEPARTURES)
+ADDRESS_CALLS = (
+    *HEARTBEAT_CALLS[:2],
+    'heartbeat of another server at the address',
+    OTHER_DEPARTURE,
+    'expiry',
+    *DEPARTURES,
+)
+REPORT_CALLS = (*HEARTBEAT_CALLS, *REPORTS, 'expiry', 'departure')
+DEPARTURES_CASES = {
+    'silence': SILENCE_CALLS,
+    'a new start': (
+        *HEARTBEAT_CALLS[:2],
+        'heartbeat of a new start',
+        *EXPIRIES,
+        'departure',
+    ),
+    'another server at the address': ADDRESS_CALLS,
+    'draining': (
+        *HEARTBEAT_CALLS[:2],
+        'draining heartbeat',
+        *EXPIRIES,
+        'departure',
+    ),
+    'reported by a gateway': REPORT_CALLS,
+}
+
+
 class Case(Struct, frozen=True):
     """One exploration.
 
@@ -163,6 +198,17 @@
     return Case(title, model, not faults)
 
 
+def departures_case(title, calls, is_earlier_leader=False, **faults):
+    """Return a case of the calls of a server that starts and leaves."""
+    title = f'departures: {title}'
+    if is_earlier_leader:
+        title += ', a leader of the build before'
+    if faults:
+        title += f', fault {" ".join(faults)}'
+    arguments = (calls, is_earlier_leader, departures.Faults(**faults))
+    return Case(title, (DeparturesModel, *arguments), not faults)
+
+
 CASES = (
     replication_case(SECOND_LOSS),
     replication_case(CRASHES),
@@ -179,6 +225,11 @@
     changes_case(5, 2),
     claims_case(6),
     orders_case(3, 3),
+    *(
+        departures_case(title, calls, is_earlier)
+        for title, calls in DEPARTURES_CASES.items()
+        for is_earlier in (False, True)
+    ),
     replication_case(CRASHES, ONE_LEADER, vote_not_synced=True),
     replication_case(CRASHES, COMPLETE_LEADERS, log_not_synced=True),
     replication_case(
@@ -201,6 +252,10 @@
     orders_case(3, 3, caller_not_checked=True),
     orders_case(3, 3, index_not_checked=True),
     orders_case(3, 3, forgotten_on_new_term=True),
+    departures_case('silence', SILENCE_CALLS, record_left_out=True),
+    departures_case('silence', SILENCE_CALLS, expires_for_good=True),
+    departures_case('address', ADDRESS_CALLS, keeps_address=True),
+    departures_case('reported', REPORT_CALLS, True, counts_up=True),
 )
 
 
--- a/tools/seeded_faults/control.py
+++ b/tools/seeded_faults/control.py
@@ -181,6 +181,27 @@
         'if False:',
         'routes',
     ),
+    Fault(
+        'a start that is not registered leaves no trace when it leaves',
+        'control/ended_starts.py',
+        'return (RecordServer(record, at_ms), removal)',
+        'return (removal,)',
+        'ended_starts',
+    ),
+    Fault(
+        'a server that drains comes back after its removal for silence',
+        'control/ended_starts.py',
+        'has_left = record.state is ServerState.DRAINING',
+        'has_left = False',
+        'ended_starts',
+    ),
+    Fault(
+        'a departure that gateways report ends with the next heartbeat',
+        'control/departures.py',
+        'sequence=LAST_SEQUENCE,',
+        'sequence=record.sequence + 1,',
+        'ended_starts',
+    ),
     Fault(
         'an accepted order is refused when it is resent',
         'control/states.py',
