Compare a cold time with what gateways still count of the last one

Cause: the heartbeat was taken for redundant, as its cold time was not 500 ms above the stored one, which is that of the first heartbeat and does not run down.

Change: a control host notes until when all gateways count the records that it has proposed. A report is left out only within 100 ms above and 500 ms below that, and gateways count 100 ms more, so that no series of small steps lets them start early. A host that does not know that time stores the report.

--- a/fuchsiacart/control/route_control.py
+++ b/fuchsiacart/control/route_control.py
@@ -7,6 +7,7 @@
 from fuchsiacart.clocks import MILLISECONDS
 from fuchsiacart.clocks import steady_ms
 from fuchsiacart.clocks import wall_ms
+from fuchsiacart.control.cold_reports import ColdReports
 from fuchsiacart.control.commands import ChangeConfiguration
 from fuchsiacart.control.commands import ForgetServer
 from fuchsiacart.control.commands import RecordServer
@@ -57,6 +58,7 @@
         self._replica = replica
         self._service = service
         self._reads = ReadBatches(self._read_configuration)
+        self._cold_reports = ColdReports()
         self._last_heartbeat_ms = {}
         self._unreported_names = set()
         self._watching_since_ms = None
@@ -134,9 +136,13 @@
             raise ChangeError('no leader is heard', ErrorKind.NO_QUORUM)
         self._last_heartbeat_ms[record.name] = steady_ms()
         self._unreported_names.add(record.name)
-        if is_redundant(self.routes.servers.get(record.name), record):
+        proposed_ms = steady_ms()
+        current = self.routes.servers.get(record.name)
+        left_ms = self._cold_reports.left_ms(current, proposed_ms)
+        if is_redundant(current, record, left_ms):
             return
         outcome = await self._commit(RecordServer(record, wall_ms()))
+        self._cold_reports.record(record, proposed_ms)
         log_event(
             'server_recorded',
             server=record.name,
@@ -146,6 +152,7 @@
             born_ms=record.born_ms,
             sequence=record.sequence,
             cold_ms=record.cold_ms,
+            counted_ms=-1 if left_ms is None else int(left_ms),
             revision=outcome.revision,
         )
 
--- a/fuchsiacart/gateway/placing/placements.py
+++ b/fuchsiacart/gateway/placing/placements.py
@@ -265,14 +265,12 @@
         region = self._regions.get(record.failure_domain, '')
         if server is None or server.record.born_ms != record.born_ms:
             server = TrackedServer(record, region)
-            if record.cold_ms:
-                server.cold_until_ms = now_ms + record.cold_ms
+            server.begin_cold(now_ms)
             return server
         if record != server.record:
             server.is_misdirected = False
-            server.cold_until_ms = 0.0
-            if record.cold_ms:
-                server.cold_until_ms = now_ms + record.cold_ms
+            server.record = record
+            server.begin_cold(now_ms)
         server.record = record
         server.region = region
         return server
--- a/fuchsiacart/gateway/tracked_servers.py
+++ b/fuchsiacart/gateway/tracked_servers.py
@@ -5,6 +5,7 @@
 from msgspec import Struct
 
 from fuchsiacart.clocks import MILLISECONDS
+from fuchsiacart.servers import MIN_COLD_INCREASE_MS
 from fuchsiacart.servers import ServerRecord
 
 # Time in which the weight of a reported load decreases to zero.
@@ -77,6 +78,18 @@
         """
         return now_ms < self.cold_until_ms
 
+    def begin_cold(self, now_ms):
+        """Count the cold time of the record from now on.
+
+        It is longer by the increase up to which further reports are left out.
+
+        :param now_ms: the current time.
+        """
+        self.cold_until_ms = 0.0
+        if self.record.cold_ms:
+            counted_ms = self.record.cold_ms + MIN_COLD_INCREASE_MS
+            self.cold_until_ms = now_ms + counted_ms
+
     def has_cold_token(self, rate_per_s, now_ms):
         """Refill the token bucket; return True if it has a token.
 
--- a/fuchsiacart/servers.py
+++ b/fuchsiacart/servers.py
@@ -21,9 +21,10 @@
 TOMBSTONE_LIMIT = 4096
 # Sequence of a record after which no call of its start counts.
 LAST_SEQUENCE = MAX_INTEGER
-# An increase of the remaining cold time is replicated to the entry hosts only
-# if it is larger than this.
-MIN_COLD_INCREASE_MS = 500.0
+# A report is replicated only if the cold time that it names is longer by this
+# than what gateways count, which they make up for, or shorter by that.
+MIN_COLD_INCREASE_MS = 100.0
+MIN_COLD_DECREASE_MS = 500.0
 
 
 @unique
@@ -81,11 +82,13 @@
     has_left: bool
 
 
-def is_redundant(current, record):
+def is_redundant(current, record, left_ms):
     """Return True if a call changes nothing worth replicating.
 
     :param current: the stored :class:`ServerRecord`, or None.
     :param record: the :class:`ServerRecord` that the server has just sent.
+    :param left_ms: for how long all gateways take the server for cold, at
+        least; None if that is not known.
     """
     if current is None or current.born_ms != record.born_ms:
         return False
@@ -102,6 +105,8 @@
     )
     if not is_same:
         return False
-    if current.cold_ms and not record.cold_ms:
+    # A gateway that starts later counts the stored time from then on.
+    if current.cold_ms and (left_ms is None or not record.cold_ms):
         return False
-    return record.cold_ms <= current.cold_ms + MIN_COLD_INCREASE_MS
+    increase_ms = record.cold_ms - left_ms
+    return -MIN_COLD_DECREASE_MS <= increase_ms <= MIN_COLD_INCREASE_MS
--- a/models/departures.py
+++ b/models/departures.py
@@ -146,7 +146,7 @@
         """Return the commands that a call leads to."""
         if call in HEARTBEATS:
             record, seen = HEARTBEATS[call], STATES.decode(world.seen)
-            if is_redundant(seen.servers.get(record.name), record):
+            if is_redundant(seen.servers.get(record.name), record, 0.0):
                 return ()
             return (RecordServer(record, AT_MS),)
         if call in DEPARTURES:
--- a/tools/seeded_faults/control.py
+++ b/tools/seeded_faults/control.py
@@ -202,6 +202,27 @@
         'sequence=record.sequence + 1,',
         'ended_starts',
     ),
+    Fault(
+        'a cold time is compared with the one stored, not with what is left',
+        'servers.py',
+        'increase_ms = record.cold_ms - left_ms',
+        'increase_ms = record.cold_ms - current.cold_ms',
+        'cold_reports',
+    ),
+    Fault(
+        'a host takes a record of another one for its own',
+        'control/cold_reports.py',
+        'if record != current:',
+        'if record is None:',
+        'cold_reports',
+    ),
+    Fault(
+        'a gateway does not make up for the reports that are left out',
+        'gateway/tracked_servers.py',
+        'self.record.cold_ms + MIN_COLD_INCREASE_MS',
+        'self.record.cold_ms',
+        'cold_reports',
+    ),
     Fault(
         'an accepted order is refused when it is resent',
         'control/states.py',
