Let no call of a server have the sequence of its end

A server whose calls have the largest valid sequence could leave only by its own departure: the record of a report of gateways, and the one that a departure leaves, had the same sequence, and replicas drop a record that does not come after the stored one.

Change: the record of an end has a sequence above those of all calls, the largest that MessagePack holds; the build in production reads it.

Red before (features/ended_starts.feature): a report that a server leaves is not stored behind the largest sequence.

--- a/features/compatibility.feature
+++ b/features/compatibility.feature
@@ -47,6 +47,7 @@
       | known                                  |
       | unknown                                |
       | registered                             |
+      | registered with the largest sequence   |
       | unknown, but an earlier one registered |
       | draining                               |
       | removed for its silence                |
--- a/features/ended_starts.feature
+++ b/features/ended_starts.feature
@@ -12,6 +12,8 @@
       | unknown                                | all of it                   |
       | registered                             | all of it                   |
       | registered                             | nothing                     |
+      | registered with the largest sequence   | all of it                   |
+      | registered with the largest sequence   | nothing                     |
       | unknown, but an earlier one registered | all of it                   |
       | unknown, but an earlier one registered | nothing                     |
       | draining                               | all of it                   |
@@ -39,6 +41,12 @@
     Then no call of it registers the server, however late
     And a later start registers it
 
+  Scenario: a report that a server leaves is not stored behind the largest sequence
+    Given a control group to which a start of a server is registered with the largest sequence
+    When a gateway reports that this start leaves
+    Then no call of it registers the server as ready
+    And a later start registers it
+
   Scenario: a server that was only silent is not registered again
     Given a control group to which a start of a server is registered
     When the leader removes it for its silence
--- a/features/steps/ended_start_steps.py
+++ b/features/steps/ended_start_steps.py
@@ -37,6 +37,9 @@
     'unknown': (),
     'registered': (RecordServer(SERVER, AT_MS),),
     'unknown, but an earlier one registered': (RecordServer(EARLIER, AT_MS),),
+    'registered with the largest sequence': (
+        RecordServer(replace(SERVER, sequence=MAX_INTEGER), AT_MS),
+    ),
     'draining': (RecordServer(SERVER, AT_MS), RecordServer(DRAINING, AT_MS)),
     'removed for its silence': (RecordServer(SERVER, AT_MS), SILENCE),
     'removed, its address used by another': (
@@ -87,10 +90,7 @@
     context.commands = list(KNOWN.get(known, KNOWN['registered']))
     apply_all(context.state, context.commands)
     if known == 'reported to leave':
-        reports = DepartureReports()
-        reports.add((SERVER.start,))
-        (record,) = reports.take_records(context.state.servers)
-        apply_all(context.state, (RecordServer(record, AT_MS),))
+        when_reported(context)
 
 
 @given('a control host that has applied {lag}')
@@ -107,6 +107,14 @@
     apply_all(context.state, commands)
 
 
+@when('a gateway reports that this start leaves')
+def when_reported(context):
+    reports = DepartureReports()
+    reports.add((SERVER.start,))
+    (record,) = reports.take_records(context.state.servers)
+    apply_all(context.state, (RecordServer(record, AT_MS),))
+
+
 @when('the leader removes it for its silence')
 def when_silent(context):
     record = context.state.servers[SERVER.name]
@@ -123,9 +131,15 @@
 def then_not_registered(context):
     state = context.state
     assert state.has_ended(SERVER.start), state
-    assert not is_used(state), state.servers
     apply_all(state, (OTHER_LEFT,))
     context.commands.append(OTHER_LEFT)
+    then_not_ready(context)
+
+
+@then('no call of it registers the server as ready')
+def then_not_ready(context):
+    state = context.state
+    assert not is_used(state), state.servers
     for sequence in (1, SERVER.sequence, 1000, MAX_INTEGER):
         call = RecordServer(replace(SERVER, sequence=sequence), AT_MS)
         context.commands.append(call)
--- a/fuchsiacart/servers.py
+++ b/fuchsiacart/servers.py
@@ -10,7 +10,6 @@
 
 from msgspec import Struct
 
-from fuchsiacart.bounds import MAX_INTEGER
 from fuchsiacart.models import Address
 from fuchsiacart.models import BackendServerId
 from fuchsiacart.models import FailureDomainId
@@ -19,8 +18,9 @@
 # Names of departed servers that are kept, so that calls which arrive late do
 # not register them again.
 TOMBSTONE_LIMIT = 4096
-# Sequence of a record after which no call of its start counts.
-LAST_SEQUENCE = MAX_INTEGER
+# Sequence of a record after which no call of its start counts.  It is above
+# those of all calls, and the largest that MessagePack holds.
+LAST_SEQUENCE = 2**64 - 1
 # A report is replicated only if the cold time that it names is longer by this
 # than what gateways count, which they make up for, or shorter by that.
 MIN_COLD_INCREASE_MS = 100.0
