Let servers of the soak leave behind a cut

Half of the servers that only remove their registration can reach no control host for 1 to 6 s before, say nothing in their answers, and have two heartbeats arrive up to 2 s apart after their departure was acknowledged.

--- a/soak/runs.py
+++ b/soak/runs.py
@@ -103,6 +103,7 @@
         self.member_plan = draw_member_plan(Random(f'group losses {seed}'))
         self._crash_random = Random(f'crashes {seed}')
         self.restart_random = Random(f'restarts {seed}')
+        self.silence_random = Random(f'silence {seed}')
         # The build in production cannot read accounts.
         self.accounts = None
         # Nor does it know the memory of its machine.
--- a/soak/servers.py
+++ b/soak/servers.py
@@ -29,6 +29,15 @@
 LEAVE_DELAY_S = 3.5
 # Time for which a server says in its answers only that it leaves.
 NOTICE_RANGE_S = (0.0, 4.0)
+# Share of the servers that only remove their registration which cannot reach
+# the control hosts before, and for how long they cannot.
+CUT_OFF_SHARE = 0.5
+CUT_OFF_RANGE_S = (1.0, 6.0)
+# Heartbeats that a cut has held up, and when they come after the departure.
+HELD_UP_HEARTBEATS = 2
+HELD_UP_RANGE_S = (0.0, 2.0)
+# Time for which the server goes on serving after those.
+AFTER_HELD_UP_S = 4.0
 # Time for which a server that starts again is not registered.
 LATE_HEARTBEAT_RANGE_S = (1.0, 6.0)
 HEALTH_PATH = '/'
@@ -242,6 +251,11 @@
 
         :param form: the :class:`LeaveForm`.
         """
+        random = self._soak.silence_random
+        is_cut_off = random.random() < CUT_OFF_SHARE
+        if form is LeaveForm.UNREGISTERED and is_cut_off:
+            await self._leave_behind_cut(random)
+            return
         self.is_leaving = True
         if form is not LeaveForm.DRAINING:
             await sleep(self._soak.random.uniform(*NOTICE_RANGE_S))
@@ -260,6 +274,21 @@
         await self._call('DELETE', {'born': self._born_ms})
         await self.crash()
 
+    async def _leave_behind_cut(self, random):
+        """Leave without a word in answers, after and before held up calls.
+
+        :param random: random number generator.
+        """
+        self._is_registered = False
+        await sleep(random.uniform(*CUT_OFF_RANGE_S))
+        await self._unregister()
+        for _ in range(HELD_UP_HEARTBEATS):
+            await sleep(random.uniform(*HELD_UP_RANGE_S))
+            if not self._is_stopped:
+                await self._send_heartbeat()
+        await sleep(AFTER_HELD_UP_S)
+        await self.crash()
+
     async def _unregister(self):
         """Remove the registration, unless the server has crashed."""
         if self._is_stopped:
