--- a/fuchsiacart/control/ended_starts.py
+++ b/fuchsiacart/control/ended_starts.py
@@ -34,21 +34,13 @@
     :return: a tuple of commands, to be committed one after the other.
     """
     removal = ForgetServer(start.name, start.born_ms, True, at_ms)
-    registered = routes.servers.get(start.name)
-    if registered is None or registered.start != start:
-        registered = ServerRecord(
-            start.name,
-            start.born_ms,
-            LAST_SEQUENCE,
-            ServiceId(''),
-            Address(''),
-            FailureDomainId(''),
-            1,
-        )
-    elif registered.state is ServerState.DRAINING:
+    known = routes.servers.get(start.name)
+    if known is None or known.start != start:
+        known = _make_unknown(start)
+    elif known.state is ServerState.DRAINING:
         return (removal,)
     record = replace(
-        registered,
+        known,
         sequence=LAST_SEQUENCE,
         address=Address(END_ADDRESS.format(start.name)),
         state=ServerState.DRAINING,
@@ -66,3 +58,16 @@
     """
     has_left = record.state is ServerState.DRAINING
     return ForgetServer(record.name, record.born_ms, has_left, at_ms)
+
+
+def _make_unknown(start):
+    """Return the record of a start of which only the name is known."""
+    return ServerRecord(
+        start.name,
+        start.born_ms,
+        LAST_SEQUENCE,
+        ServiceId(''),
+        Address(''),
+        FailureDomainId(''),
+        1,
+    )
--- a/fuchsiacart/control/route_control.py
+++ b/fuchsiacart/control/route_control.py
@@ -159,6 +159,8 @@
     async def deregister(self, name, born_ms, has_left):
         """Remove a backend server that announces that it leaves.
 
+        Its start is ended also if it is not registered, or not any more.
+
         :param name: the server.
         :param born_ms: its start time; 0 if it is not known, in which case a
             later start must not be meant.
--- a/fuchsiacart/gateway/tracked_servers.py
+++ b/fuchsiacart/gateway/tracked_servers.py
@@ -81,7 +81,8 @@
     def begin_cold(self, now_ms):
         """Count the cold time of the record from now on.
 
-        It is longer by the increase up to which further reports are left out.
+        It is counted longer by ``MIN_COLD_INCREASE_MS``, as further reports
+        that name up to so much more are not replicated.
 
         :param now_ms: the current time.
         """
--- a/fuchsiacart/servers.py
+++ b/fuchsiacart/servers.py
@@ -21,8 +21,9 @@
 # Sequence of a record after which no call of its start counts.  It is above
 # those of all calls, and the largest that MessagePack holds.
 LAST_SEQUENCE = 2**64 - 1
-# A report is replicated only if the cold time that it names is longer by this
-# than what gateways count, which they make up for, or shorter by that.
+# Reports are not replicated whose cold time is longer by up to the first, or
+# shorter by up to the second, than what gateways still count.  Gateways add
+# the first to each cold time, so that they never count too little.
 MIN_COLD_INCREASE_MS = 100.0
 MIN_COLD_DECREASE_MS = 500.0
 
