--- a/features/steps/value_limit_steps.py
+++ b/features/steps/value_limit_steps.py
@@ -127,8 +127,6 @@
     def __init__(self):
         super().__init__('')
         self.asked = 0
-        self.order = None
-        self.limits = None
         self.records = []
         self.document = configuration()
         self.route = self.document['resources'][0]['spec']
